End silent peers in time and let them give way to clients at the limit

Evidence: strace of a node from a good second to a bad one. In the good one it answers 200 on some 40 open connections. From 3 s on some 24 connections a second come and send nothing, and a few send part of a request; each stays for 5 s. At 7 s 115 of the node's 177 open connections had never sent a byte, and of 540 answers a second 524 were "503, Connection: close", given before the module was asked. Only 10 to 40 were 200. ss shows both nodes pinned at 176 connections. Each client so sent off connects anew for its retry, which is one more connection over the limit: the limit feeds itself.

Ruled out: buckets (few answers were 429), servers (half idle, spread and thresholds as in the good stretch), CPU (0.17 s of 0.25 in a second at most), a lost count of connections (strace and ss agree with it).

At fault: internal/node/server.go, newServer (5 s for a header and 10 s for a whole request, where a peer is owed an end within 3 s, and 60 s idle without anything giving way) and ServeHTTP (once over the limit, each request on any connection is refused and its connection closed, also those of clients who came long before). Now a header has 2 s and its body half a second more, the connection that is quiet for longest gives way to a new one at the limit, and only a connection that came over the limit is refused. A malformed request ends its connection, so that a flood of them on one costs one answer.

--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,7 +16,8 @@
 	maxID         = 128 // bytes; the protocol's own ids are far shorter
 	maxDeadlineMs = 3_600_000
 	maxHeader     = 16 << 10
-	headerTimeout = 5 * time.Second // for a request's header, and the same again for its body
+	headerTimeout = 2 * time.Second        // for a request's header from its first byte, or from the connect
+	bodyTimeout   = 500 * time.Millisecond // on top, for its body: who connects is owed an end within 3 s
 	clientIdle    = 60 * time.Second
 	writeTimeout  = 5 * time.Second // for an answer to a client that doesn't read
 	readyPath     = "/health/ready"
@@ -49,34 +49,26 @@
 	loop     *loop
 	classes  map[string]policy.Class
 	draining atomic.Bool // answers end their connections
-	conns    atomic.Int64
-	maxConns int64
+	peers    *peers
 	http     http.Server
 }
 
 func newServer(c Config, l *loop, maxConns int) *server {
-	s := &server{loop: l, classes: make(map[string]policy.Class), maxConns: int64(maxConns)}
+	s := &server{loop: l, classes: make(map[string]policy.Class), peers: newPeers(maxConns)}
 	for _, class := range c.Settings.Classes {
 		s.classes[class.Name] = class
 	}
 	s.http = http.Server{
-		Handler: s, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, ReadTimeout: 2 * headerTimeout,
-		IdleTimeout: clientIdle, DisableGeneralOptionsHandler: true,
-		ConnState: func(_ net.Conn, state http.ConnState) {
-			switch state {
-			case http.StateNew:
-				s.conns.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				s.conns.Add(-1)
-			}
-		},
+		Handler: s, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout,
+		ReadTimeout: headerTimeout + bodyTimeout, IdleTimeout: clientIdle, DisableGeneralOptionsHandler: true,
+		ConnContext: s.peers.admit, ConnState: s.peers.follow,
 	}
 	return s
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// Over its part of the descriptors the node still answers, and gets the descriptor back.
-	full := s.conns.Load() > s.maxConns
+	full := overLimit(r.Context())
 	// What comes after chunks is not followed by framedConn, so it must not be read as a request.
 	if full || s.draining.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
@@ -91,6 +83,7 @@
 	}
 	x, status, problem := s.read(w, r)
 	if x == nil {
+		w.Header().Set("Connection", "close") // no client of ours sends such: its descriptor is wanted
 		http.Error(w, problem, status)
 		return
 	}
