Follow discovery to its new address on SIGHUP instead of dying of it

Nothing handled SIGHUP, so the Go runtime ended the process, and discovery's address was fixed at the start.

On SIGHUP the node reads `discovery` from the file (ROUTER_DISCOVERY names only the address at the start), hangs up on the old one, takes the whole list from the new one, whose revisions need not be the same, and watches there. A file that can't be used is logged and changes nothing.

--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -29,6 +29,10 @@
 }
 
 func run() error {
+	// SIGHUP would end the process if it came before there is anybody to hear it.
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
 	c, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -42,5 +46,29 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	slog.Info("listening", "name", c.Name, "address", listener.Addr(), "servers", len(c.Known.Members))
-	return node.Run(ctx, c, listener)
+	moves := make(chan string)
+	go follow(ctx, changed, moves)
+	return node.Run(ctx, c, listener, moves)
+}
+
+// follow passes discovery's address on after each change of the configuration, until ctx ends. A file
+// that can't be read changes nothing.
+func follow(ctx context.Context, changed <-chan os.Signal, moves chan<- string) {
+	for {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		addr, err := node.LoadDiscovery(os.Getenv)
+		if err != nil {
+			slog.Error("the changed configuration is not used", "err", err)
+			continue
+		}
+		select {
+		case moves <- addr:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -42,17 +42,9 @@
 // LoadConfig reads the file that ROUTER_CONFIG names. The other variables, where set, go before what
 // the file says. Errors name the field.
 func LoadConfig(getenv func(string) string) (Config, error) {
-	path := getenv("ROUTER_CONFIG")
-	if path == "" {
-		return Config{}, errors.New("ROUTER_CONFIG: not set")
-	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
-	}
-	c, err := parseConfig(raw)
+	c, err := readConfig(getenv)
 	if err != nil {
-		return Config{}, fmt.Errorf("configuration: %w", err)
+		return Config{}, err
 	}
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
@@ -70,6 +62,36 @@
 	return c, nil
 }
 
+// LoadDiscovery reads where discovery is from the file that ROUTER_CONFIG names, after a change of it.
+// ROUTER_DISCOVERY tells only where it was at the start.
+func LoadDiscovery(getenv func(string) string) (string, error) {
+	c, err := readConfig(getenv)
+	if err != nil {
+		return "", err
+	}
+	if err := checkAddress(c.Discovery); err != nil {
+		return "", fmt.Errorf("configuration: discovery: %w", err)
+	}
+	return c.Discovery, nil
+}
+
+// readConfig reads the file that ROUTER_CONFIG names.
+func readConfig(getenv func(string) string) (Config, error) {
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("ROUTER_CONFIG: not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	c, err := parseConfig(raw)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	return c, nil
+}
+
 func parseConfig(raw []byte) (Config, error) {
 	var f struct {
 		Name      string `json:"name"`
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -102,14 +102,23 @@
 	client    *http.Client
 	subscribe bool // watch only when the module has asked, and tell it of failures
 	revision  int64
-	asks      chan bool // the module's newest wish to be kept told
+	asks      chan bool   // the module's newest wish to be kept told
+	moves     chan string // the newest address, where the configuration names another
 	tell      func(any)
 }
 
+// errMoved ends a call to an address that the configuration no longer names.
+var errMoved = errors.New("discovery has moved")
+
+// wholeList stands for a revision of no list: the answer is then the list as a whole, at once.
+const wholeList = -1
+
+func registryURL(addr string) string { return "http://" + addr + "/registry/instances" }
+
 func newDiscovery(c Config, tell func(any)) *discovery {
 	return &discovery{
-		url: "http://" + c.Discovery + "/registry/instances", subscribe: c.Settings.Subscribe,
-		revision: c.Known.Revision, asks: make(chan bool, 1), tell: tell,
+		url: registryURL(c.Discovery), subscribe: c.Settings.Subscribe,
+		revision: c.Known.Revision, asks: make(chan bool, 1), moves: make(chan string, 1), tell: tell,
 		client: &http.Client{
 			// A Transport of its own, so neither a proxy nor the requests share its connection.
 			Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1,
@@ -129,6 +138,23 @@
 	d.asks <- on
 }
 
+// move names another address for discovery, which takes the place of one not yet heard. One goroutine
+// calls it, and it never blocks.
+func (d *discovery) move(addr string) {
+	select {
+	case <-d.moves:
+	default:
+	}
+	d.moves <- addr
+}
+
+// moveTo leaves the old address. Its revisions need not be the new one's, so the whole list is fetched.
+func (d *discovery) moveTo(addr string) {
+	slog.Info("discovery: moved", "address", addr)
+	d.url, d.revision = registryURL(addr), wholeList
+	d.client.CloseIdleConnections()
+}
+
 // run watches until ctx ends.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
@@ -140,10 +166,12 @@
 		if !watching {
 			continue
 		}
-		l, err := d.watch(ctx)
+		l, err := d.call(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errMoved):
+			backoff = 0
 		case err == nil:
 			backoff = 0
 			d.learn(l)
@@ -174,16 +202,44 @@
 	select {
 	case on := <-d.asks:
 		return on
+	case addr := <-d.moves:
+		d.moveTo(addr)
+		return true // the new address is not the one that failed
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// call watches once, and hangs up when discovery moves meanwhile.
+func (d *discovery) call(ctx context.Context) (list, error) {
+	ctx, hangUp := context.WithCancel(ctx)
+	defer hangUp()
+	var l list
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l, err = d.watch(ctx)
+	}()
+	select {
+	case <-done:
+		return l, err
+	case addr := <-d.moves:
+		hangUp()
+		<-done
+		d.moveTo(addr)
+		return list{}, errMoved
+	}
+}
+
 // watch makes one call, which waits for something newer than the revision held.
 func (d *discovery) watch(ctx context.Context) (list, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
 	defer cancel()
-	url := fmt.Sprintf("%s?index=%d&wait=%d", d.url, d.revision, watchWait.Milliseconds())
+	url := d.url
+	if d.revision != wholeList {
+		url += fmt.Sprintf("?index=%d&wait=%d", d.revision, watchWait.Milliseconds())
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return list{}, err
@@ -212,7 +268,7 @@
 
 // learn passes on what a watch brought. An empty delta is told only where the module awaits an answer.
 func (d *discovery) learn(l list) {
-	d.revision = l.Revision
+	d.revision = max(0, l.Revision)
 	switch {
 	case l.Complete:
 		d.tell(news{policy.ListReplace, l.Members})
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -138,3 +138,53 @@
 		}
 	}
 }
+
+// When discovery moves, the node hangs up on the old address, takes the whole list from the new one,
+// whose revisions may be others, and watches there.
+func TestDiscoveryMoves(t *testing.T) {
+	for _, subscribe := range []bool{false, true} {
+		d, told, queries := watched(t, subscribe)
+		if subscribe {
+			d.ask(true)
+		}
+		indexes(t, queries, "7")
+		moved := make(chan string, 100)
+		d.move(httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+			moved <- r.URL.RawQuery
+			if r.URL.RawQuery == "" {
+				_, _ = io.WriteString(w, `{"revision":3,"complete":true,"members":[`+entry("s9", "draining")+`]}`)
+				return
+			}
+			<-r.Context().Done()
+		}))
+		if n := receive(t, "the list", told); n.kind != policy.ListReplace || n.members[0].Server != "s9" {
+			t.Errorf("subscribe %v: news %+v", subscribe, n)
+		}
+		for _, want := range []string{"", "index=3&wait=5000"} {
+			if got := receive(t, "a call to the new address", moved); got != want {
+				t.Errorf("subscribe %v: asked for %q, want %q", subscribe, got, want)
+			}
+		}
+		if len(queries) != 0 || len(told) != 0 {
+			t.Errorf("subscribe %v: the old address was asked again, or a failure told", subscribe)
+		}
+	}
+}
+
+// A move is followed at once also while the module waits before it asks a failed discovery again.
+func TestDiscoveryMovesAfterAFailure(t *testing.T) {
+	d, told, _ := watched(t, true, "down")
+	d.ask(true)
+	if n := receive(t, "the failure", told); n.kind != policy.ListUnavailable {
+		t.Fatalf("news %+v", n)
+	}
+	d.move(httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+		}
+		_, _ = io.WriteString(w, `{"revision":3,"complete":true,"members":[`+entry("s9", "up")+`]}`)
+	}))
+	if n := receive(t, "the list", told); n.kind != policy.ListReplace {
+		t.Errorf("news %+v", n)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,8 +20,8 @@
 )
 
 // Run serves clients on the listener until ctx ends. Then it goes on accepting for a moment, answers
-// what it has taken, and returns.
-func Run(ctx context.Context, c Config, listener net.Listener) error {
+// what it has taken, and returns. What moves brings is discovery's new address.
+func Run(ctx context.Context, c Config, listener net.Listener, moves <-chan string) error {
 	ck := clock{start: time.Now()}
 	// Each request in hand needs a descriptor on either side.
 	side := (c.Sockets - ownSockets) / 2
@@ -46,10 +46,14 @@
 	// clients who connect and say nothing leave the servers' side its descriptors.
 	listener = netutil.LimitListener(listener, side+ownSockets/2)
 	parts.Go(func() { failed <- s.http.Serve(framingListener{listener}) })
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serving: %w", err)
-	case <-ctx.Done():
+	for ctx.Err() == nil {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("serving: %w", err)
+		case addr := <-moves:
+			l.disc.move(addr)
+		case <-ctx.Done():
+		}
 	}
 	return s.drain(c)
 }
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -118,7 +118,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- Run(ctx, c, ln) }()
+	go func() { ended <- Run(ctx, c, ln, nil) }()
 	stopped := false
 	stop = func() error {
 		if stopped {
