--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -730,3 +730,20 @@
 		}
 	}
 }
+
+// Aims leave three to five times the work of a request. Where half an aim goes by, a request has waited
+// for about as long as it was served, and a threshold that still grew would do so until servers choke.
+func TestWaitsAsLongAsTheWorkLowerTheThreshold(t *testing.T) {
+	b := start(t, site(1), members(2))
+	s, c := b.order[0], b.ranked[0]
+	for _, v := range []struct {
+		part float64 // of the aim
+		grow bool
+	}{{0.3, true}, {0.5, false}, {0.9, false}} {
+		s.threshold, s.inflight = 10, 10
+		b.learn(s, c, OK, seconds(v.part*c.Aim.Seconds()))
+		if grew := s.threshold > 10; grew != v.grow || s.threshold == 10 {
+			t.Errorf("an answer after %v of its aim moves the threshold from 10 to %v", v.part, s.threshold)
+		}
+	}
+}
