--- a/policy/policy.go
+++ b/policy/policy.go
@@ -223,7 +223,7 @@
 	lostMost          = 0.1           // part of the other answers that may time out there
 	fullGain, badGain = 0.02, 0.01    // weight of one answer in these parts, and in that of bad answers
 	crowdLimit        = 2.0           // times its limit, the least busy is filled; more would only be late
-	slowPart          = 0.4           // part of the aim from which an answer tells of a crowd: it waited as long as it ran
+	slowPart          = 0.4           // part of the aim from which an answer waited about as long as it ran
 	keyHomes          = 3             // servers that keep a key warm in each zone
 	hashPrime         = 1099511628211 // of the 64-bit FNV hash
 )
