Don't send 200 to a client that has gone away

At fault: internal/node/server.go, ServeHTTP, which returns on a departure, and net/http then completes the answer with its default status. A client that closed only its own side would read that it was served, with something that no server made. The connection is now ended without an answer.

--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -93,6 +93,7 @@
 		write(w, a)
 	case <-r.Context().Done():
 		s.loop.send(departure{x})
+		panic(http.ErrAbortHandler) // to return would send 200 to a client that closed only its side
 	case <-s.loop.done:
 		w.WriteHeader(http.StatusBadGateway)
 	}
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -147,6 +147,29 @@
 		fmt.Sprintf("outcome r1 0 code %d ended true", policy.Cancelled))
 }
 
+// A client that closes has gone away: it is not told that it was served, also where it still reads.
+func TestDepartedClientIsNotServed(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) { <-hold })
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	c, err := net.Dial("tcp", node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := clientRequest(t, node, "GET", "read", "r1", "").Write(c); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(long))
+	if got, err := io.ReadAll(c); err != nil || len(got) > 0 {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
 // Over its part of the descriptors a node refuses, and gives the connection up.
 func TestClientsOverTheLimitAreRefused(t *testing.T) {
 	var reached atomic.Int32
