Fill servers past their threshold by worth, so the dearest class is given up last

No decision read the worth of a class.

Ruled out: buckets.

At fault: policy/policy.go, pick. Past the threshold the least busy server was filled to twice its limit by any class.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,7 @@
 		}
 		b.ranked = append(b.ranked, &class{Class: c, index: i, open: &b.pool, tail: c.Aim / 2})
 		b.classes[c.Name] = b.ranked[i]
+		b.dearest = max(b.dearest, c.Worth)
 	}
 	b.other = set.Limits.Default
 	for _, t := range set.Tenants { // a tenant that nobody agreed a share with counts as the smallest
@@ -222,7 +223,8 @@
 	fullEnough        = 0.2           // part of full answers among bad ones from which servers shed early
 	lostMost          = 0.1           // part of the other answers that may time out there
 	fullGain, badGain = 0.02, 0.01    // weight of one answer in these parts, and in that of bad answers
-	crowdLimit        = 2.0           // times its limit, the least busy is filled; more would only be late
+	crowdLimit        = 1.5           // times its limit, the least busy is filled by the dearest class,
+	crowdLeast        = 0.8           // and down to this by one that is worth next to nothing
 	slowPart          = 0.4           // part of the aim from which an answer waited about as long as it ran
 	keyHomes          = 3             // servers that keep a key warm in each zone
 	hashPrime         = 1099511628211 // of the 64-bit FNV hash
@@ -249,12 +251,21 @@
 			least = s
 		}
 	}
-	if least != nil && b.crowding(least) > crowdLimit && !b.shedEarly() {
+	if least != nil && b.crowding(least) > b.crowdMost(r.class) && !b.shedEarly() {
 		return nil, !least.felt
 	}
 	return least, least != nil && !least.felt
 }
 
+// crowdMost is how many times its limit the least busy server is filled for a class. Without room for
+// all, what is worth less is given up first; beyond the most, answers would only be late.
+func (b *Balancer) crowdMost(c *class) float64 {
+	if b.dearest <= 0 { // the site states no worth
+		return crowdLimit
+	}
+	return crowdLeast + (crowdLimit-crowdLeast)*c.Worth/b.dearest
+}
+
 // homes are the servers that all nodes of a zone try first, in turn, for a key that a server serves
 // with less work if it met it lately: hot keys and those of a lost server stay warm. Rendezvous hashing
 // keeps them where they are as servers come and go.
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -747,3 +747,26 @@
 		}
 	}
 }
+
+// Where no server has room, the least busy still takes a little of the dearest class, and the class that
+// is worth least waits for room.
+func TestDearestClassIsGivenUpLast(t *testing.T) {
+	set := site(1)
+	set.Classes[0].Worth, set.Classes[1].Worth = 1, 5
+	b := start(t, set, members(2))
+	for _, s := range b.order {
+		s.threshold, s.felt, s.inflight = 10, true, 12
+	}
+	if sent := of(b.Handle(ms, ask("cheap", "free")), Send); len(sent) != 0 {
+		t.Errorf("the cheapest class is sent over the threshold: %+v", sent)
+	}
+	if sent := of(b.Handle(ms, ask("dear", "once")), Send); len(sent) != 1 {
+		t.Errorf("the dearest class is not sent, though servers are little over the threshold")
+	}
+	for _, s := range b.order {
+		s.inflight = 15
+	}
+	if sent := of(b.Handle(ms, ask("late", "once")), Send); len(sent) != 0 {
+		t.Errorf("the dearest class is sent to servers that are far over the threshold")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -19,6 +19,7 @@
 	other    *Limit   // for tenants without a quota; nil: no limit
 	buckets  map[bucketKey]*bucket
 	pace     float64 // scale of all bucket rates
+	dearest  float64 // the most that a class is worth
 	trust    float64 // scale of the thresholds of servers that other nodes mostly use
 	fullPart float64 // part of full answers among the bad ones lately
 	bad      float64 // part of bad answers lately
