Serve clients on while a node stops, until what comes could not be answered

Evidence: ss, strace and the nodes' logs. The first node gets SIGTERM at 13.0 s, ends at 13.8 s and is started again at 16.9 s, 3.9 s after the signal; the second gets its signal at 16.0 s. A node that is told to stop ends each connection with its next answer and closes the idle ones after 0.5 s, so for three of the four seconds the other node has all clients: its 128 connections are all open, 45 to 69 of them with unread requests, and its CPU is at 0.22 of 0.25 s. For 0.1 s nobody serves at all.

At fault: internal/node/node.go, drain, with ServeHTTP's Connection: close. The node now tells the front at once that it isn't ready, and serves on until the longest aim would reach past the end that drain always had.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/net/netutil"
+
+	"cobaltward/policy"
 )
 
 const (
@@ -59,22 +61,43 @@
 }
 
 // drain ends the service. Connections go on coming for a while after the signal, and what sits in
-// them unread counts as taken, so the listener stays open until then.
+// them unread counts as taken, so the listener stays open until then. Clients go on using those they
+// have: ending them early would only move their load to the other nodes while this one is gone, so they
+// are served for as long as what comes can be answered before the node is killed.
 func (s *server) drain(c Config) error {
 	slog.Info("stopping")
+	s.stopping.Store(true)
+	end := time.Now().Add(acceptFor + longestWait(c.Settings.Classes))
+	time.Sleep(max(acceptFor, time.Until(end)-longestAnswer(c.Settings.Classes)))
 	s.draining.Store(true)
-	time.Sleep(acceptFor)
-	var longest time.Duration
-	for _, class := range c.Settings.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	longest = min(longest, longestDrain)
-	late := time.AfterFunc(longest, func() { s.loop.send(finish{}) })
+	late := time.AfterFunc(time.Until(end), func() { s.loop.send(finish{}) })
 	defer late.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), longest+lastAnswers)
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(lastAnswers))
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
 	return s.http.Close()
 }
+
+// longestWait is how long a client of a stopping node may wait.
+func longestWait(classes []policy.Class) time.Duration {
+	var longest time.Duration
+	for _, class := range classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, longestDrain)
+}
+
+// longestAnswer is how long an answer takes that is worth something to its client.
+func longestAnswer(classes []policy.Class) time.Duration {
+	var longest time.Duration
+	for _, class := range classes {
+		if class.Aim > 0 && class.LateWorth <= 0 {
+			longest = max(longest, class.Aim)
+		} else {
+			longest = max(longest, class.Deadline)
+		}
+	}
+	return longest
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -48,7 +48,8 @@
 type server struct {
 	loop     *loop
 	classes  map[string]policy.Class
-	draining atomic.Bool // answers end their connections
+	stopping atomic.Bool // the front is told that the node isn't ready
+	draining atomic.Bool // and answers end their connections
 	peers    *peers
 	http     http.Server
 }
@@ -103,7 +104,7 @@
 func (s *server) health(w http.ResponseWriter) {
 	select {
 	case <-s.loop.ready:
-		if !s.draining.Load() {
+		if !s.stopping.Load() {
 			return
 		}
 	default:
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -228,6 +228,7 @@
 	node := httpServer(t, s.ServeHTTP)
 	receive(t, "readiness", l.ready)
 	for _, draining := range []bool{false, true} {
+		s.stopping.Store(draining)
 		s.draining.Store(draining)
 		req := clientRequest(t, node, "GET", "read", fmt.Sprint("r", draining), "")
 		resp, err := http.DefaultClient.Do(req)
@@ -296,6 +297,48 @@
 	}
 }
 
+// A node that is told to stop serves its clients on the connections they have until what comes could
+// no longer be answered in time; meanwhile the front is told that it isn't ready.
+func TestStoppingNodeServesOn(t *testing.T) {
+	c := testConfig(t, knownList(httpServer(t, func(http.ResponseWriter, *http.Request) {})))
+	for i := range c.Settings.Classes {
+		c.Settings.Classes[i].Aim, c.Settings.Classes[i].Deadline = 200*time.Millisecond, 1500*time.Millisecond
+	}
+	node, stop := startNode(t, c)
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	get := func(req *http.Request) (*http.Response, error) {
+		resp, err := client.Do(req)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		return resp, err
+	}
+	ended, began := make(chan error, 1), time.Now()
+	go func() { ended <- stop() }()
+	probe, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+node+readyPath, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	await(t, "a front that is told", func() bool {
+		resp, err := get(probe)
+		return err != nil || resp.StatusCode == http.StatusServiceUnavailable
+	})
+	for n := 0; time.Since(began) < 1500*time.Millisecond; n++ {
+		resp, err := get(clientRequest(t, node, "GET", "read", fmt.Sprint("r", n), ""))
+		if err != nil || resp.StatusCode != http.StatusOK || resp.Close {
+			t.Fatalf("after %v: %v, %+v", time.Since(began), err, resp)
+		}
+	}
+	if err := receive(t, "the end", ended); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(began); took > 2200*time.Millisecond {
+		t.Errorf("ended after %v, want before the node is killed", took)
+	}
+}
+
 // No input panics the node: after noise of each kind it still serves.
 func TestNoiseFromClients(t *testing.T) {
 	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
