Size each node's part of a server by load reports where nodes are many

Evidence: counters summed over the 80 nodes. 220 attempts were in flight at some 360 cores, and the cores 60% busy by their own reports, while each node held all its thresholds together to 2.8 attempts and cut its buckets to 0.6 of the shares. A node gets 12 answers a second from 60 servers, one of each in 5 s, so thresholds learned by own answers (policy.go: learn, start) neither rise nor fall in time, and an answer of 0.4 of the aim counts as slow though it was only heavy. The buckets (follow) then refused bill-charge as much as meter-read. All of it where there are more than 3 nodes and the reports carry latency, busy part and rate; else nothing changes.

Tests: TestPartsFollowReportedRates, TestWindowFollowsTheBusyPart, TestWindowHolds, TestChokedServerRests, TestRatesStayAtTheSharesWhereLoadIsReported fail where reports are not read.

--- /dev/null
+++ b/policy/load_test.go
@@ -0,0 +1,154 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+// fleet is a node among many, at a site whose servers report their load.
+func fleet(t *testing.T, nodes int, list []Member) *Balancer {
+	t.Helper()
+	set := site(nodes)
+	set.Report = []string{"latency_ms", "util", "qps"}
+	return start(t, set, list)
+}
+
+func report(latency, util, rate float64) []float64 { return []float64{latency, util, rate} }
+
+// hears gives the node n answers of a server with the same report, each a tenth of a second apart.
+func hears(b *Balancer, s *server, n int, row []float64) {
+	for range n {
+		b.now += 100 * ms
+		b.hear(s, row)
+	}
+}
+
+// A node that sees little of each server sizes its parts of them by what they report they can serve: by
+// its own answers it learned too late that one is a third of another. Latency must not count: it grows
+// with the crowd and made small servers look large.
+func TestPartsFollowReportedRates(t *testing.T) {
+	list := members(12)
+	for i := range list {
+		list[i].Kind = []string{"big", "small"}[i%2]
+	}
+	b := fleet(t, 40, list)
+	big, small := b.servers["s00"], b.servers["s01"]
+	if b.limit(big) != b.limit(small) {
+		t.Fatalf("before any report the limits are %v and %v, want them equal", b.limit(big), b.limit(small))
+	}
+	hears(b, big, 30, report(100, 0.5, 30))
+	hears(b, small, 30, report(400, 0.5, 10))
+	if got := b.limit(big) / b.limit(small); math.Abs(got-3) > 0.1 {
+		t.Errorf("a server of three times the rate has %v times the limit", got)
+	}
+	if got := b.limit(b.servers["s02"]) / b.limit(b.servers["s03"]); math.Abs(got-3) > 0.1 {
+		t.Errorf("servers not heard of yet differ by %v, want them to count as their kinds", got)
+	}
+}
+
+// All attempts of a node stay within a window, which shrinks while servers are too busy and grows where
+// they aren't and the node had no room; room that nobody wanted moves nothing.
+func TestWindowFollowsTheBusyPart(t *testing.T) {
+	b := fleet(t, 40, members(40))
+	s, first := b.order[0], b.window()
+	hears(b, s, 30, report(100, 0.3, 10))
+	if b.window() != first {
+		t.Errorf("the window went from %v to %v though it was never full", first, b.window())
+	}
+	hears(b, s, 30, report(100, 1, 30))
+	full := b.window()
+	if full >= first {
+		t.Errorf("the window is %v while servers are full, want less than %v", full, first)
+	}
+	for range 60 {
+		b.wanted = true
+		hears(b, s, 1, report(100, 0.3, 10))
+	}
+	if b.window() <= full {
+		t.Errorf("the window stays at %v though it was full and servers are idle", b.window())
+	}
+}
+
+// However many servers there are, a node sends no more than its window at once, and the dearest class
+// finds some room beyond that.
+func TestWindowHolds(t *testing.T) {
+	set := site(40)
+	set.Report = []string{"latency_ms", "util", "qps"}
+	set.Classes[0].Worth, set.Classes[1].Worth = 1, 5
+	set.Tenants[0].Quota = 1e6
+	b := start(t, set, members(40))
+	send := func(class string) (n int) {
+		for i := range 100 {
+			n += len(of(b.Handle(b.now, ask(fmt.Sprint(class, i), class)), Send))
+		}
+		return n
+	}
+	if n := send("free"); float64(n) > b.window() || n < 2 {
+		t.Errorf("%d attempts are out, the window is %v", n, b.window())
+	}
+	if n := send("once"); n == 0 {
+		t.Error("the dearest class found no room beyond the window")
+	}
+	if most := crowdLimit * b.window(); float64(b.inflight) > most {
+		t.Errorf("%d attempts are out, want at most %v", b.inflight, most)
+	}
+}
+
+// A server that is busy and far slower than its kind is choked: it comes back only by a rest, which the
+// trials of many nodes would take from it. So none is tried that lies behind a server with room.
+func TestChokedServerRests(t *testing.T) {
+	b := fleet(t, 40, members(12))
+	for _, s := range b.order {
+		hears(b, s, 3, report(100, 0.5, 10))
+	}
+	first, last := b.order[0], b.order[11]
+	hears(b, first, 1, report(900, 1, 3))
+	hears(b, last, 1, report(900, 1, 3))
+	if !first.health.out || !last.health.out {
+		t.Fatal("choked servers are not rested")
+	}
+	b.now += ejectMost
+	if s := b.trial(&request{class: b.ranked[0]}); s != first {
+		t.Errorf("tried out %+v, want the first of the walk", s)
+	}
+	if s := b.trial(&request{class: b.ranked[0]}); s != nil {
+		t.Errorf("%s is tried out, though servers before it have room", s.Server)
+	}
+}
+
+// What can't be a load report moves nothing, and neither does the report of an idle server.
+func TestRubbishReportsMoveNothing(t *testing.T) {
+	b := fleet(t, 40, members(12))
+	s := b.order[0]
+	hears(b, s, 3, report(100, 0.5, 10))
+	limit, window := b.limit(s), b.window()
+	nan, inf := math.NaN(), math.Inf(1)
+	for _, row := range [][]float64{nil, {1}, report(nan, 1, 1), report(100, nan, 10), report(100, 0.5, nan),
+		report(100, 0.5, inf), report(100, inf, 10), report(-1, 0.5, 10), report(100, 0, 0), report(100, 40, 10)} {
+		b.wanted = true
+		hears(b, s, 1, row)
+		if b.limit(s) != limit || b.window() != window {
+			t.Errorf("%v moved the limit from %v to %v, the window from %v to %v", row, limit, b.limit(s), window, b.window())
+		}
+	}
+}
+
+// Where reports tell of room, a fleet short of it gives up what is worth least; the rates of the buckets
+// stay at the shares, for they would refuse the dearest class as much as the cheapest.
+func TestRatesStayAtTheSharesWhereLoadIsReported(t *testing.T) {
+	b := fleet(t, 40, members(12))
+	for range 500 {
+		b.follow(false)
+	}
+	if b.pace != 1 {
+		t.Errorf("the pace is %v, want 1", b.pace)
+	}
+	b = start(t, site(40), members(12))
+	for range 500 {
+		b.follow(false)
+	}
+	if b.pace != paceLeast {
+		t.Errorf("without reports the pace is %v, want %v", b.pace, paceLeast)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,8 +22,12 @@
 	b := &Balancer{
 		set: set, now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))),
 		classes: make(map[string]*class), tenants: make(map[string]Limit),
-		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1,
+		buckets: make(map[bucketKey]*bucket), pace: 1, trust: trustFirst,
 		servers: make(map[string]*server), reqs: make(map[string]*request), budget: defaultBudget,
+		kinds: make(map[string]*load),
+	}
+	for i, name := range []string{reportLatency, reportUtil, reportRate} {
+		b.reports[i] = slices.Index(set.Report, name)
 	}
 	if set.Rules.Attempts != nil {
 		b.budget = *set.Rules.Attempts
@@ -195,6 +199,8 @@
 func (b *Balancer) follow(room bool) {
 	switch {
 	case !room && b.pace <= 1 && b.shedEarly():
+	case !room && b.measured(): // what is worth least is given up first, not a part of all
+		b.pace = max(1, b.pace*(1-paceCut))
 	case !room:
 		b.pace = max(paceLeast, b.pace*(1-paceCut))
 	case b.pace > paceShare && b.bad > paceBad:
@@ -234,8 +240,9 @@
 // than its threshold, else the least busy; nil where none may be used. Room is also reported where
 // the least busy was never cut: what it takes is not known yet.
 func (b *Balancer) pick(r *request) (s *server, room bool) {
+	crowd := b.crowd()
 	for _, s := range b.homes(r) {
-		if s != nil && b.usable(r, s) && b.hasRoom(s) {
+		if s != nil && crowd < 1 && b.usable(r, s) && b.hasRoom(s) {
 			return s, true
 		}
 	}
@@ -244,14 +251,15 @@
 		if !b.usable(r, s) {
 			continue
 		}
-		if b.hasRoom(s) {
+		if crowd < 1 && b.hasRoom(s) {
 			return s, true
 		}
 		if least == nil || b.crowding(s) < b.crowding(least) {
 			least = s
 		}
 	}
-	if least != nil && b.crowding(least) > b.crowdMost(r.class) && !b.shedEarly() {
+	b.wanted = true
+	if least != nil && max(crowd, b.crowding(least)) > b.crowdMost(r.class) && !b.shedEarly() {
 		return nil, !least.felt
 	}
 	return least, least != nil && !least.felt
@@ -292,6 +300,8 @@
 	switch {
 	case !b.staggered():
 		return max(1, startFew/float64(b.set.Nodes))
+	case b.measured():
+		return 1 // of its fair part
 	case s.own && b.set.WarmKeys:
 		return min(1, startShared*float64(b.zones)/float64(b.set.Nodes))
 	case s.own:
@@ -302,19 +312,32 @@
 }
 
 // crowding sets attempts in flight against what s was seen to take, lest one that others fill look idle.
-func (b *Balancer) crowding(s *server) float64 { return float64(s.inflight+1) / b.limit(s) }
+// A threshold under one is kept in time, and so is crowding then.
+func (b *Balancer) crowding(s *server) float64 {
+	limit := b.limit(s)
+	if limit < 1 && s.inflight == 0 && b.measured() {
+		return s.latency / limit / (s.latency + (b.now - s.lastSend).Seconds())
+	}
+	return float64(s.inflight+1) / limit
+}
 
 // limit is the threshold of s, for a shared server scaled by the trust in all such: a node sees too
-// little of each to learn its threshold in time.
+// little of each to learn its threshold in time. One not heard of yet counts as the usual of its kind.
 func (b *Balancer) limit(s *server) float64 {
-	if b.shared(s) {
-		return s.threshold * b.trust
+	if !b.shared(s) {
+		return s.threshold
 	}
-	return s.threshold
+	if b.measured() {
+		return b.fair(s)
+	}
+	return s.threshold * b.trust
 }
 
 // shared tells whether other nodes send s most of its work: it isn't own, or the home of keys for all.
-func (b *Balancer) shared(s *server) bool { return b.staggered() && (!s.own || b.set.WarmKeys) }
+// Where servers report their load no server is own, for the thresholds don't rest on own answers alone.
+func (b *Balancer) shared(s *server) bool {
+	return b.staggered() && (!s.own || b.set.WarmKeys || b.measured())
+}
 
 // hasRoom tells whether a server is under its threshold. A threshold under one is kept in time.
 func (b *Balancer) hasRoom(s *server) bool {
@@ -365,7 +388,10 @@
 // and safe, and the node offers requests past the crowd limit, keeps bucket rates at the shares and
 // ejects nobody for full answers. It guards against shocks that leave every threshold low while there
 // is room; it could do harm where they jam all the same, so time-outs end it, and late answers count.
-func (b *Balancer) shedEarly() bool { return b.fullPart >= fullEnough && b.lost < lostMost }
+// Where servers report their load, that tells of room instead.
+func (b *Balancer) shedEarly() bool {
+	return !b.measured() && b.fullPart >= fullEnough && b.lost < lostMost
+}
 
 // learn moves the threshold of s by one outcome. Steps shrink with a threshold under one, so that it
 // settles where thresholdGrow/(thresholdGrow+slowCut) of the answers are slow, at any size.
@@ -386,6 +412,10 @@
 	if code != Full {
 		track(&b.lost, badGain, code == TimedOut)
 	}
+	if b.measured() {
+		b.fault(s, code)
+		return
+	}
 	if b.shared(s) && step > 0 {
 		b.trust = min(trustMost, b.trust*(1+trustGrow))
 	} else if b.shared(s) && step < 0 && code != Full {
@@ -395,6 +425,151 @@
 	s.threshold = max(leastPart*b.start(s), s.threshold+step*min(1, s.threshold))
 }
 
+// ---- Load reports: what servers say of themselves ----
+
+const (
+	reportLatency, reportUtil, reportRate = "latency_ms", "util", "qps"
+
+	loadGain   = 0.5             // weight of one report in what is known of its server,
+	kindGain   = 0.05            // and of the warm ones of its kind
+	loadLeast  = 0.3             // busy part of the cores below which a report tells little of them,
+	loadMost   = 0.8             // and above which they say more of the crowd than of the server
+	utilMost   = 1.5             // busy part and
+	rateMost   = 1e6             // rate above which a report is rubbish
+	maxKinds   = 64              // that are told apart; servers of further ones count as the usual
+	utilAim    = 0.8             // busy part that all nodes together aim at
+	trustSpan  = 3 * time.Second // in which the trust follows the busy part: reports come a second or two late
+	trustFall  = 3.0             // how much faster it falls than it rises
+	trustLoss  = 0.01            // part that a time-out takes off it
+	trustFirst = 1.0             // of every node
+	trustLow   = 0.2             // least trust
+	spread     = 1.25            // times an even part of its window that a node may hold at a server at least
+	partLeast  = 0.7             // attempts that a node may hold at the usual server, whatever the nodes
+	easeBy     = 4.0             // times what is busy beyond the aim comes off a server's threshold
+	easeLeast  = 0.1             // part of it that stays
+	restSlow   = 4.0             // times the usual latency of its kind from which a busy server needs a rest
+	sizeMost   = 1.5             // times the rate of its kind, and no server counts for more
+	crowdSlow  = 2.0             // times the usual latency of its kind from which a server is eased
+)
+
+// measured tells whether thresholds rest on load reports. Where nodes are many, each sees so little of
+// a server that what it would learn by its own answers comes late or never, while a single report tells
+// how many cores the server has and how fast it is now, whoever fills it.
+func (b *Balancer) measured() bool {
+	return b.staggered() && min(b.reports[0], b.reports[1], b.reports[2]) >= 0
+}
+
+// fair is what this node may hold at s: its part of all that it may have out, by what s can serve. Beyond
+// an even part lies a part worth keeping a connection for: so a node walks over few servers and hears of
+// each often, and the fleet's connections to a server stay few.
+func (b *Balancer) fair(s *server) float64 {
+	size := b.ramp(s)
+	if b.usual.n > 0 {
+		size = b.capacity(s) / b.usual.rate
+	}
+	return s.threshold * size * max(partLeast, spread*b.window()/max(1, b.warmth()))
+}
+
+// window is how many attempts this node may have out: its part of what servers are first trusted with,
+// scaled by the trust.
+func (b *Balancer) window() float64 {
+	return max(1, b.trust*startFew*b.warmth()/float64(b.set.Nodes))
+}
+
+// capacity is how many attempts a second s can serve: by its own reports, or as others of its kind.
+func (b *Balancer) capacity(s *server) float64 {
+	k := b.kinds[s.Kind]
+	if k == nil {
+		k = &b.usual
+	}
+	if s.rate > 0 {
+		return min(sizeMost*k.rate, s.rate)
+	}
+	return k.rate * b.ramp(s)
+}
+
+// crowd sets all attempts of this node in flight against its window.
+func (b *Balancer) crowd() float64 {
+	if !b.measured() {
+		return 0
+	}
+	return float64(b.inflight+1) / b.window()
+}
+
+// hear learns from the report in a good answer of s: rate over busy part is what it can serve, and the
+// node's threshold is its part of that, less while the server is far slower than others of its kind. How
+// busy servers are moves the trust: down where they are too busy, up where this node found no room.
+func (b *Balancer) hear(s *server, row []float64) {
+	if !b.measured() || len(row) < len(b.set.Report) {
+		return
+	}
+	latency, util, rate := row[b.reports[0]]/1000, row[b.reports[1]], row[b.reports[2]]
+	if !(latency > 0 && util > 0 && util <= utilMost && rate > 0 && rate < rateMost) { // rubbish, or idle
+		return
+	}
+	if util >= loadLeast && util <= loadMost {
+		b.size(s, load{rate: rate / util, latency: latency})
+	}
+	ease := 1.0
+	if k := b.kinds[s.Kind]; k != nil {
+		ease = max(easeLeast, min(1, crowdSlow*k.latency/latency, 1-easeBy*(util-utilAim)))
+		if util > utilAim && latency > restSlow*k.latency && !s.health.out && b.mayEject(s) {
+			b.eject(s)
+		}
+	}
+	s.threshold += loadGain * (ease - s.threshold)
+	s.felt = true // what it takes is known
+	err, dt := utilAim-util, min(b.now-b.heardAt, time.Second)
+	if err < 0 {
+		err *= trustFall
+	}
+	if err < 0 || b.wanted {
+		b.trustBy(math.Exp(err * dt.Seconds() / trustSpan.Seconds()))
+	}
+	b.wanted, b.heardAt = false, b.now
+}
+
+func (b *Balancer) trustBy(factor float64) {
+	b.trust = min(float64(b.set.Nodes), max(trustLow, b.trust*factor))
+}
+
+// fault learns from an outcome what reports don't tell.
+func (b *Balancer) fault(s *server, code Code) {
+	switch code {
+	case OK:
+		return
+	case TimedOut: // what it waited for still runs, and is not in flight for this node any more
+		b.trustBy(1 - trustLoss)
+	}
+	s.felt = true
+	s.threshold = max(easeLeast, s.threshold*(1-failureCut))
+}
+
+// size takes over what s can serve, and what the warm ones of its kind can.
+func (b *Balancer) size(s *server, now load) {
+	if b.ramp(s) >= 1 {
+		if b.kinds[s.Kind] == nil && len(b.kinds) < maxKinds {
+			b.kinds[s.Kind] = &load{}
+		}
+		if k := b.kinds[s.Kind]; k != nil {
+			k.add(now)
+		}
+		b.usual.add(now)
+	}
+	if s.rate == 0 { // its first report
+		s.rate = now.rate
+	}
+	s.rate += loadGain * (now.rate - s.rate)
+}
+
+// add follows the average over servers, plainly at first.
+func (l *load) add(now load) {
+	l.n++
+	gain := max(kindGain, 1/l.n)
+	l.rate += gain * (now.rate - l.rate)
+	l.latency += gain * (now.latency - l.latency)
+}
+
 // track moves the part of hits lately by one more.
 func track(part *float64, gain float64, hit bool) {
 	*part -= gain * *part
@@ -483,6 +658,7 @@
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, trial: trial, idle: idle})
 	r.pending++
 	s.inflight++
+	b.inflight++
 	s.use(b.now)
 	s.lastSend = b.now
 	s.cold.tokens--
@@ -684,6 +860,7 @@
 	r.pending--
 	a.server.use(b.now)
 	a.server.inflight--
+	b.inflight--
 	r.settle()
 	b.observe(r, a, e)
 	switch {
@@ -732,6 +909,7 @@
 	if e.Code == OK || e.Code == TimedOut {
 		s.latency += latencyGain * (e.Latency.Seconds() - s.latency)
 	}
+	b.hear(s, e.Report)
 	if e.Code == OK {
 		b.done, b.doneAt = b.doneRate()+1/doneSpan.Seconds(), b.now
 		c.observe(e.Latency)
@@ -839,6 +1017,9 @@
 			h.trialOut = true
 			return s
 		}
+		if b.measured() && b.usable(r, s) && b.hasRoom(s) {
+			return nil // the walk ends here: trials by all nodes would keep a choked server from its rest
+		}
 	}
 	return nil
 }
@@ -860,6 +1041,14 @@
 	return share + (1-share)*max(0, age.Seconds())/b.set.Rules.ColdFor.Seconds()
 }
 
+// warmth counts the servers in service by the part of their capacity that each has at least.
+func (b *Balancer) warmth() (sum float64) {
+	for _, s := range b.order {
+		sum += b.ramp(s)
+	}
+	return sum
+}
+
 // coldRoom guards the fourth rule. This node's mean rate per server, summed over the nodes, is
 // what a warm server takes; a cold one may get its present part of that, and no more.
 func (b *Balancer) coldRoom(s *server) bool {
--- a/policy/state.go
+++ b/policy/state.go
@@ -18,13 +18,19 @@
 	ranked   []*class // in the order of the settings
 	other    *Limit   // for tenants without a quota; nil: no limit
 	buckets  map[bucketKey]*bucket
-	pace     float64 // scale of all bucket rates
-	dearest  float64 // the most that a class is worth
-	trust    float64 // scale of the thresholds of servers that other nodes mostly use
-	fullPart float64 // part of full answers among the bad ones lately
-	bad      float64 // part of bad answers lately
-	lost     float64 // part of time-outs among all but full answers lately
-	refused  bool    // a bucket refused since the last choice
+	pace     float64          // scale of all bucket rates
+	dearest  float64          // the most that a class is worth
+	kinds    map[string]*load // what the warm servers of a kind report on average
+	usual    load             // and all warm servers
+	inflight int              // attempts out
+	reports  [3]int           // where latency, busy part and rate stand in a report; -1 where they don't
+	heardAt  Time             // when the last report came
+	wanted   bool             // a choice found no room since then
+	trust    float64          // scale of the thresholds of servers that other nodes mostly use
+	fullPart float64          // part of full answers among the bad ones lately
+	bad      float64          // part of bad answers lately
+	lost     float64          // part of time-outs among all but full answers lately
+	refused  bool             // a bucket refused since the last choice
 	servers  map[string]*server
 	pool         // all servers in service
 	zones    int // zones that have servers
@@ -66,6 +72,7 @@
 	threshold float64 // packing threshold, in attempts in flight
 	own       bool    // at the start of this node's own walk
 	felt      bool    // the threshold was cut at least once
+	rate      float64 // attempts a second that it can serve by its reports; 0 before the first
 	used      []Time  // when so many connections were last in use
 	lastSend  Time
 	lastDone  Time    // when it last answered anything
@@ -101,6 +108,9 @@
 
 type bucketKey struct{ tenant, class string }
 
+// load is what n reports tell: how many attempts a second servers can serve, and in what time each.
+type load struct{ n, rate, latency float64 }
+
 // bucket holds whole tokens and the time they were last added.
 type bucket struct {
 	tokens int64
