Fill cold servers by their kind's rate, and keep work from those too slow for it

Evidence: load reports of all nodes by server and second. Cold ones got 1 to 8 requests a second where their age alone allowed 20: coldRoom took the node's mean rate over all servers, most of which were cold. Small boxes choked within 2 s of the removals, in which next to nothing was heard of them: each of 80 nodes had one attempt out there, which timed out after 1 to 2 s, left the node's books and was followed by the next, though the server still held it. And the trust fell by reports of choked and cold servers that were at their limit, while warm big boxes stood at 0.3 to 0.6. Mend: coldRoom paces by what warm servers of the kind take, eased by the server's own reports, outside the window; a server that let an attempt time out is left alone for as long; a server whose latency, as reported or by its age, takes over half of the time left for an answer of worth is passed over; the trust follows warm servers that aren't choked.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -251,7 +251,7 @@
 		if !b.usable(r, s) {
 			continue
 		}
-		if crowd < 1 && b.hasRoom(s) {
+		if (crowd < 1 || b.paced(s)) && b.hasRoom(s) {
 			return s, true
 		}
 		if least == nil || b.crowding(s) < b.crowding(least) {
@@ -341,6 +341,9 @@
 
 // hasRoom tells whether a server is under its threshold. A threshold under one is kept in time.
 func (b *Balancer) hasRoom(s *server) bool {
+	if b.now < s.busyTo {
+		return false
+	}
 	limit := b.limit(s)
 	if limit >= 1 {
 		return float64(s.inflight) < limit
@@ -350,7 +353,21 @@
 
 // usable tells whether r may go to s now: s is in service, the rules allow it, and, if cold, it has room.
 func (b *Balancer) usable(r *request, s *server) bool {
-	return !s.health.out && b.mayRun(r, s) && b.coldRoom(s)
+	return !s.health.out && b.mayRun(r, s) && b.inTime(r, s) && b.coldRoom(s)
+}
+
+// inTime tells whether s would likely answer r while that is worth something: a cold or choked server
+// takes several times as long as a warm one, and work for an answer that comes late is lost.
+func (b *Balancer) inTime(r *request, s *server) bool {
+	k := b.kinds[s.Kind]
+	if k == nil || !b.measured() {
+		return true
+	}
+	takes := k.latency / b.ramp(s)
+	if s.heardAt > 0 { // as it said, the less so the longer ago that was
+		takes += (s.reported - takes) * math.Exp(-(b.now-s.heardAt).Seconds()/slowSpan.Seconds())
+	}
+	return takes <= slowMost*(r.worthTo-b.now).Seconds()
 }
 
 // permits guards the fifth rule: a class bound to zones or kinds of server goes nowhere else.
@@ -413,7 +430,7 @@
 		track(&b.lost, badGain, code == TimedOut)
 	}
 	if b.measured() {
-		b.fault(s, code)
+		b.fault(s, code, latency)
 		return
 	}
 	if b.shared(s) && step > 0 {
@@ -437,10 +454,11 @@
 	utilMost   = 1.5             // busy part and
 	rateMost   = 1e6             // rate above which a report is rubbish
 	maxKinds   = 64              // that are told apart; servers of further ones count as the usual
+	slowSpan   = 5 * time.Second // in which what a server said of its latency is forgotten
+	slowMost   = 0.5             // part of the time left that the usual answer of a server may take
 	utilAim    = 0.8             // busy part that all nodes together aim at
 	trustSpan  = 3 * time.Second // in which the trust follows the busy part: reports come a second or two late
 	trustFall  = 3.0             // how much faster it falls than it rises
-	trustLoss  = 0.01            // part that a time-out takes off it
 	trustFirst = 1.0             // of every node
 	trustLow   = 0.2             // least trust
 	spread     = 1.25            // times an even part of its window that a node may hold at a server at least
@@ -488,12 +506,16 @@
 	return k.rate * b.ramp(s)
 }
 
+// paced tells whether s is cold: the pace that its age allows bounds what it gets, so that it stands
+// outside the window, and cold servers are filled as far as they may be while warm ones are full.
+func (b *Balancer) paced(s *server) bool { return b.measured() && b.ramp(s) < 1 }
+
 // crowd sets all attempts of this node in flight against its window.
 func (b *Balancer) crowd() float64 {
 	if !b.measured() {
 		return 0
 	}
-	return float64(b.inflight+1) / b.window()
+	return float64(b.inflight) / b.window()
 }
 
 // hear learns from the report in a good answer of s: rate over busy part is what it can serve, and the
@@ -510,6 +532,7 @@
 	if util >= loadLeast && util <= loadMost {
 		b.size(s, load{rate: rate / util, latency: latency})
 	}
+	s.reported, s.heardAt = latency, b.now
 	ease := 1.0
 	if k := b.kinds[s.Kind]; k != nil {
 		ease = max(easeLeast, min(1, crowdSlow*k.latency/latency, 1-easeBy*(util-utilAim)))
@@ -519,6 +542,9 @@
 	}
 	s.threshold += loadGain * (ease - s.threshold)
 	s.felt = true // what it takes is known
+	if k := b.kinds[s.Kind]; k == nil || b.ramp(s) < 1 || latency > restSlow*k.latency {
+		return // a cold or choked server says nothing of the others
+	}
 	err, dt := utilAim-util, min(b.now-b.heardAt, time.Second)
 	if err < 0 {
 		err *= trustFall
@@ -534,12 +560,12 @@
 }
 
 // fault learns from an outcome what reports don't tell.
-func (b *Balancer) fault(s *server, code Code) {
+func (b *Balancer) fault(s *server, code Code, latency time.Duration) {
 	switch code {
 	case OK:
 		return
-	case TimedOut: // what it waited for still runs, and is not in flight for this node any more
-		b.trustBy(1 - trustLoss)
+	case TimedOut: // it still waits or runs there, though it is not in flight for this node any more
+		s.busyTo = b.now + latency
 	}
 	s.felt = true
 	s.threshold = max(easeLeast, s.threshold*(1-failureCut))
@@ -655,10 +681,13 @@
 	}
 	idle := b.freshen(s)
 	b.do(Action{Kind: Send, ID: r.id, Server: s.Server, Until: r.worthTo})
-	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, trial: trial, idle: idle})
+	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, trial: trial, idle: idle,
+		paced: b.paced(s)})
 	r.pending++
 	s.inflight++
-	b.inflight++
+	if !r.attempts[len(r.attempts)-1].paced {
+		b.inflight++
+	}
 	s.use(b.now)
 	s.lastSend = b.now
 	s.cold.tokens--
@@ -860,7 +889,9 @@
 	r.pending--
 	a.server.use(b.now)
 	a.server.inflight--
-	b.inflight--
+	if !a.paced {
+		b.inflight--
+	}
 	r.settle()
 	b.observe(r, a, e)
 	switch {
@@ -1041,24 +1072,35 @@
 	return share + (1-share)*max(0, age.Seconds())/b.set.Rules.ColdFor.Seconds()
 }
 
-// warmth counts the servers in service by the part of their capacity that each has at least.
-func (b *Balancer) warmth() (sum float64) {
+// warmth counts the warm servers in service.
+func (b *Balancer) warmth() (n float64) {
 	for _, s := range b.order {
-		sum += b.ramp(s)
+		if b.ramp(s) >= 1 {
+			n++
+		}
 	}
-	return sum
+	return n
 }
 
 // coldRoom guards the fourth rule. This node's mean rate per server, summed over the nodes, is
-// what a warm server takes; a cold one may get its present part of that, and no more.
+// what a warm server takes; a cold one may get its present part of that, and no more. Where load is
+// reported, what warm ones of its kind can serve stands in for that: a mean over servers of which many
+// are cold is too little, and the cold ones then stay idle while the warm ones are full.
 func (b *Balancer) coldRoom(s *server) bool {
 	part := b.ramp(s)
 	if part >= 1 {
 		return true
 	}
 	mean := b.doneRate() / float64(max(1, len(b.order)))
+	if k := b.kinds[s.Kind]; k != nil {
+		mean = k.rate / float64(b.set.Nodes)
+		part = max(part, min(1, utilAim*s.rate/k.rate))
+	}
 	mean = max(mean, coldFloor/float64(b.set.Nodes))
 	rate := coldMargin * max(0.5, b.set.Rules.FallMultiple-1) * part * mean
+	if b.measured() {
+		rate = coldMargin * part * mean * s.threshold // eased where it is too busy or slow
+	}
 	k := &s.cold
 	most := max(1, rate*b.set.Rules.FallFor.Seconds()/4)
 	k.tokens, k.last = min(most, k.tokens+rate*(b.now-k.last).Seconds()), b.now
--- a/policy/state.go
+++ b/policy/state.go
@@ -22,7 +22,7 @@
 	dearest  float64          // the most that a class is worth
 	kinds    map[string]*load // what the warm servers of a kind report on average
 	usual    load             // and all warm servers
-	inflight int              // attempts out
+	inflight int              // attempts out at warm servers
 	reports  [3]int           // where latency, busy part and rate stand in a report; -1 where they don't
 	heardAt  Time             // when the last report came
 	wanted   bool             // a choice found no room since then
@@ -72,6 +72,9 @@
 	threshold float64 // packing threshold, in attempts in flight
 	own       bool    // at the start of this node's own walk
 	felt      bool    // the threshold was cut at least once
+	busyTo    Time    // until then it likely works off an attempt that timed out
+	reported  float64 // latency in its last report, in seconds,
+	heardAt   Time    // and when that came; 0 before the first
 	rate      float64 // attempts a second that it can serve by its reports; 0 before the first
 	used      []Time  // when so many connections were last in use
 	lastSend  Time
@@ -103,7 +106,8 @@
 	over   bool
 	notRun bool // an outcome proved that it never ran
 	trial  bool
-	idle   int // octave of the time that its connection was idle; 0 for one in use
+	paced  bool // to a cold server
+	idle   int  // octave of the time that its connection was idle; 0 for one in use
 }
 
 type bucketKey struct{ tenant, class string }
