Count a retry's aim from its client's first try

The aim of a request counts from its first try, yet onRequest (policy.go) gave each retry the whole aim anew, so servers short of room worked on what was worth nothing. Mend: the longest that a first try of the class is open is learned; a retry that is open for less ends with the deadline, which tells when the first began, and past its aim it is refused at once. Other retries count as held for a quarter of the aim before.

Test: TestRetriesCountFromTheFirstTry, seen to fail without the change.

--- a/policy/load_test.go
+++ b/policy/load_test.go
@@ -244,3 +244,25 @@
 		t.Errorf("the window fell to %v of what it was", trust)
 	}
 }
+
+// A client's aim counts from its first try. A retry that comes after that is refused at once, lest the
+// answers to it, which are worth nothing, take the room of others; an earlier one is worth less time.
+func TestRetriesCountFromTheFirstTry(t *testing.T) {
+	set := site(2)
+	set.Classes[0].Deadline = 1000 * ms // and an aim of 250 ms
+	b := start(t, set, members(4))
+	try := func(id string, retry bool, open int) []Action {
+		r := ask(id, "free")
+		r.Retry, r.ExpiresIn = retry, time.Duration(open)*ms
+		return b.Handle(b.now+ms, r)
+	}
+	first := of(try("first", false, 600), Send)
+	again := of(try("again", true, 600), Send)
+	if len(first) != 1 || len(again) != 1 || again[0].Until-first[0].Until >= ms {
+		t.Errorf("a first try is sent as %+v, a retry as %+v, want it worth less time", first, again)
+	}
+	// The deadline ends it 450 ms from now, so the first try began 550 ms ago.
+	if acts := try("late", true, 450); len(of(acts, Refuse)) != 1 {
+		t.Errorf("a retry after the aim brings %+v, want a refusal", acts)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -170,6 +170,7 @@
 	}
 	r := &request{id: e.ID, class: c, deadline: b.now + e.ExpiresIn}
 	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint))
+	aim -= c.waited(e)
 	r.giveUp, r.worthTo = min(r.deadline, b.now+aim/2), r.deadline
 	if c.LateWorth <= 0 {
 		r.worthTo = min(r.deadline, b.now+aim)
@@ -186,6 +187,23 @@
 	b.dispatch(r)
 }
 
+// waited tells for how long the client of e has been asking: its aim counts from the first try, and work
+// for an answer after that is lost. A first try is open for a part of the deadline that is the same for
+// all; one that is open for less ends with the deadline, which tells when the first began. Of the other
+// retries it is only known that a first was held and refused before them.
+func (c *class) waited(e Request) time.Duration {
+	if !e.Retry {
+		c.firstTry = max(c.firstTry, e.ExpiresIn)
+		return 0
+	}
+	if c.Deadline > 0 && e.ExpiresIn < c.firstTry-firstTrySlack {
+		return max(0, c.Deadline-e.ExpiresIn)
+	}
+	return c.Aim / 4
+}
+
+const firstTrySlack = 50 * time.Millisecond // of the time that a first try is open, on its way here
+
 const (
 	paceGrow, paceCut = 0.02, 0.02 // steps of the bucket rates at each choice: half may find no room
 	paceLeast         = 0.3        // below, in-share traffic starves by faults that shedding can't mend
--- a/policy/state.go
+++ b/policy/state.go
@@ -56,11 +56,12 @@
 // class is a request class with what was learned of it.
 type class struct {
 	Class
-	open    *pool // the servers that it may be sent to
-	index   int
-	tail    time.Duration // estimate of a high quantile of its latency
-	watched []watch       // attempts to look at when they are slow, oldest first
-	armed   bool          // the timer for the head of watched is set
+	open     *pool // the servers that it may be sent to
+	index    int
+	tail     time.Duration // estimate of a high quantile of its latency
+	watched  []watch       // attempts to look at when they are slow, oldest first
+	firstTry time.Duration // the longest that a first try was open
+	armed    bool          // the timer for the head of watched is set
 }
 
 // server is one listed server as this node sees it.
