Let the window follow the mean of load reports, not each by itself

Evidence: counters and reports of all nodes; a tenth of the reports said full, most of them about half. The fault lies in hear (policy.go): the trust falls three times as fast as it rises, applied to single reports, which scatter between 0.3 and 1, so it settled far under the busy part aimed at. Mend: the error is that of a running mean over reports of warm servers that aren't choked.

Test: TestWindowFollowsTheMeanOfReports, seen to fail without the change.

--- a/policy/load_test.go
+++ b/policy/load_test.go
@@ -266,3 +266,18 @@
 		t.Errorf("a retry after the aim brings %+v, want a refusal", acts)
 	}
 }
+
+// Servers at half their load are at times full and at times idle: what counts is how busy they are in
+// all. Single reports, taken by themselves, moved the window down more than up.
+func TestWindowFollowsTheMeanOfReports(t *testing.T) {
+	b := fleet(t, 40, members(12))
+	hears(b, b.order[0], 5, report(100, 0.5, 10))
+	was := b.window()
+	for i := range 60 {
+		b.wanted = true
+		hears(b, b.order[0], 1, report(100, []float64{0.4, 1}[i%2], 10))
+	}
+	if b.window() < was {
+		t.Errorf("the window fell from %v to %v at servers that are 0.7 busy", was, b.window())
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -474,6 +474,7 @@
 	maxKinds   = 64              // that are told apart; servers of further ones count as the usual
 	slowSpan   = 5 * time.Second // in which what a server said of its latency is forgotten
 	slowMost   = 0.5             // part of the time left that the usual answer of a server may take
+	busyGain   = 0.1             // weight of one report in how busy servers are: one alone is far off either way
 	utilAim    = 0.8             // busy part that all nodes together aim at
 	trustSpan  = 3 * time.Second // in which the trust follows the busy part: reports come a second or two late
 	trustFall  = 3.0             // how much faster it falls than it rises
@@ -563,7 +564,11 @@
 	if k := b.kinds[s.Kind]; k == nil || b.ramp(s) < 1 || latency > restSlow*k.latency {
 		return // a cold or choked server says nothing of the others
 	}
-	err, dt := utilAim-util, min(b.now-b.heardAt, time.Second)
+	if b.heardAt == 0 {
+		b.busy = util
+	}
+	b.busy += busyGain * (util - b.busy)
+	err, dt := utilAim-b.busy, min(b.now-b.heardAt, time.Second)
 	if err < 0 {
 		err *= trustFall
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -24,7 +24,8 @@
 	usual    load             // and all warm servers
 	inflight int              // attempts out at warm servers
 	reports  [3]int           // where latency, busy part and rate stand in a report; -1 where they don't
-	heardAt  Time             // when the last report came
+	busy     float64          // how busy warm servers are by their last reports
+	heardAt  Time             // when the last of those came
 	wanted   bool             // a choice found no room since then
 	trust    float64          // scale of the thresholds of servers that other nodes mostly use
 	fullPart float64          // part of full answers among the bad ones lately
