Spread the first calls for the list, and back off further ones

Evidence: the nodes' log lines on failed watches, all 503, counted by second over the fleet: 48 at 2 s, 45 at 5 to 6 s, 26 at 16 s, 119 in all. onList (policy.go) called as soon as a node started, so all calls stood in line at one service of fixed capacity, and repeated them at one mean wait for ever. Ruled out: the network code's renewals; watches that had begun did not fail. Mend: where nodes are many the first call comes after a random part of the drain grace at most; failed calls back off from 2 s on average to 4 s, with jitter, and no more, since what a node isn't told counts as told some seconds later.

Tests: TestCallsForTheListSpreadAndBackOff (no list timer at the start without the change).

--- a/policy/load_test.go
+++ b/policy/load_test.go
@@ -281,3 +281,42 @@
 		t.Errorf("the window fell from %v to %v at servers that are 0.7 busy", was, b.window())
 	}
 }
+
+// Discovery is one service for all nodes. When many start together their first calls are spread, and calls
+// that go on failing become fewer, but not so few that a drain is missed for long.
+func TestCallsForTheListSpreadAndBackOff(t *testing.T) {
+	set := site(40)
+	set.Subscribe = true
+	wait := func(acts []Action) time.Duration {
+		t.Helper()
+		timers := of(acts, SetTimer)
+		if len(of(acts, WatchList)) != 0 || len(timers) != 1 || timers[0].Token != listToken {
+			t.Fatalf("want a timer for the list alone, got %+v", acts)
+		}
+		return timers[0].Wait
+	}
+	var first, failed, later time.Duration
+	seen := make(map[time.Duration]bool)
+	for seed := range uint64(200) {
+		b, err := New(set, 0, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := wait(b.Handle(0, MemberList{Kind: ListRestored, Members: members(4)}))
+		first, seen[w] = max(first, w), true
+		failed += wait(b.Handle(0, MemberList{Kind: ListUnavailable})) / 200
+		for range 10 {
+			later = max(later, wait(b.Handle(0, MemberList{Kind: ListUnavailable})))
+		}
+		b.Handle(0, MemberList{Kind: ListUpdate})
+		if w := wait(b.Handle(0, MemberList{Kind: ListUnavailable})); w > askAgain*3/2 {
+			t.Fatalf("after a good answer the next failure waits %v", w)
+		}
+	}
+	if first > set.Rules.DrainGrace || len(seen) < 100 {
+		t.Errorf("the first calls take up to %v and %d of 200 times differ", first, len(seen))
+	}
+	if later < 2*failed || later > askMost*3/2 {
+		t.Errorf("the first failure waits %v, later ones up to %v", failed, later)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1132,19 +1132,33 @@
 
 // ---- List: following the servers ----
 
-// askAgain is the mean wait before a failed call for the list is repeated, spread among nodes.
-const askAgain = 2 * time.Second
+const (
+	// askAgain is the mean wait before a failed call for the list is repeated, spread among nodes. Each
+	// further failure in a row doubles it up to askMost: discovery is one service for all nodes, and calls
+	// at a steady rate by all of them would keep it overbooked.
+	askAgain = 2 * time.Second
+	askMost  = 4 * time.Second // what a node isn't told counts as told a few seconds later
+)
 
 func (b *Balancer) askList() { b.do(Action{Kind: WatchList, On: true}) }
 
+// askIn calls for the list after a wait.
+func (b *Balancer) askIn(wait time.Duration) {
+	b.do(Action{Kind: SetTimer, Wait: wait, Token: listToken})
+}
+
 func (b *Balancer) onList(e MemberList) {
 	switch {
 	case e.Kind == ListUnavailable:
-		wait := time.Duration((0.5 + b.rng.Float64()) * float64(askAgain))
-		b.do(Action{Kind: SetTimer, Wait: wait, Token: listToken})
+		b.askIn(time.Duration((0.5 + b.rng.Float64()) * float64(min(askMost, askAgain<<min(b.listFails, 8)))))
+		b.listFails++
 		return
+	case e.Kind == ListRestored && b.set.Subscribe && b.staggered(): // many nodes may be starting at once
+		b.askIn(time.Duration(b.rng.Float64() * float64(min(askAgain, b.set.Rules.DrainGrace))))
 	case e.Kind == ListRestored && b.set.Subscribe:
 		b.askList()
+	default:
+		b.listFails = 0
 	}
 	if e.Kind != ListUpdate { // what a full list lacks is gone
 		old := b.servers
--- a/policy/state.go
+++ b/policy/state.go
@@ -9,42 +9,43 @@
 
 // Balancer is one node's decisions. It isn't safe for concurrent use. Make one with New.
 type Balancer struct {
-	set      Settings
-	now      Time
-	rng      *rand.Rand
-	out      []Action
-	classes  map[string]*class
-	tenants  map[string]Limit
-	ranked   []*class // in the order of the settings
-	other    *Limit   // for tenants without a quota; nil: no limit
-	buckets  map[bucketKey]*bucket
-	pace     float64          // scale of all bucket rates
-	dearest  float64          // the most that a class is worth
-	kinds    map[string]*load // what the warm servers of a kind report on average
-	usual    load             // and all warm servers
-	inflight int              // attempts out at warm servers
-	reports  [3]int           // where latency, busy part and rate stand in a report; -1 where they don't
-	busy     float64          // how busy warm servers are by their last reports
-	heardAt  Time             // when the last of those came
-	wanted   bool             // a choice found no room since then
-	trust    float64          // scale of the thresholds of servers that other nodes mostly use
-	fullPart float64          // part of full answers among the bad ones lately
-	bad      float64          // part of bad answers lately
-	lost     float64          // part of time-outs among all but full answers lately
-	refused  bool             // a bucket refused since the last choice
-	servers  map[string]*server
-	pool         // all servers in service
-	zones    int // zones that have servers
-	reqs     map[string]*request
-	held     []*request // waiting for a usable server, oldest first
-	holding  bool       // the hold timer is set
-	budget   Budget     // of attempts beyond the first of each request
-	owed     float64    // part of an attempt not yet booked
-	took     []Time     // requests taken in the span of the budget of attempts, oldest first
-	extra    []Time     // attempts beyond a request's first in it
-	done     float64    // answers a second, as of doneAt
-	doneAt   Time
-	silent   [6]float64 // part of sends unanswered, by how long the connection was idle, in octaves
+	set       Settings
+	now       Time
+	rng       *rand.Rand
+	out       []Action
+	classes   map[string]*class
+	tenants   map[string]Limit
+	ranked    []*class // in the order of the settings
+	other     *Limit   // for tenants without a quota; nil: no limit
+	buckets   map[bucketKey]*bucket
+	pace      float64          // scale of all bucket rates
+	dearest   float64          // the most that a class is worth
+	kinds     map[string]*load // what the warm servers of a kind report on average
+	usual     load             // and all warm servers
+	inflight  int              // attempts out at warm servers
+	reports   [3]int           // where latency, busy part and rate stand in a report; -1 where they don't
+	busy      float64          // how busy warm servers are by their last reports
+	heardAt   Time             // when the last of those came
+	wanted    bool             // a choice found no room since then
+	trust     float64          // scale of the thresholds of servers that other nodes mostly use
+	fullPart  float64          // part of full answers among the bad ones lately
+	bad       float64          // part of bad answers lately
+	lost      float64          // part of time-outs among all but full answers lately
+	refused   bool             // a bucket refused since the last choice
+	listFails int              // calls for the list that failed in a row
+	servers   map[string]*server
+	pool          // all servers in service
+	zones     int // zones that have servers
+	reqs      map[string]*request
+	held      []*request // waiting for a usable server, oldest first
+	holding   bool       // the hold timer is set
+	budget    Budget     // of attempts beyond the first of each request
+	owed      float64    // part of an attempt not yet booked
+	took      []Time     // requests taken in the span of the budget of attempts, oldest first
+	extra     []Time     // attempts beyond a request's first in it
+	done      float64    // answers a second, as of doneAt
+	doneAt    Time
+	silent    [6]float64 // part of sends unanswered, by how long the connection was idle, in octaves
 }
 
 // pool is a set of servers in packing order.
