--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -45,15 +45,20 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	at := node.Listeners{Clients: listener}
+	if c.Control != "" {
+		if at.Control, err = net.Listen("tcp", c.Control); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+	}
 	slog.Info("listening", "name", c.Name, "address", listener.Addr(), "servers", len(c.Known.Members))
-	moves := make(chan string)
-	go follow(ctx, changed, moves)
-	return node.Run(ctx, c, listener, moves)
+	changes := make(chan node.Change)
+	go follow(ctx, changed, changes)
+	return node.Run(ctx, c, at, changes)
 }
 
-// follow passes discovery's address on after each change of the configuration, until ctx ends. A file
-// that can't be read changes nothing.
-func follow(ctx context.Context, changed <-chan os.Signal, moves chan<- string) {
+// follow reads the configuration anew at each signal, until ctx ends.
+func follow(ctx context.Context, changed <-chan os.Signal, changes chan<- node.Change) {
 	for {
 		select {
 		case <-changed:
@@ -61,12 +66,8 @@
 			return
 		}
 		addr, err := node.LoadDiscovery(os.Getenv)
-		if err != nil {
-			slog.Error("the changed configuration is not used", "err", err)
-			continue
-		}
 		select {
-		case moves <- addr:
+		case changes <- node.Change{Discovery: addr, Err: err}:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -21,6 +21,7 @@
 	Name      string
 	Listen    string // the only address to listen on
 	Discovery string
+	Control   string // the operators' address; empty for none
 	Seed      uint64
 	Cores     float64
 	MemoryMB  int64
@@ -48,6 +49,7 @@
 	}
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
+		"ROUTER_CONTROL": &c.Control,
 	} {
 		if v := getenv(name); v != "" {
 			*field = v
@@ -59,6 +61,11 @@
 	if err := checkAddress(c.Discovery); err != nil {
 		return Config{}, fmt.Errorf("configuration: discovery: %w", err)
 	}
+	if c.Control != "" {
+		if err := checkAddress(c.Control); err != nil {
+			return Config{}, fmt.Errorf("configuration: control: %w", err)
+		}
+	}
 	return c, nil
 }
 
@@ -97,6 +104,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Control   string `json:"control"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    float64 `json:"cores"`
@@ -121,7 +129,7 @@
 	case l.Sockets < leastSockets:
 		return Config{}, fmt.Errorf("limits.sockets: want %d or more, got %d", leastSockets, l.Sockets)
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed,
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Control: f.Control, Seed: seed,
 		Cores: f.Limits.Cores, MemoryMB: int64(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
 	for name, field := range map[string]json.RawMessage{"known": f.Known, "settings": f.Settings} {
 		if len(field) == 0 {
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/netutil"
+)
+
+const (
+	controlSockets = 16          // descriptors set aside for callers at the second address
+	callTimeout    = time.Second // for a call and for its answer: a caller waits no longer
+	healthPath     = "/healthcheck"
+	statsPath      = "/stats"
+)
+
+// control answers operators at an address of their own, one call a connection. Callers that finish no
+// call give way to others, and none of them takes anything from the clients.
+type control struct {
+	http  http.Server
+	peers *peers
+}
+
+// newControl makes the operators' side; taking tells whether the node takes clients.
+func newControl(f *figures, taking func() bool) *control {
+	c := &control{peers: newPeers(controlSockets / 2)}
+	mux := http.NewServeMux()
+	mux.HandleFunc(http.MethodGet+" "+healthPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !taking() {
+			http.Error(w, "not taking clients", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc(http.MethodGet+" "+statsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		f.set.WritePrometheus(w)
+	})
+	c.http = http.Server{
+		Handler: mux, MaxHeaderBytes: maxHeader, ReadTimeout: callTimeout, WriteTimeout: 2 * callTimeout,
+		DisableGeneralOptionsHandler: true, ConnContext: c.peers.admit, ConnState: c.peers.follow,
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+	}
+	c.http.SetKeepAlivesEnabled(false)
+	return c
+}
+
+// run serves until ctx ends.
+func (c *control) run(ctx context.Context, listener net.Listener) {
+	stop := context.AfterFunc(ctx, func() { c.http.Close() })
+	defer stop()
+	err := c.http.Serve(netutil.LimitListener(listener, controlSockets))
+	if !errors.Is(err, http.ErrServerClosed) {
+		slog.Error("the second address is lost", "err", err)
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -138,6 +138,17 @@
 	d.asks <- on
 }
 
+// follow takes what a changed configuration says of discovery's address.
+func (d *discovery) follow(change Change, fig *figures) {
+	if change.Err != nil {
+		slog.Error("the changed configuration is not used", "err", change.Err)
+		fig.invalid.Inc()
+		return
+	}
+	d.move(change.Discovery)
+	fig.accepted.Inc()
+}
+
 // move names another address for discovery, which takes the place of one not yet heard. One goroutine
 // calls it, and it never blocks.
 func (d *discovery) move(addr string) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -45,6 +45,7 @@
 // module is the policy.Balancer.
 type module interface {
 	Handle(now policy.Time, ev policy.Event) []policy.Action
+	Servers() (listed, avoided int)
 }
 
 // loop owns the module, the open requests and the timers, in one goroutine. All else sends it events;
@@ -55,6 +56,7 @@
 	allowed policy.Allowed
 	maxOpen int
 	up      *upstream
+	fig     *figures
 	disc    *discovery
 
 	events   chan any
@@ -95,12 +97,12 @@
 	finish struct{} // fail what is still open, for the node stops
 )
 
-func newLoop(c Config, ck clock, up *upstream) (*loop, error) {
+func newLoop(c Config, ck clock, up *upstream, fig *figures) (*loop, error) {
 	balancer, err := policy.New(c.Settings, ck.now(), c.Seed)
 	if err != nil {
 		return nil, err
 	}
-	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up,
+	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up, fig: fig,
 		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}),
 		requests: make(map[string]*request)}
 	l.disc = newDiscovery(c, l.send)
@@ -235,7 +237,7 @@
 			l.carryOut(ctx, a)
 		}
 		if len(l.skipped) == 0 {
-			return
+			break
 		}
 		o := l.skipped[0]
 		l.skipped = l.skipped[1:]
@@ -246,6 +248,9 @@
 		}
 		ev = o
 	}
+	listed, avoided := l.module.Servers()
+	l.fig.listed.Store(int64(listed))
+	l.fig.avoided.Store(int64(avoided))
 }
 
 func (l *loop) carryOut(ctx context.Context, a policy.Action) {
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -28,6 +28,8 @@
 	return s.answer(now, ev)
 }
 
+func (s *script) Servers() (listed, avoided int) { return 0, 0 }
+
 // events lists what the module was told, in short words.
 func (s *script) events() []string {
 	s.mu.Lock()
@@ -62,8 +64,9 @@
 func startLoop(t *testing.T, addr string, answer func(policy.Time, policy.Event) []policy.Action) (*loop, *script) {
 	t.Helper()
 	c := testConfig(t, knownList(addr))
-	up := newUpstream(c, 100)
-	l, err := newLoop(c, clock{start: time.Now()}, up)
+	fig := newFigures(c.Settings.Classes)
+	up := newUpstream(c, 100, fig)
+	l, err := newLoop(c, clock{start: time.Now()}, up, fig)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -238,7 +241,8 @@
 
 // A request that is over leaves nothing behind, however far off its deadline was.
 func TestEndedRequestsAreForgotten(t *testing.T) {
-	l := &loop{clock: clock{start: time.Now()}, requests: make(map[string]*request)}
+	l := &loop{clock: clock{start: time.Now()}, requests: make(map[string]*request),
+		fig: newFigures(nil)}
 	l.module = &script{answer: func(_ policy.Time, ev policy.Event) []policy.Action {
 		if e, ok := ev.(policy.Request); ok {
 			return []policy.Action{{Kind: policy.Refuse, ID: e.ID}}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,15 +21,32 @@
 	lastAnswers  = 100 * time.Millisecond // for what is failed then to reach its clients
 )
 
-// Run serves clients on the listener until ctx ends. Then it goes on accepting for a moment, answers
-// what it has taken, and returns. What moves brings is discovery's new address.
-func Run(ctx context.Context, c Config, listener net.Listener, moves <-chan string) error {
+// Listeners are where a node is reached.
+type Listeners struct {
+	Clients net.Listener
+	Control net.Listener // the operators'; nil for none
+}
+
+// Change is what came of reading the configuration anew.
+type Change struct {
+	Discovery string
+	Err       error // nothing is taken from such a file
+}
+
+// Run serves clients until ctx ends. Then it goes on accepting for a moment, answers what it has taken,
+// and returns.
+func Run(ctx context.Context, c Config, at Listeners, changes <-chan Change) error {
 	ck := clock{start: time.Now()}
 	// Each request in hand needs a descriptor on either side.
-	side := (c.Sockets - ownSockets) / 2
-	up := newUpstream(c, side)
+	spare := c.Sockets - ownSockets
+	if at.Control != nil {
+		spare -= controlSockets
+	}
+	side := spare / 2
+	fig := newFigures(c.Settings.Classes)
+	up := newUpstream(c, side, fig)
 	defer up.close()
-	l, err := newLoop(c, ck, up)
+	l, err := newLoop(c, ck, up, fig)
 	if err != nil {
 		return err
 	}
@@ -46,14 +63,18 @@
 	failed := make(chan error, 1)
 	// The server refuses requests on connections over its side; the listener makes sure that even
 	// clients who connect and say nothing leave the servers' side its descriptors.
-	listener = netutil.LimitListener(listener, side+ownSockets/2)
+	listener := netutil.LimitListener(at.Clients, side+ownSockets/2)
 	parts.Go(func() { failed <- s.http.Serve(framingListener{listener}) })
+	if at.Control != nil {
+		ctl := newControl(fig, s.taking)
+		parts.Go(func() { ctl.run(running, at.Control) })
+	}
 	for ctx.Err() == nil {
 		select {
 		case err := <-failed:
 			return fmt.Errorf("serving: %w", err)
-		case addr := <-moves:
-			l.disc.move(addr)
+		case change := <-changes:
+			l.disc.follow(change, fig)
 		case <-ctx.Done():
 		}
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -78,38 +78,55 @@
 		s.health(w)
 		return
 	}
+	status := s.serve(w, r, full)
+	if class, ok := s.classes[r.Header.Get("X-Class")]; ok {
+		s.loop.fig.class(class.Name).count(status)
+	}
+}
+
+// serve answers a client's request, and returns the status that it gave.
+func (s *server) serve(w http.ResponseWriter, r *http.Request, full bool) int {
 	if full {
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return http.StatusServiceUnavailable
 	}
 	x, status, problem := s.read(w, r)
 	if x == nil {
 		w.Header().Set("Connection", "close") // no client of ours sends such: its descriptor is wanted
 		http.Error(w, problem, status)
-		return
+		return status
 	}
+	s.loop.fig.open.Add(1)
+	defer s.loop.fig.open.Add(-1)
 	s.loop.send(arrival{x})
 	select {
 	case a := <-x.reply:
 		write(w, a)
+		return a.status
 	case <-r.Context().Done():
 		s.loop.send(departure{x})
 		panic(http.ErrAbortHandler) // to return would send 200 to a client that closed only its side
 	case <-s.loop.done:
 		w.WriteHeader(http.StatusBadGateway)
+		return http.StatusBadGateway
 	}
 }
 
 // health tells the front that the node may be taken in.
 func (s *server) health(w http.ResponseWriter) {
+	if !s.taking() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// taking tells whether the node takes clients.
+func (s *server) taking() bool {
 	select {
 	case <-s.loop.ready:
-		if !s.stopping.Load() {
-			return
-		}
+		return !s.stopping.Load()
 	default:
+		return false
 	}
-	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // read takes in a whole request, or says what is wrong with it. What it lets through reaches servers.
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -111,14 +111,25 @@
 // startNode runs a whole node, and returns its address and a function that stops it as SIGTERM does
 // and returns what Run did.
 func startNode(t *testing.T, c Config) (addr string, stop func() error) {
+	t.Helper()
+	return startNodeAt(t, c, Listeners{Clients: listen(t)}, nil)
+}
+
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+func startNodeAt(t *testing.T, c Config, at Listeners, changes <-chan Change) (addr string, stop func() error) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- Run(ctx, c, ln, nil) }()
+	go func() { ended <- Run(ctx, c, at, changes) }()
 	stopped := false
 	stop = func() error {
 		if stopped {
@@ -138,7 +149,7 @@
 			t.Error(err)
 		}
 	})
-	addr = ln.Addr().String()
+	addr = at.Clients.Addr().String()
 	await(t, "readiness", func() bool {
 		resp, err := http.Get("http://" + addr + readyPath)
 		if err != nil {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cobaltward/policy"
 )
 
@@ -37,6 +39,7 @@
 	transport *http.Transport // makes connections, and pools none
 	idleFor   time.Duration   // an idle connection is dropped after this
 	report    []string        // names of the figures of a load report, in order
+	relayed   *metrics.Counter
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -63,19 +66,29 @@
 type rawConn struct {
 	net.Conn
 	failed atomic.Bool
+	sent   atomic.Pointer[metrics.Counter] // of requests, for one whose end is in net/http's buffer
 }
 
 func (c *rawConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.failed.Store(true)
+	} else {
+		c.countSent()
 	}
 	return n, err
 }
 
+// countSent books a request whose last byte is written, once.
+func (c *rawConn) countSent() {
+	if counter := c.sent.Swap(nil); counter != nil {
+		counter.Inc()
+	}
+}
+
 type rawConnKey struct{}
 
-func newUpstream(c Config, most int) *upstream {
+func newUpstream(c Config, most int, fig *figures) *upstream {
 	idle := c.Settings.Allowed.ConnIdle
 	if idle == 0 {
 		idle = defaultConnIdle
@@ -83,7 +96,7 @@
 	return &upstream{
 		dialer:  net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1},
 		idleFor: idle / 2, // what is written just as the server closes would end as a reset
-		report:  c.Settings.Report, pools: make(map[string]*pool), most: most,
+		report:  c.Settings.Report, relayed: fig.relayed, pools: make(map[string]*pool), most: most,
 		transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
 			DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 				return ctx.Value(rawConnKey{}).(*rawConn), nil
@@ -259,15 +272,23 @@
 	}
 	var wrote atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest: func(info httptrace.WroteRequestInfo) { wrote.Store(info.Err == nil) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if wrote.Store(info.Err == nil); info.Err == nil {
+				c.raw.sent.Store(u.relayed)
+			}
+		},
 	})
 	resp, err := c.RoundTrip(u.request(ctx, c.pool.addr, x))
 	if err != nil {
 		// RoundTrip returns only once nothing is being written any more, so failed is final.
 		mayRun := wrote.Load() && !c.raw.failed.Load()
+		if mayRun {
+			c.raw.countSent() // its end had left the buffer already
+		}
 		u.release(c, id, false)
 		return result{code: broken(ctx, mayRun)}
 	}
+	c.raw.countSent()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	if err != nil || len(body) > maxBody {
 		u.release(c, id, false)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1048,6 +1048,12 @@
 }
 
 func (b *Balancer) countEjected() {
+	b.avoided = 0
+	for _, s := range b.servers {
+		if s.health.out || s.Availability != Running {
+			b.avoided++
+		}
+	}
 	for _, c := range b.ranked {
 		c.open.ejected = 0
 		for _, s := range c.open.order {
--- a/policy/state.go
+++ b/policy/state.go
@@ -36,6 +36,7 @@
 	servers   map[string]*server
 	pool          // all servers in service
 	zones     int // zones that have servers
+	avoided   int // listed servers that drain or are ejected
 	reqs      map[string]*request
 	held      []*request // waiting for a usable server, oldest first
 	holding   bool       // the hold timer is set
@@ -48,6 +49,10 @@
 	silent    [6]float64 // part of sends unanswered, by how long the connection was idle, in octaves
 }
 
+// Servers counts those in the list, and of them those that get no work now: they drain, or are ejected
+// and at most tried out.
+func (b *Balancer) Servers() (listed, avoided int) { return len(b.servers), b.avoided }
+
 // pool is a set of servers in packing order.
 type pool struct {
 	order   []*server // own zone first, each part in id order
