Let a new process take over the node from the one that serves

Without the change handover_test.go and the two tests on ceding in policy/rules_test.go don't build.

--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -6,19 +6,14 @@
 	"fmt"
 	"log/slog"
 	"math"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"cobaltward/internal/node"
 )
 
-// heapPart of the memory limit is the runtime's; stacks of the system and the sockets take the rest.
-const heapPart = 0.75
-
 func main() {
 	slog.SetLogLoggerLevel(slog.LevelDebug) // net/http would log a line for each server's stray byte
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
@@ -37,21 +32,14 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(max(1, math.Ceil(c.Cores))))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	listener, err := net.Listen("tcp", c.Listen)
+	at, err := node.Listen(c)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	at := node.Listeners{Clients: listener}
-	if c.Control != "" {
-		if at.Control, err = net.Listen("tcp", c.Control); err != nil {
-			return fmt.Errorf("control: %w", err)
-		}
+		return err
 	}
-	slog.Info("listening", "name", c.Name, "address", listener.Addr(), "servers", len(c.Known.Members))
+	slog.Info("listening", "name", c.Name, "address", at.Clients.Addr(), "servers", len(c.Known.Members))
 	changes := make(chan node.Change)
 	go follow(ctx, changed, changes)
 	return node.Run(ctx, c, at, changes)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -22,6 +22,7 @@
 	Listen    string // the only address to listen on
 	Discovery string
 	Control   string // the operators' address; empty for none
+	Scratch   string // a folder that all processes of this node share; empty for none
 	Seed      uint64
 	Cores     float64
 	MemoryMB  int64
@@ -49,7 +50,7 @@
 	}
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
-		"ROUTER_CONTROL": &c.Control,
+		"ROUTER_CONTROL": &c.Control, "TMPDIR": &c.Scratch,
 	} {
 		if v := getenv(name); v != "" {
 			*field = v
@@ -182,6 +183,14 @@
 	return err
 }
 
+// ownSockets is how many descriptors belong to neither side.
+func (c Config) ownSockets() int {
+	if c.Control != "" {
+		return ownSockets + controlSockets
+	}
+	return ownSockets
+}
+
 func checkAddress(addr string) error {
 	host, port, err := net.SplitHostPort(addr)
 	if err != nil {
--- /dev/null
+++ b/internal/node/handover_test.go
@@ -0,0 +1,241 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// replaceable is the configuration of a node that can be replaced: it has an address and a folder.
+func replaceable(t *testing.T, known string) Config {
+	t.Helper()
+	c := testConfig(t, known)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Listen = ln.Addr().String()
+	ln.Close()
+	c.Scratch = t.TempDir()
+	return c
+}
+
+// startProcess starts what would be a process of the node, and waits until it can be replaced.
+func startProcess(t *testing.T, c Config) (at Listeners, stop func() error) {
+	t.Helper()
+	at, err := Listen(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, _ := os.Stat(handoverPath(c))
+	_, stop = startNodeAt(t, c, at, nil)
+	await(t, "its place for a successor", func() bool {
+		now, err := os.Stat(handoverPath(c))
+		return err == nil && !os.SameFile(before, now)
+	})
+	return at, stop
+}
+
+// Under load a node is replaced, and replaced again at once: each request gets its answer, on new
+// connections and on those that clients keep.
+func TestReplacementTurnsNobodyBack(t *testing.T) {
+	var runs sync.Map
+	server := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if _, again := runs.LoadOrStore(r.Header.Get("X-Request-Id"), true); again {
+			t.Errorf("%s ran twice", r.Header.Get("X-Request-Id"))
+		}
+	})
+	c := replaceable(t, knownList(server))
+	_, stopFirst := startProcess(t, c)
+
+	var served atomic.Int64
+	end := make(chan struct{})
+	var clients sync.WaitGroup
+	for n := range 8 {
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: n%2 == 0}}
+		defer client.CloseIdleConnections()
+		clients.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				resp, err := client.Do(clientRequest(t, c.Listen, "POST", "pay", fmt.Sprintf("r%d-%d", n, i), ""))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if resp.Body.Close(); resp.StatusCode != http.StatusOK {
+					t.Errorf("status %d", resp.StatusCode)
+				}
+				served.Add(1)
+				time.Sleep(5 * time.Millisecond) // well under the quota
+			}
+		})
+	}
+	more := func() {
+		t.Helper()
+		from := served.Load()
+		await(t, "further answers", func() bool { return served.Load() > from+20 })
+	}
+	more()
+	second, stopSecond := startProcess(t, c)
+	if second.heir == nil {
+		t.Fatal("the second process is an ordinary one")
+	}
+	third, _ := startProcess(t, c)
+	if third.heir == nil {
+		t.Fatal("the third process is an ordinary one")
+	}
+	for _, stop := range []func() error{stopFirst, stopSecond} {
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+		more()
+	}
+	close(end)
+	clients.Wait()
+}
+
+// What a tenant has used up at the old process it can't have again at the new one.
+func TestReplacementKeepsBuckets(t *testing.T) {
+	server := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+	c := replaceable(t, knownList(server))
+	startProcess(t, c)
+	ask := func(id string) int {
+		resp, _ := do(t, clientRequest(t, c.Listen, "GET", "read", id, "", "X-Tenant", "tiny"))
+		return resp.StatusCode
+	}
+	for i := range 3 {
+		if got := ask(fmt.Sprint("before", i)); got != http.StatusOK {
+			t.Fatalf("status %d within the burst", got)
+		}
+	}
+	startProcess(t, c)
+	if got := ask("after"); got != http.StatusTooManyRequests {
+		t.Errorf("status %d, want 429: the bucket was empty", got)
+	}
+}
+
+// A successor that goes away leaves the node to the process before it, at whatever point it does.
+func TestPredecessorServesOn(t *testing.T) {
+	server := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+	c := replaceable(t, knownList(server))
+	startProcess(t, c)
+	for _, served := range []bool{false, true} {
+		at, err := Listen(c)
+		if err != nil || at.heir == nil {
+			t.Fatalf("no hand-over: %v", err)
+		}
+		if served {
+			if _, err := at.heir.conn.Write([]byte{serving}); err != nil {
+				t.Fatal(err)
+			}
+			if err := at.heir.tells.Decode(&at.heir.inheritance); err != nil { // so the word was heard
+				t.Fatal(err)
+			}
+		}
+		at.close()
+		resp, _ := do(t, clientRequest(t, c.Listen, "GET", "read", fmt.Sprint("r", served), ""))
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("served %v: status %d", served, resp.StatusCode)
+		}
+	}
+}
+
+// The two processes together hold no more descriptors than one may.
+func TestReplacementSharesDescriptors(t *testing.T) {
+	c := replaceable(t, knownList("127.0.0.1:9"))
+	startProcess(t, c)
+	at, err := Listen(c)
+	if err != nil || at.heir == nil {
+		t.Fatalf("no hand-over: %v", err)
+	}
+	defer at.close()
+	if got := at.heir.Sockets; got < c.Sockets/4 || got > c.Sockets-c.ownSockets() {
+		t.Errorf("%d descriptors of %d for the successor", got, c.Sockets)
+	}
+}
+
+// Without a usable hand-over a process starts as an ordinary one, beside another or not.
+func TestUnusableHandoverIsAnOrdinaryStart(t *testing.T) {
+	speak := func(say string) func(t *testing.T, c Config) {
+		return func(t *testing.T, c Config) {
+			l, err := net.Listen("unix", handoverPath(c))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.Close() })
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					fmt.Fprint(conn, say)
+					conn.Close()
+				}
+			}()
+		}
+	}
+	for name, prepare := range map[string]func(t *testing.T, c Config){
+		"nobody":      func(*testing.T, Config) {},
+		"stale":       func(t *testing.T, c Config) { stale(t, handoverPath(c)) },
+		"silent end":  speak(""),
+		"rubbish":     speak("\n{\"Version\":99"),
+		"not a place": func(t *testing.T, c Config) { os.Remove(c.Scratch) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+			c := replaceable(t, knownList(server))
+			prepare(t, c)
+			at, err := Listen(c)
+			if err != nil || at.heir != nil {
+				t.Fatalf("heir %v, %v", at.heir, err)
+			}
+			addr, _ := startNodeAt(t, c, at, nil)
+			if resp, _ := do(t, clientRequest(t, addr, "GET", "read", "r", "")); resp.StatusCode != http.StatusOK {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+			beside, err := listenShared(c.Listen)
+			if err != nil {
+				t.Fatalf("a second process can't listen: %v", err)
+			}
+			beside.Close()
+		})
+	}
+}
+
+// stale leaves a socket that nobody listens at.
+func stale(t *testing.T, path string) {
+	t.Helper()
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.SetUnlinkOnClose(false)
+	l.Close()
+}
+
+// The folder's path may be longer than a Unix socket's address.
+func TestHandoverInADeepFolder(t *testing.T) {
+	c := replaceable(t, knownList("127.0.0.1:9"))
+	c.Scratch = filepath.Join(c.Scratch, strings.Repeat("d", 120))
+	if err := os.Mkdir(c.Scratch, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	startProcess(t, c)
+	at, err := Listen(c)
+	if err != nil || at.heir == nil {
+		t.Fatalf("no hand-over: %v", err)
+	}
+	at.close()
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -4,7 +4,9 @@
 	"container/heap"
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +48,8 @@
 type module interface {
 	Handle(now policy.Time, ev policy.Event) []policy.Action
 	Servers() (listed, avoided int)
+	Knowledge(now policy.Time) policy.Knowledge
+	Learn(now policy.Time, k policy.Knowledge)
 }
 
 // loop owns the module, the open requests and the timers, in one goroutine. All else sends it events;
@@ -65,7 +69,8 @@
 	requests map[string]*request
 	owed     int // requests without their answer
 	timers   timers
-	skipped  []policy.Outcome // of attempts that were not made; told once all actions are done
+	members  map[string]member // the list as last told
+	skipped  []policy.Outcome  // of attempts that were not made; told once all actions are done
 	attempts sync.WaitGroup
 }
 
@@ -94,9 +99,17 @@
 		n int
 		result
 	}
-	finish struct{} // fail what is still open, for the node stops
+	ceded     struct{ reply chan<- legacy } // another process takes over
+	takenBack struct{ served bool }         // and is gone again
+	finish    struct{}                      // fail what is still open, for the node stops
 )
 
+// legacy is what the loop leaves to another process.
+type legacy struct {
+	members   []member
+	knowledge policy.Knowledge
+}
+
 func newLoop(c Config, ck clock, up *upstream, fig *figures) (*loop, error) {
 	balancer, err := policy.New(c.Settings, ck.now(), c.Seed)
 	if err != nil {
@@ -104,7 +117,7 @@
 	}
 	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up, fig: fig,
 		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}),
-		requests: make(map[string]*request)}
+		requests: make(map[string]*request), members: make(map[string]member)}
 	l.disc = newDiscovery(c, l.send)
 	return l, nil
 }
@@ -118,13 +131,16 @@
 }
 
 // run handles events until ctx ends; then it calls off what is out and waits for it. The list as last
-// held comes before all else, as the module expects.
-func (l *loop) run(ctx context.Context, known []member) {
+// held comes before all else, as the module expects, and then what another process left.
+func (l *loop) run(ctx context.Context, known []member, left *policy.Knowledge) {
 	attemptsCtx, cancel := context.WithCancel(context.Background())
 	defer l.attempts.Wait()
 	defer cancel()
 	defer close(l.done)
 	l.handle(attemptsCtx, news{policy.ListRestored, known})
+	if left != nil {
+		l.module.Learn(l.clock.now(), *left)
+	}
 	close(l.ready)
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
@@ -176,6 +192,11 @@
 		l.end(ctx, e)
 	case news:
 		l.listed(ctx, e)
+	case ceded:
+		e.reply <- legacy{slices.Collect(maps.Values(l.members)), l.module.Knowledge(l.clock.now())}
+		l.tell(ctx, policy.Ceded{On: true})
+	case takenBack:
+		l.tell(ctx, policy.Ceded{Served: e.served})
 	case finish:
 		for _, r := range l.requests {
 			if !r.ended {
@@ -222,6 +243,14 @@
 	if n.kind != policy.ListUnavailable {
 		l.up.update(n)
 	}
+	if n.kind == policy.ListReplace || n.kind == policy.ListRestored {
+		clear(l.members)
+	}
+	for _, m := range n.members {
+		if l.members[m.Server] = m; m.Availability == policy.Removed {
+			delete(l.members, m.Server)
+		}
+	}
 	members := make([]policy.Member, len(n.members))
 	for i, m := range n.members {
 		members[i] = m.Member
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -28,7 +28,9 @@
 	return s.answer(now, ev)
 }
 
-func (s *script) Servers() (listed, avoided int) { return 0, 0 }
+func (s *script) Servers() (listed, avoided int)             { return 0, 0 }
+func (s *script) Knowledge(policy.Time) (k policy.Knowledge) { return k }
+func (s *script) Learn(now policy.Time, _ policy.Knowledge)  {}
 
 // events lists what the module was told, in short words.
 func (s *script) events() []string {
@@ -74,7 +76,7 @@
 	l.module = s
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { l.run(ctx, c.Known.Members); close(ended) }()
+	go func() { l.run(ctx, c.Known.Members, nil); close(ended) }()
 	t.Cleanup(func() {
 		cancel()
 		receive(t, "the loop's end", ended)
@@ -242,7 +244,7 @@
 // A request that is over leaves nothing behind, however far off its deadline was.
 func TestEndedRequestsAreForgotten(t *testing.T) {
 	l := &loop{clock: clock{start: time.Now()}, requests: make(map[string]*request),
-		fig: newFigures(nil)}
+		members: make(map[string]member), fig: newFigures(nil)}
 	l.module = &script{answer: func(_ policy.Time, ev policy.Event) []policy.Action {
 		if e, ok := ev.(policy.Request); ok {
 			return []policy.Action{{Kind: policy.Refuse, ID: e.ID}}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,12 +5,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"cobaltward/policy"
 )
 
@@ -18,15 +16,10 @@
 	ownSockets   = 32                     // descriptors for the log, discovery, the runtime and the like
 	acceptFor    = 500 * time.Millisecond // after the signal to stop, while clients still come
 	longestDrain = 3 * time.Second        // no client waits longer once a node is told to stop
+	stopPoll     = 20 * time.Millisecond  // between looks at whether a replaced process has clients left
 	lastAnswers  = 100 * time.Millisecond // for what is failed then to reach its clients
 )
 
-// Listeners are where a node is reached.
-type Listeners struct {
-	Clients net.Listener
-	Control net.Listener // the operators'; nil for none
-}
-
 // Change is what came of reading the configuration anew.
 type Change struct {
 	Discovery string
@@ -37,34 +30,39 @@
 // and returns.
 func Run(ctx context.Context, c Config, at Listeners, changes <-chan Change) error {
 	ck := clock{start: time.Now()}
-	// Each request in hand needs a descriptor on either side.
-	spare := c.Sockets - ownSockets
-	if at.Control != nil {
-		spare -= controlSockets
+	sockets := c.Sockets
+	if at.heir != nil {
+		sockets, c.Known = at.heir.Sockets, list{Revision: wholeList, Members: at.heir.Members}
 	}
-	side := spare / 2
+	limitMemory(c, 1)
 	fig := newFigures(c.Settings.Classes)
-	up := newUpstream(c, side, fig)
+	up := newUpstream(c, sockets, fig)
 	defer up.close()
 	l, err := newLoop(c, ck, up, fig)
 	if err != nil {
 		return err
 	}
-	s := newServer(c, l, side)
+	s := newServer(c, l, sockets)
 	s.http.ErrorLog = slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 
 	running, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer stop()
-	parts.Go(func() { l.run(running, c.Known.Members) })
+	var left *policy.Knowledge
+	if at.heir != nil {
+		left = &at.heir.Knowledge
+		limitMemory(c, 0.5)
+	}
+	parts.Go(func() { l.run(running, c.Known.Members, left) })
 	parts.Go(func() { l.disc.run(running) })
 
 	failed := make(chan error, 1)
-	// The server refuses requests on connections over its side; the listener makes sure that even
-	// clients who connect and say nothing leave the servers' side its descriptors.
-	listener := netutil.LimitListener(at.Clients, side+ownSockets/2)
-	parts.Go(func() { failed <- s.http.Serve(framingListener{listener}) })
+	clients := newGate(at.Clients, sockets)
+	h := &handover{c: c, path: handoverPath(c), s: s, up: up, gate: clients, share: sockets}
+	h.resize(sockets) // each request in hand needs a descriptor on either side
+	parts.Go(func() { failed <- s.http.Serve(framingListener{clients}) })
+	parts.Go(func() { h.start(running, at.heir) })
 	if at.Control != nil {
 		ctl := newControl(fig, s.taking)
 		parts.Go(func() { ctl.run(running, at.Control) })
@@ -78,18 +76,21 @@
 		case <-ctx.Done():
 		}
 	}
-	return s.drain(c)
+	return s.drain(c, h)
 }
 
 // drain ends the service. Connections go on coming for a while after the signal, and what sits in
 // them unread counts as taken, so the listener stays open until then. Clients go on using those they
 // have: ending them early would only move their load to the other nodes while this one is gone, so they
 // are served for as long as what comes can be answered before the node is killed.
-func (s *server) drain(c Config) error {
+func (s *server) drain(c Config, h *handover) error {
 	slog.Info("stopping")
 	s.stopping.Store(true)
 	end := time.Now().Add(acceptFor + longestWait(c.Settings.Classes))
-	time.Sleep(max(acceptFor, time.Until(end)-longestAnswer(c.Settings.Classes)))
+	last := time.Now().Add(max(acceptFor, time.Until(end)-longestAnswer(c.Settings.Classes)))
+	for time.Now().Before(last) && !(h.superseded.Load() && s.peers.count() == 0) {
+		time.Sleep(min(stopPoll, time.Until(last)))
+	}
 	s.draining.Store(true)
 	late := time.AfterFunc(time.Until(end), func() { s.loop.send(finish{}) })
 	defer late.Stop()
@@ -101,6 +102,11 @@
 	return s.http.Close()
 }
 
+// limitMemory sets the part of the memory limit that this process may use.
+func limitMemory(c Config, part float64) {
+	debug.SetMemoryLimit(int64(part * heapPart * float64(c.MemoryMB) * (1 << 20)))
+}
+
 // longestWait is how long a client of a stopping node may wait.
 func longestWait(classes []policy.Class) time.Duration {
 	var longest time.Duration
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -63,6 +63,19 @@
 	}
 }
 
+// count is how many connections there are.
+func (s *peers) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+func (s *peers) resize(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most = most
+}
+
 // shed ends the connection that was without a request for longest, if one was for long enough.
 func (s *peers) shed(now time.Time) bool {
 	var oldest net.Conn
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -228,6 +228,25 @@
 	u.mu.Unlock()
 }
 
+// resize sets how many connections may be open; idle ones beyond are closed.
+func (u *upstream) resize(most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.most = most
+	for u.open > u.most && u.evict() {
+	}
+}
+
+// shrink closes idle connections while more than least are open, and allows no more than are then.
+func (u *upstream) shrink(least int) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for u.open > least && u.evict() {
+	}
+	u.most = max(least, u.open)
+	return u.most
+}
+
 // evict closes the connection that was idle longest, if there is one.
 func (u *upstream) evict() bool {
 	var oldest *pool
--- a/policy/api.go
+++ b/policy/api.go
@@ -198,6 +198,10 @@
 // Lapsed says that the client has left; no answer is owed any more.
 type Lapsed struct{ ID string }
 
+// Ceded says that another process of this node takes over, or (On false) that it is gone again; Served
+// then tells whether it had begun to serve.
+type Ceded struct{ On, Served bool }
+
 // Timer is a timer that came due.
 type Timer struct{ Token uint64 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -5,7 +5,6 @@
 package policy
 
 import (
-	"hash/fnv"
 	"maps"
 	"math"
 	"math/bits"
@@ -69,6 +68,8 @@
 		b.onTimer(e.Token)
 	case MemberList:
 		b.onList(e)
+	case Ceded:
+		b.onCeded(e)
 	}
 	return b.out
 }
@@ -151,7 +152,9 @@
 		k = &bucket{tokens: l.Burst, last: b.now}
 		b.buckets[key] = k
 	}
-	k.refill(b.now, l.perSecond(), l.Burst)
+	if !b.ceded {
+		k.refill(b.now, l.perSecond(), l.Burst)
+	}
 	if k.tokens <= 0 {
 		b.refused = true
 		return false, l.retryAfter()
@@ -619,14 +622,6 @@
 	l.latency += gain * (now.latency - l.latency)
 }
 
-// track moves the part of hits lately by one more.
-func track(part *float64, gain float64, hit bool) {
-	*part -= gain * *part
-	if hit {
-		*part += gain
-	}
-}
-
 // ---- Attempts: sending, retries, hedges, holding ----
 
 const (
@@ -676,6 +671,9 @@
 // budget, or the default one, lest they feed an overload. It is counted exactly over its sliding span
 // and on the safe side at its edges.
 func (b *Balancer) mayRepeat() bool {
+	if b.ceded {
+		return false
+	}
 	from := b.now - b.budget.Span
 	for len(b.took) > 0 && b.took[0] <= from {
 		b.took = b.took[1:]
@@ -728,14 +726,6 @@
 	idleWear  = 0.98                   // what is left of the suspicion after each connection given up for it
 )
 
-// use notes that s has as many connections in use as attempts in flight.
-func (s *server) use(now Time) {
-	for len(s.used) < s.inflight {
-		s.used = append(s.used, now)
-	}
-	s.used[s.inflight-1] = now
-}
-
 // freshen tells for how long the connection of the next send to s was idle, in octaves from idleLeast.
 // It guards against connections dropped unseen, by whatever stands between: where sends on those idle
 // for as long go unanswered far more often than others, they are closed first, and the send opens one
@@ -929,17 +919,6 @@
 	}
 }
 
-// settle works out which attempt of r may have run first; one without an outcome may have.
-func (r *request) settle() {
-	r.ranOn = nil
-	for i := range r.attempts {
-		if !r.attempts[i].notRun {
-			r.ranOn = &r.attempts[i]
-			return
-		}
-	}
-}
-
 // observe learns from an outcome: latency, threshold and health.
 func (b *Balancer) observe(r *request, a *attempt, e Outcome) {
 	s, c := a.server, r.class
@@ -1047,23 +1026,6 @@
 	b.countEjected()
 }
 
-func (b *Balancer) countEjected() {
-	b.avoided = 0
-	for _, s := range b.servers {
-		if s.health.out || s.Availability != Running {
-			b.avoided++
-		}
-	}
-	for _, c := range b.ranked {
-		c.open.ejected = 0
-		for _, s := range c.open.order {
-			if s.health.out {
-				c.open.ejected++
-			}
-		}
-	}
-}
-
 // trial returns an ejected server whose time is up, if r can safely try it out: of the classes that
 // the server is open to, one that may be repeated most freely.
 func (b *Balancer) trial(r *request) *server {
@@ -1117,8 +1079,8 @@
 // are cold is too little, and the cold ones then stay idle while the warm ones are full.
 func (b *Balancer) coldRoom(s *server) bool {
 	part := b.ramp(s)
-	if part >= 1 {
-		return true
+	if part >= 1 || b.ceded {
+		return part >= 1
 	}
 	mean := b.doneRate() / float64(max(1, len(b.order)))
 	if k := b.kinds[s.Kind]; k != nil {
@@ -1261,13 +1223,6 @@
 	}
 }
 
-// hash is the same at every node.
-func hash(text string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(text))
-	return h.Sum64()
-}
-
 func (b *Balancer) staggered() bool { return b.set.Nodes > manyNodes }
 
 // stagger turns a part of the order so that this node's walk begins at its own place in it, where
@@ -1280,3 +1235,28 @@
 	k := int(at * float64(len(part)))
 	return slices.Concat(part[k:], part[:k])
 }
+
+// ---- Replacement: two processes as one node ----
+
+// onCeded leaves to the process that takes over what both may spend only once: refills and half of the
+// tokens of each bucket, further attempts, and all that goes to cold servers. Taken back from one that
+// never served, it is as before; what one that served has spent is not known, so nothing is repeated
+// for as long as that may count.
+func (b *Balancer) onCeded(e Ceded) {
+	b.ceded = e.On
+	for _, k := range b.buckets {
+		if e.On {
+			k.tokens -= k.tokens / 2
+		}
+	}
+	for _, s := range b.servers {
+		if !e.On && e.Served {
+			s.cold.tokens = 0
+		}
+	}
+	if !e.On && e.Served {
+		for range int(b.budget.Least + b.budget.Share*float64(len(b.took))) {
+			b.extra = append(b.extra, b.now)
+		}
+	}
+}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -771,3 +771,93 @@
 		t.Errorf("the dearest class is sent to servers that are far over the threshold")
 	}
 }
+
+// Of what a node may spend once, the process that takes over gets all that is left, and the one that
+// ceded spends nothing more of it until it takes the node back.
+func TestCededProcessSpendsNothingOfTheNodes(t *testing.T) {
+	set := site(1)
+	set.Rules.Attempts = &Budget{Least: 2, Share: 0, Span: time.Second}
+	cold := append(members(2), Member{Server: "young", Zone: "a", OnlineSince: 9 * time.Second, Weight: 1})
+	old := start(t, set, cold)
+	now := 10 * time.Second
+	retried := func(b *Balancer, id string) bool {
+		t.Helper()
+		first := sentTo(t, b.Handle(now, ask(id, "free")))
+		acts := b.Handle(now, Outcome{ID: id, Server: first, Code: Full})
+		return len(of(acts, Send)) > 0
+	}
+	if !retried(old, "a") {
+		t.Fatal("no further attempt before")
+	}
+	know := old.Knowledge(now)
+	old.Handle(now, Ceded{On: true})
+	tokens := old.buckets[bucketKey{tenant: "t"}].tokens
+	if sum := tokens + know.Buckets[0].Tokens; sum > old.tenants["t"].Burst {
+		t.Errorf("%d tokens in both, one node may have %d", sum, old.tenants["t"].Burst)
+	}
+	now += 2 * time.Second // beyond the span
+	if retried(old, "b") {
+		t.Error("a ceded process made a further attempt")
+	}
+	old.Handle(now, ask("c", "free"))
+	if got := old.buckets[bucketKey{tenant: "t"}].tokens; got != tokens-2 {
+		t.Errorf("%d tokens after two requests, want %d: no refill", got, tokens-2)
+	}
+	if old.coldRoom(old.servers["young"]) {
+		t.Error("a ceded process may send to a cold server")
+	}
+	old.Handle(now, Ceded{})
+	if !retried(old, "d") {
+		t.Error("taken back, it makes no further attempt")
+	}
+}
+
+// What one process knows another learns, by a clock of its own.
+func TestKnowledgePassesToAnotherClock(t *testing.T) {
+	set := site(1)
+	set.Rules.Attempts = &Budget{Least: 2, Share: 0, Span: 10 * time.Second}
+	list := append(members(3), Member{Server: "young", Zone: "a", OnlineSince: 8 * time.Second, Weight: 1})
+	old := start(t, set, list)
+	now := 10 * time.Second
+	first := sentTo(t, old.Handle(now, ask("a", "free")))
+	old.Handle(now, Outcome{ID: "a", Server: first, Code: Full})
+	old.servers["s01"].threshold, old.servers["young"].cold.tokens = 7, 0.25
+	old.servers["s02"].health = health{score: 0.4, out: true, until: 12 * time.Second, times: 2}
+	know := old.Knowledge(now)
+
+	const ahead = 40 * time.Second
+	for i := range list {
+		if list[i].OnlineSince > 0 {
+			list[i].OnlineSince += ahead + ms
+		}
+	}
+	heir, err := New(set, now+ahead, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	heir.Handle(now+ahead, MemberList{Kind: ListRestored, Members: list})
+	heir.Learn(now+ahead, know)
+	if got := heir.servers["s01"].threshold; got != 7 {
+		t.Errorf("threshold %v", got)
+	}
+	if got := heir.servers["young"].cold; got.tokens != 0.25 {
+		t.Errorf("cold budget %+v", got)
+	}
+	if got := heir.servers["s02"].health; !got.out || got.until != 12*time.Second+ahead || got.times != 2 {
+		t.Errorf("health %+v", got)
+	}
+	if listed, avoided := heir.Servers(); listed != 4 || avoided != 1 {
+		t.Errorf("%d servers, %d avoided", listed, avoided)
+	}
+	if heir.mayRepeat() {
+		t.Error("the budget of attempts was spent before")
+	}
+	for i := range list { // a server that started again is another
+		list[i].OnlineSince = now + ahead
+	}
+	fresh := start(t, set, list)
+	fresh.Learn(now+ahead, know)
+	if got := fresh.servers["s01"].threshold; got == 7 {
+		t.Error("a new process of a server inherits the threshold of its former one")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"time"
 )
@@ -46,6 +47,7 @@
 	extra     []Time     // attempts beyond a request's first in it
 	done      float64    // answers a second, as of doneAt
 	doneAt    Time
+	ceded     bool       // another process of this node has taken over
 	silent    [6]float64 // part of sends unanswered, by how long the connection was idle, in octaves
 }
 
@@ -151,3 +153,185 @@
 	tokens float64
 	last   Time
 }
+
+// use notes that s has as many connections in use as attempts in flight.
+func (s *server) use(now Time) {
+	for len(s.used) < s.inflight {
+		s.used = append(s.used, now)
+	}
+	s.used[s.inflight-1] = now
+}
+
+// settle works out which attempt of r may have run first; one without an outcome may have.
+func (r *request) settle() {
+	r.ranOn = nil
+	for i := range r.attempts {
+		if !r.attempts[i].notRun {
+			r.ranOn = &r.attempts[i]
+			return
+		}
+	}
+}
+
+// countEjected counts the servers that get no work, in all and of those open to each class.
+func (b *Balancer) countEjected() {
+	b.avoided = 0
+	for _, s := range b.servers {
+		if s.health.out || s.Availability != Running {
+			b.avoided++
+		}
+	}
+	for _, c := range b.ranked {
+		c.open.ejected = 0
+		for _, s := range c.open.order {
+			if s.health.out {
+				c.open.ejected++
+			}
+		}
+	}
+}
+
+// track moves the part of hits lately by one more.
+func track(part *float64, gain float64, hit bool) {
+	*part -= gain * *part
+	if hit {
+		*part += gain
+	}
+}
+
+// hash is the same at every node.
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// Knowledge is what a process of a node leaves to the one that takes over. Its times are counted from
+// the moment it was taken, for each process has a clock of its own; 0 stands for never.
+type Knowledge struct {
+	Buckets                   []KnownBucket
+	Classes                   map[string]KnownClass
+	Servers                   map[string]KnownServer
+	Kinds                     map[string]KnownLoad
+	Usual                     KnownLoad
+	Took, Extra               []Time
+	Owed, Pace, Trust, Busy   float64
+	FullPart, Bad, Lost, Done float64
+	HeardAt, DoneAt           Time
+	Silent                    [6]float64
+}
+
+// KnownBucket is one bucket.
+type KnownBucket struct {
+	Tenant, Class string
+	Tokens        int64
+	Last          Time
+}
+
+// KnownClass is what was learned of a class.
+type KnownClass struct{ Tail, FirstTry time.Duration }
+
+// KnownLoad is what reports said of a kind of server.
+type KnownLoad struct{ N, Rate, Latency float64 }
+
+// KnownServer is what was learned of a server, and what of its cold budget is left.
+type KnownServer struct {
+	OnlineSince                                           Time
+	Threshold, Latency, Reported, Rate, Score, ColdTokens float64
+	Felt, Out                                             bool
+	Times                                                 int
+	BusyTo, HeardAt, LastSend, LastDone, OutUntil, ColdAt Time
+}
+
+// since and at turn times of this process's clock into those of Knowledge, and back.
+func (b *Balancer) since(t Time) Time {
+	switch t {
+	case 0:
+		return 0
+	case b.now:
+		return -1 // not never
+	}
+	return t - b.now
+}
+
+func (b *Balancer) at(t Time) Time {
+	if t == 0 {
+		return 0
+	}
+	return max(1, b.now+t)
+}
+
+func convert(times []Time, by func(Time) Time) []Time {
+	all := make([]Time, len(times))
+	for i, t := range times {
+		all[i] = by(t)
+	}
+	return all
+}
+
+// Knowledge returns what the process that takes over from this one has to know.
+func (b *Balancer) Knowledge(now Time) Knowledge {
+	b.now = max(now, b.now)
+	k := Knowledge{
+		Classes: make(map[string]KnownClass), Servers: make(map[string]KnownServer),
+		Kinds: make(map[string]KnownLoad), Usual: KnownLoad{b.usual.n, b.usual.rate, b.usual.latency},
+		Took: convert(b.took, b.since), Extra: convert(b.extra, b.since),
+		Owed: b.owed, Pace: b.pace, Trust: b.trust, Busy: b.busy, FullPart: b.fullPart, Bad: b.bad,
+		Lost: b.lost, Done: b.done, HeardAt: b.since(b.heardAt), DoneAt: b.since(b.doneAt), Silent: b.silent,
+	}
+	for key, v := range b.buckets {
+		k.Buckets = append(k.Buckets, KnownBucket{key.tenant, key.class, v.tokens / 2, b.since(v.last)})
+	}
+	for _, c := range b.ranked {
+		k.Classes[c.Name] = KnownClass{c.tail, c.firstTry}
+	}
+	for kind, l := range b.kinds {
+		k.Kinds[kind] = KnownLoad{l.n, l.rate, l.latency}
+	}
+	for id, s := range b.servers {
+		k.Servers[id] = KnownServer{
+			OnlineSince: b.since(s.OnlineSince), Threshold: s.threshold, Latency: s.latency, Reported: s.reported,
+			Rate: s.rate, Score: s.health.score, ColdTokens: s.cold.tokens, Felt: s.felt, Out: s.health.out,
+			Times: s.health.times, BusyTo: b.since(s.busyTo), HeardAt: b.since(s.heardAt),
+			LastSend: b.since(s.lastSend), LastDone: b.since(s.lastDone), OutUntil: b.since(s.health.until),
+			ColdAt: b.since(s.cold.last),
+		}
+	}
+	return k
+}
+
+// sameStart is how far two processes may differ on when a server started: each rounds its own clock.
+const sameStart = 20 * time.Millisecond
+
+// Learn takes over what another process of this node knew. The list of servers comes first.
+func (b *Balancer) Learn(now Time, k Knowledge) {
+	b.now = max(now, b.now)
+	b.usual = load{k.Usual.N, k.Usual.Rate, k.Usual.Latency}
+	b.took, b.extra = convert(k.Took, b.at), convert(k.Extra, b.at)
+	b.owed, b.pace, b.trust, b.busy = k.Owed, k.Pace, k.Trust, k.Busy
+	b.fullPart, b.bad, b.lost, b.done = k.FullPart, k.Bad, k.Lost, k.Done
+	b.heardAt, b.doneAt, b.silent = b.at(k.HeardAt), b.at(k.DoneAt), k.Silent
+	for _, v := range k.Buckets {
+		b.buckets[bucketKey{v.Tenant, v.Class}] = &bucket{tokens: v.Tokens, last: b.at(v.Last)}
+	}
+	for _, c := range b.ranked {
+		if known, ok := k.Classes[c.Name]; ok {
+			c.tail, c.firstTry = known.Tail, known.FirstTry
+		}
+	}
+	for kind, l := range k.Kinds {
+		b.kinds[kind] = &load{l.N, l.Rate, l.Latency}
+	}
+	for id, v := range k.Servers {
+		s := b.servers[id]
+		if s == nil || (s.OnlineSince-b.at(v.OnlineSince)).Abs() > sameStart {
+			continue // another process of it, or gone
+		}
+		s.threshold, s.latency, s.reported, s.rate, s.felt = v.Threshold, v.Latency, v.Reported, v.Rate, v.Felt
+		s.busyTo, s.heardAt = b.at(v.BusyTo), b.at(v.HeardAt)
+		s.lastSend, s.lastDone = b.at(v.LastSend), b.at(v.LastDone)
+		s.health = health{score: v.Score, out: v.Out, until: b.at(v.OutUntil), times: v.Times}
+		s.cold = coldBudget{tokens: v.ColdTokens, last: b.at(v.ColdAt)}
+	}
+	b.countEjected()
+}
