Stream large bodies both ways, with deadlines that follow progress

Ruled out: the node's memory (9 of 64 MB) and descriptors (139 of 1024).

A request whose rest is read by an attempt is not ended by its context: net/http ends that with any read that fails, also by its deadline.

Without the change bulk_test.go doesn't build. A ceded process also gets room for a few more connections to servers: TestReplacementTurnsNobodyBack saw 503 for want of one.

--- /dev/null
+++ b/internal/node/bulk_test.go
@@ -0,0 +1,326 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+	"time"
+)
+
+// noise is n bytes that no two places share.
+func noise(n int) []byte {
+	b := make([]byte, n)
+	_, _ = rand.NewChaCha8([32]byte{byte(n)}).Read(b)
+	return b
+}
+
+// unsized hides the length of a body, so that it goes in chunks.
+type unsized struct{ io.Reader }
+
+// Bodies and answers of any size pass byte for byte, by length and by chunks, in whatever pieces.
+func TestLargeBodiesPassWhole(t *testing.T) {
+	server := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		if r.Header.Get("X-Request-Id")[0] == 'l' {
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		}
+		_, _ = w.Write(body)
+	})
+	node, _ := startNode(t, testConfig(t, knownList(server)))
+	for _, size := range []int{0, 1, maxBody - 1, maxBody, maxBody + 1, 3 << 20} {
+		want := noise(size)
+		for form, body := range map[string]io.Reader{
+			"length": bytes.NewReader(want), "chunks": unsized{bytes.NewReader(want)},
+			"halves": unsized{iotest.HalfReader(bytes.NewReader(want))},
+		} {
+			req := clientRequest(t, node, "POST", "pay", fmt.Sprint(form, size), "")
+			req.Body = io.NopCloser(body)
+			if req.ContentLength = -1; form == "length" {
+				req.ContentLength = int64(size)
+			}
+			resp, got := do(t, req)
+			if resp.StatusCode != http.StatusOK || sha256.Sum256([]byte(got)) != sha256.Sum256(want) {
+				t.Errorf("%s of %d: status %d, %d bytes came back", form, size, resp.StatusCode, len(got))
+			}
+			if form == "length" && resp.ContentLength != int64(size) {
+				t.Errorf("an answer of %d says %d", size, resp.ContentLength)
+			}
+		}
+	}
+}
+
+// A small body or answer in single bytes is as good as one in a piece.
+func TestSingleBytesPass(t *testing.T) {
+	server := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		if !swallow(r) {
+			return
+		}
+		for _, b := range []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\ny\r\n2\r\nes\r\n0\r\n\r\n") {
+			_, _ = c.Write([]byte{b})
+		}
+	})
+	node, _ := startNode(t, testConfig(t, knownList(server)))
+	req := clientRequest(t, node, "POST", "pay", "r", "")
+	req.Body, req.ContentLength = io.NopCloser(iotest.OneByteReader(strings.NewReader("sum"))), -1
+	if resp, body := do(t, req); resp.StatusCode != http.StatusOK || body != "yes" {
+		t.Errorf("status %d, %q", resp.StatusCode, body)
+	}
+}
+
+// The first bytes of a long answer reach the client while the server still has others to give, and no
+// deadline ends it from then on.
+func TestLongAnswerPassesAsItComes(t *testing.T) {
+	next := make(chan struct{})
+	server := httpServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(maxBody+3))
+		_, _ = io.WriteString(w, "a")
+		w.(http.Flusher).Flush()
+		<-next
+		_, _ = io.WriteString(w, "bc"+strings.Repeat("x", maxBody))
+	})
+	node, _ := startNode(t, testConfig(t, knownList(server)))
+	const wait = 300 * time.Millisecond
+	resp, err := http.DefaultClient.Do(clientRequest(t, node, "GET", "read", "r", "", "X-Deadline-Ms", fmt.Sprint(wait.Milliseconds())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(resp.Body, first); err != nil || first[0] != 'a' {
+		t.Fatalf("first byte %q, %v", first, err)
+	}
+	time.AfterFunc(2*wait, func() { close(next) }) // beyond the time that the client would wait for a first byte
+	rest, err := io.ReadAll(resp.Body)
+	if err != nil || len(rest) != maxBody+2 || rest[0] != 'b' {
+		t.Errorf("%d bytes more, %v", len(rest), err)
+	}
+}
+
+// A client can tell that an answer broke off, whatever the framing and however old its HTTP.
+func TestClientCanTellABrokenAnswer(t *testing.T) {
+	part := strings.Repeat("x", maxBody+9)
+	for name, head := range map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 2*len(part), part),
+		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(part), part),
+	} {
+		server := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+			if swallow(r) {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s", head)
+			}
+		})
+		at := Listeners{Clients: listen(t), Control: listen(t)}
+		node, _ := startNodeAt(t, testConfig(t, knownList(server)), at, nil)
+		for _, proto := range []string{"1.0", "1.1"} {
+			conn, err := net.Dial("tcp", node)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "GET /api HTTP/%s\r\nHost: a\r\nX-Request-Id: %s\r\nX-Class: read\r\nX-Tenant: t\r\n"+
+				"X-Deadline-Ms: 8000\r\n\r\n", proto, name+proto)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("%s, HTTP/%s: looks whole", name, proto)
+			}
+		}
+		awaitStats(t, at.Control.Addr().String(), map[string]float64{
+			`app_faulted_total{priority="read"}`: 2, `app_fulfilled_total{priority="read"}`: 0, "app_open_requests": 0})
+	}
+}
+
+// An attempt that took part of what can't be written again is the last one; one that took nothing isn't.
+func TestSpentBodyIsNotSentAgain(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		first     func(net.Conn, *bufio.Reader) // what the first connection does
+		want, all int
+	}{
+		{"reset while it comes", func(c net.Conn, r *bufio.Reader) {
+			_, _ = io.CopyN(io.Discard, r, firstPart+maxBody)
+		}, http.StatusServiceUnavailable, 1},
+		{"full after the last byte", func(c net.Conn, r *bufio.Reader) {
+			if swallow(r) {
+				fmt.Fprint(c, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			}
+		}, http.StatusServiceUnavailable, 1},
+	} {
+		var conns atomic.Int32
+		server := rawServer(t, func(conn net.Conn, r *bufio.Reader) {
+			conns.Add(1)
+			c.first(conn, r)
+		})
+		node, _ := startNode(t, testConfig(t, knownList(server, server)))
+		resp, _ := do(t, clientRequest(t, node, "POST", "undo", "r", string(noise(1<<20))))
+		if resp.StatusCode != c.want || int(conns.Load()) != c.all {
+			t.Errorf("%s: status %d after %d attempts, want %d after %d", c.name, resp.StatusCode, conns.Load(), c.want, c.all)
+		}
+	}
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	alive := httpServer(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	node, _ := startNode(t, testConfig(t, knownList(dead.Addr().String(), alive)))
+	resp, _ := do(t, clientRequest(t, node, "POST", "undo", "again", string(noise(1<<20))))
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("nothing had left the node, and no other server was tried: status %d", resp.StatusCode)
+	}
+}
+
+// Over 32 MiB there is no server asked, or none that gets a whole request.
+func TestTooLargeBodyIsRefused(t *testing.T) {
+	var whole atomic.Int32
+	server := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			whole.Add(1)
+		}
+	})
+	node, _ := startNode(t, testConfig(t, knownList(server)))
+	for _, length := range []int64{maxTransfer + 1, -1} {
+		req := clientRequest(t, node, "POST", "pay", fmt.Sprint("r", length), "")
+		req.Body, req.ContentLength = io.NopCloser(io.LimitReader(zeros{}, maxTransfer+1)), length
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatalf("length %d: %v", length, err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusRequestEntityTooLarge {
+			t.Errorf("length %d: status %d", length, resp.StatusCode)
+		}
+	}
+	if n := whole.Load(); n != 0 {
+		t.Errorf("%d reached the server whole", n)
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// A body at 64 kB a second is served, though it takes longer than its client's deadline; one that stops
+// ends, and its server hears of it.
+func TestSlowBodyIsServedAndASilentOneEnds(t *testing.T) {
+	server := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n)
+	})
+	at := Listeners{Clients: listen(t), Control: listen(t)}
+	node, _ := startNodeAt(t, testConfig(t, knownList(server)), at, nil)
+	const size, step = 192_000, 6_400
+	var both sync.WaitGroup
+	both.Go(func() {
+		req := clientRequest(t, node, "POST", "pay", "slow", "", "X-Deadline-Ms", "1000")
+		body, out := io.Pipe()
+		req.Body, req.ContentLength = body, size
+		go func() {
+			tick := time.NewTicker(time.Second * step / 64_000)
+			defer tick.Stop()
+			for range size / step {
+				<-tick.C
+				if _, err := out.Write(make([]byte, step)); err != nil {
+					return
+				}
+			}
+			out.Close()
+		}()
+		if resp, got := do(t, req); resp.StatusCode != http.StatusOK || got != fmt.Sprint(size) {
+			t.Errorf("slow: status %d, %q", resp.StatusCode, got)
+		}
+	})
+	both.Go(func() {
+		conn, err := net.Dial("tcp", node)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		began := time.Now()
+		fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: silent\r\nX-Class: pay\r\nX-Tenant: t\r\n"+
+			"X-Deadline-Ms: 8000\r\nContent-Length: %d\r\n\r\n%s", size, make([]byte, firstPart+1))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != http.StatusRequestTimeout || time.Since(began) > 3*time.Second {
+			t.Errorf("silent: %v, %v after %v", resp, err, time.Since(began))
+		}
+	})
+	both.Wait()
+	awaitStats(t, at.Control.Addr().String(), map[string]float64{"app_open_requests": 0})
+}
+
+// Many long answers to clients that don't read leave the node its memory and its other clients.
+func TestStalledReadersHoldLittle(t *testing.T) {
+	const answers = 40
+	long := noise(4 << 20)
+	var given atomic.Int64
+	server := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Request-Id") == "small" {
+			return
+		}
+		w.Header().Set("Content-Length", fmt.Sprint(len(long)))
+		for at := 0; at < len(long); at += blockSize {
+			if _, err := w.Write(long[at : at+blockSize]); err != nil {
+				return
+			}
+			given.Add(blockSize)
+		}
+	})
+	node, _ := startNode(t, testConfig(t, knownList(server)))
+	for i := range answers {
+		conn, err := net.Dial("tcp", node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		if err := clientRequest(t, node, "GET", "read", fmt.Sprint("r", i), "").Write(conn); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(conn, make([]byte, 9)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	resp, _ := do(t, clientRequest(t, node, "GET", "read", "small", ""))
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("another client got %d", resp.StatusCode)
+	}
+	if all := int64(answers * len(long)); given.Load() >= all {
+		t.Error("the answers were taken whole, though nobody reads them")
+	}
+}
+
+// What a client gets whose body breaks off.
+func TestUploadStatus(t *testing.T) {
+	for err, want := range map[error]int{
+		&http.MaxBytesError{}: 413, io.ErrUnexpectedEOF: 400, &net.OpError{Err: errTimeout{}}: 408, errors.New("x"): 400,
+	} {
+		if got, _ := uploadStatus(err); got != want {
+			t.Errorf("%v: %d, want %d", err, got, want)
+		}
+	}
+}
+
+type errTimeout struct{}
+
+func (errTimeout) Error() string   { return "i/o timeout" }
+func (errTimeout) Timeout() bool   { return true }
+func (errTimeout) Temporary() bool { return true }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -399,9 +399,9 @@
 // release cuts this process down to what it holds, and returns what is left for its successor.
 func (h *handover) release() int {
 	clients := h.s.peers.count()
-	servers := h.up.shrink(min(clients, spareServers))
+	servers := h.up.shrink(min(clients, spareServers), spareConns)
 	h.gate.resize(clients + spareConns)
-	held := h.c.ownSockets() + clients + servers + 2*spareConns
+	held := h.c.ownSockets() + clients + spareConns + servers
 	total := h.total()
 	return max(total/4, total-held)
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -23,7 +23,9 @@
 	// answer still arrives; half of it later the backstop answers. Of short deadlines it is a part.
 	answerMargin     = 20 * time.Millisecond
 	answerMarginPart = 5
-	sweepEvery       = time.Second // idle connections to servers
+	longestUpload    = 15 * time.Minute // the least pace borne ends it far sooner
+	reportFresh      = time.Second      // after the first byte, a report in an answer is old news
+	sweepEvery       = time.Second      // idle connections to servers
 )
 
 // clock turns the machine's clocks into policy.Time. The wall clock is read once, at the start.
@@ -86,8 +88,10 @@
 
 type attempt struct {
 	server string
-	sent   policy.Time
-	cancel context.CancelFunc
+	sent   policy.Time // or when the request was whole, if that was later
+	began  policy.Time // when its answer began, of one that is passed on as it comes
+	cancel context.CancelCauseFunc
+	expiry *time.Timer // ends it as timed out
 }
 
 // The events of the loop, beside news.
@@ -101,7 +105,16 @@
 	}
 	ceded     struct{ reply chan<- legacy } // another process takes over
 	takenBack struct{ served bool }         // and is gone again
-	finish    struct{}                      // fail what is still open, for the node stops
+	begun     struct {                      // an answer that is passed on as it comes
+		r *request
+		n int
+		answer
+	}
+	uploaded struct { // the rest of a request: whole, or why not
+		x   *exchange
+		err error
+	}
+	finish struct{} // fail what is still open, for the node stops
 )
 
 // legacy is what the loop leaves to another process.
@@ -183,10 +196,14 @@
 		l.arrive(ctx, e.x)
 	case departure:
 		// Another request may bear the id by now.
+		if r := l.requests[e.x.req.ID]; r != nil && r.exchange == e.x {
+			l.leave(ctx, r)
+		}
+	case begun:
+		l.begin(ctx, e)
+	case uploaded:
 		if r := l.requests[e.x.req.ID]; r != nil && r.exchange == e.x && !r.ended {
-			l.settle(r)
-			l.tell(ctx, policy.Lapsed{ID: r.req.ID})
-			l.drop(r)
+			l.whole(ctx, r, e.err)
 		}
 	case ending:
 		l.end(ctx, e)
@@ -215,27 +232,87 @@
 		x.reply <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
-	margin := min(answerMargin, x.clientWaits/answerMarginPart)
-	end := x.came + x.clientWaits
-	r := &request{exchange: x, deadline: end - margin}
+	r := &request{exchange: x}
 	l.requests[x.req.ID] = r
 	l.owed++
-	r.backstop = &timer{due: end - margin/2, backstop: r}
-	heap.Push(&l.timers, r.backstop)
+	r.backstop = &timer{backstop: r}
 	req := x.req
-	req.ExpiresIn = max(0, r.deadline-l.clock.now())
+	if req.Partial {
+		r.timeFrom(l.clock.now() + longestUpload)
+		req.ExpiresIn = x.clientWaits - r.margin()
+	} else {
+		r.timeFrom(x.came)
+		req.ExpiresIn = max(0, r.deadline-l.clock.now())
+	}
+	heap.Push(&l.timers, r.backstop)
 	l.tell(ctx, req)
 }
 
+func (r *request) margin() time.Duration { return min(answerMargin, r.clientWaits/answerMarginPart) }
+
+// timeFrom sets the deadlines of a request by when its last byte came.
+func (r *request) timeFrom(came policy.Time) {
+	end := came + r.clientWaits
+	r.deadline, r.backstop.due = end-r.margin(), end-r.margin()/2
+}
+
+// whole starts the time of a request that was sent on while it came in, or ends one that broke off.
+func (l *loop) whole(ctx context.Context, r *request, err error) {
+	if err != nil {
+		status, _ := uploadStatus(err)
+		l.fail(ctx, r, status)
+		return
+	}
+	now := l.clock.now()
+	r.timeFrom(now)
+	heap.Fix(&l.timers, r.backstop.at)
+	r.attempts[len(r.attempts)-1].sent = now
+	l.tell(ctx, policy.Complete{ID: r.req.ID})
+}
+
+// leave ends a request whose client has gone.
+func (l *loop) leave(ctx context.Context, r *request) {
+	if r.ended { // its answer has begun, and nobody takes it
+		for _, a := range r.attempts {
+			a.cancel(context.Canceled)
+		}
+		return
+	}
+	l.settle(r)
+	l.tell(ctx, policy.Lapsed{ID: r.req.ID})
+	l.drop(r)
+}
+
+// begin gives the client an answer that is still coming. No deadline ends that from now on.
+func (l *loop) begin(ctx context.Context, e begun) {
+	a := &e.r.attempts[e.n]
+	if e.r.ended {
+		a.cancel(context.Canceled)
+		return
+	}
+	a.expiry.Stop()
+	a.began = l.clock.now()
+	l.answer(e.r, e.answer)
+	l.tell(ctx, policy.FirstByte{ID: e.r.req.ID, Server: a.server, Attempt: e.n, Latency: a.began - a.sent})
+}
+
 func (l *loop) end(ctx context.Context, e ending) {
 	a := &e.r.attempts[e.n]
-	a.cancel()
+	a.expiry.Stop()
+	a.cancel(context.Canceled)
 	e.r.pending--
+	over := l.clock.now()
+	if a.began > 0 { // how long the client took to read it says nothing of the server
+		if over-a.began > reportFresh {
+			e.report = nil
+		}
+		over = a.began
+	}
 	if e.code == policy.OK && !e.r.ended {
 		l.answer(e.r, e.result.answer)
 	}
 	l.tell(ctx, policy.Outcome{ID: e.r.req.ID, Server: a.server, Attempt: e.n, Code: e.code,
-		Latency: l.clock.now() - a.sent, Ended: e.r.ended, Report: e.report})
+		Latency: over - a.sent, Ended: e.r.ended, Spent: e.r.spent(), Report: e.report})
 	l.drop(e.r)
 }
 
@@ -259,6 +336,9 @@
 	l.tell(ctx, policy.MemberList{Kind: n.kind, Members: members})
 }
 
+// spent tells whether a request can't be written again.
+func (r *request) spent() bool { return r.rest != nil && r.rest.begun.Load() }
+
 // tell gives the module an event and carries out what it wants done, in order.
 func (l *loop) tell(ctx context.Context, ev policy.Event) {
 	for {
@@ -297,7 +377,11 @@
 		}
 	case policy.Cancel:
 		if r := l.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
-			r.attempts[a.Attempt].cancel()
+			r.attempts[a.Attempt].cancel(context.Canceled)
+		}
+	case policy.Bound:
+		if r := l.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
+			r.attempts[a.Attempt].expiry.Reset(min(a.Until, r.deadline) - l.clock.now())
 		}
 	case policy.SetTimer:
 		heap.Push(&l.timers, &timer{due: l.clock.now() + a.Wait, token: a.Token})
@@ -321,8 +405,9 @@
 	}
 	n := len(r.attempts)
 	r.pending++
-	if r.ended || now >= r.deadline || n >= max(1, l.allowed.MaxAttempts) {
-		r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: func() {}})
+	if r.ended || now >= r.deadline || n >= max(1, l.allowed.MaxAttempts) || r.spent() {
+		r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: func(error) {},
+			expiry: time.NewTimer(0)})
 		l.skipped = append(l.skipped, policy.Outcome{ID: a.ID, Server: a.Server, Attempt: n, Code: policy.Moot})
 		return
 	}
@@ -330,9 +415,15 @@
 	if a.Until > 0 {
 		until = min(until, a.Until)
 	}
-	ctx, cancel := context.WithDeadline(ctx, l.clock.at(until))
-	r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: cancel})
-	l.attempts.Go(func() { l.send(ending{r, n, l.up.attempt(ctx, a.Server, r.exchange)}) })
+	ctx, cancel := context.WithCancelCause(ctx)
+	expiry := time.AfterFunc(until-now, func() { cancel(errTimeUp) })
+	r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: cancel, expiry: expiry})
+	to := outgoing{exchange: r.exchange, waits: until - now, cancel: cancel,
+		begin: func(a answer) { l.send(begun{r, n, a}) }}
+	if r.req.Partial {
+		to.waits = r.clientWaits - r.margin()
+	}
+	l.attempts.Go(func() { l.send(ending{r, n, l.up.attempt(ctx, a.Server, to)}) })
 }
 
 func (l *loop) refuse(r *request, wait time.Duration) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -26,6 +26,7 @@
 }
 
 type peer struct {
+	conn  net.Conn
 	state http.ConnState
 	since time.Time
 	over  bool // came when the limit was reached and no other could give way
@@ -42,12 +43,20 @@
 	return p != nil && p.over
 }
 
+// connOf is the connection of a request; nil where it isn't known.
+func connOf(ctx context.Context) net.Conn {
+	if p, _ := ctx.Value(peerKey{}).(*peer); p != nil {
+		return p.conn
+	}
+	return nil
+}
+
 // admit takes in a new connection before anything is read from it.
 func (s *peers) admit(ctx context.Context, c net.Conn) context.Context {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := &peer{state: http.StateNew, since: now, over: len(s.open) >= s.most && !s.shed(now)}
+	p := &peer{conn: c, state: http.StateNew, since: now, over: len(s.open) >= s.most && !s.shed(now)}
 	s.open[c] = p
 	return context.WithValue(ctx, peerKey{}, p)
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,8 +15,7 @@
 	maxID         = 128 // bytes; the protocol's own ids are far shorter
 	maxDeadlineMs = 3_600_000
 	maxHeader     = 16 << 10
-	headerTimeout = 2 * time.Second        // for a request's header from its first byte, or from the connect
-	bodyTimeout   = 500 * time.Millisecond // on top, for its body: who connects is owed an end within 3 s
+	headerTimeout = 2300 * time.Millisecond // for a request's header from its first byte, or from the connect
 	clientIdle    = 60 * time.Second
 	writeTimeout  = 5 * time.Second // for an answer to a client that doesn't read
 	readyPath     = "/health/ready"
@@ -30,8 +28,10 @@
 	url         *url.URL
 	host        string
 	header      http.Header
-	body        []byte
-	came        policy.Time // when its last byte had been read
+	body        []byte      // as much of it as is kept
+	rest        *upload     // what an attempt reads beyond; nil where that is all
+	length      int64       // of the whole body; -1 where it isn't told
+	came        policy.Time // when its last byte had been read, but for one with a rest
 	clientWaits time.Duration
 	reply       chan answer // holds one, so the loop never waits for the client
 }
@@ -40,6 +40,8 @@
 type answer struct {
 	status      int
 	body        []byte
+	rest        *download // what follows the body as it comes; nil for nothing
+	length      int64     // of both; -1 where it isn't told
 	contentType string
 	retryAfter  time.Duration
 }
@@ -61,7 +63,7 @@
 	}
 	s.http = http.Server{
 		Handler: s, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout,
-		ReadTimeout: headerTimeout + bodyTimeout, IdleTimeout: clientIdle, DisableGeneralOptionsHandler: true,
+		IdleTimeout: clientIdle, DisableGeneralOptionsHandler: true,
 		ConnContext: s.peers.admit, ConnState: s.peers.follow,
 	}
 	return s
@@ -78,10 +80,7 @@
 		s.health(w)
 		return
 	}
-	status := s.serve(w, r, full)
-	if class, ok := s.classes[r.Header.Get("X-Class")]; ok {
-		s.loop.fig.class(class.Name).count(status)
-	}
+	s.count(r, s.serve(w, r, full))
 }
 
 // serve answers a client's request, and returns the status that it gave.
@@ -98,17 +97,67 @@
 	}
 	s.loop.fig.open.Add(1)
 	defer s.loop.fig.open.Add(-1)
+	if x.rest != nil {
+		_ = http.NewResponseController(w).EnableFullDuplex() // the answer may come first
+		defer x.rest.stop()
+	}
 	s.loop.send(arrival{x})
-	select {
-	case a := <-x.reply:
+	for gone := r.Context().Done(); ; {
+		select {
+		case a := <-x.reply:
+			s.answer(w, r, x, a)
+			return a.status
+		case <-gone:
+			if x.rest != nil && !x.rest.whole.Load() {
+				gone = nil // so net/http takes any read that fails, also by its deadline; the reply tells
+				continue
+			}
+			s.loop.send(departure{x})
+			panic(http.ErrAbortHandler) // to return would send 200 to a client that closed only its side
+		case <-s.loop.done:
+			w.WriteHeader(http.StatusBadGateway)
+			return http.StatusBadGateway
+		}
+	}
+}
+
+// answer writes the client's answer. One that breaks off ends the connection, so that the client can tell.
+func (s *server) answer(w http.ResponseWriter, r *http.Request, x *exchange, a answer) {
+	early := x.rest != nil && !x.rest.whole.Load()
+	if early {
+		x.rest.stop()
+		w.Header().Set("Connection", "close")
+	}
+	if a.rest == nil {
 		write(w, a)
-		return a.status
-	case <-r.Context().Done():
-		s.loop.send(departure{x})
-		panic(http.ErrAbortHandler) // to return would send 200 to a client that closed only its side
-	case <-s.loop.done:
-		w.WriteHeader(http.StatusBadGateway)
-		return http.StatusBadGateway
+		if early {
+			_ = http.NewResponseController(w).Flush()
+			x.rest.linger()
+		}
+		return
+	}
+	conn := tcp(connOf(r.Context()))
+	if conn != nil {
+		_ = conn.SetWriteBuffer(clientBuffer)
+	}
+	head(w, a)
+	err := a.rest.pass(w, a.body)
+	if err == nil {
+		return
+	}
+	if !errors.Is(err, errClient) {
+		s.count(r, http.StatusBadGateway)
+		if conn != nil && a.length < 0 && !r.ProtoAtLeast(1, 1) { // a plain close would mean the end
+			_ = conn.SetLinger(0)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// count books the end of a client's request with its class.
+func (s *server) count(r *http.Request, status int) {
+	if class, ok := s.classes[r.Header.Get("X-Class")]; ok {
+		s.loop.fig.class(class.Name).count(status)
 	}
 }
 
@@ -156,23 +205,47 @@
 	if class.Repeat == policy.Guarded && h.Get("Idempotency-Key") == "" {
 		return nil, http.StatusBadRequest, "Idempotency-Key: missing"
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-		return nil, http.StatusRequestEntityTooLarge, "the body is over 64 KiB"
-	}
+	body, rest, err := takeBody(w, r)
 	if err != nil {
-		return nil, http.StatusBadRequest, "the body can't be read"
+		status, problem := uploadStatus(err)
+		return nil, status, problem
 	}
 	if method == http.MethodGet && len(body) > 0 {
 		return nil, http.StatusBadRequest, "a GET has no body"
 	}
 	hint, _ := strconv.ParseUint(h.Get("X-Cost-Hint"), 10, 32) // a guess; none is as good as a bad one
-	return &exchange{
+	x = &exchange{
 		req: policy.Request{ID: id, Class: class.Name, Tenant: h.Get("X-Tenant"), Key: h.Get("X-Key"),
-			Hint: time.Duration(hint) * time.Microsecond, Retry: h.Get("X-Retry") == "1"},
-		method: method, url: r.URL, host: r.Host, header: h, body: body, came: s.loop.clock.now(),
+			Hint: time.Duration(hint) * time.Microsecond, Retry: h.Get("X-Retry") == "1",
+			Partial: rest != nil},
+		method: method, url: r.URL, host: r.Host, header: h, body: body, rest: rest,
+		length: r.ContentLength, came: s.loop.clock.now(),
 		clientWaits: time.Duration(waits) * time.Millisecond, reply: make(chan answer, 1),
-	}, 0, ""
+	}
+	if rest != nil {
+		rest.ended = func(err error) { s.loop.send(uploaded{x, err}) }
+	}
+	return x, 0, ""
+}
+
+// takeBody reads a body up to what is kept; the rest is an attempt's to read.
+func takeBody(w http.ResponseWriter, r *http.Request) (body []byte, rest *upload, err error) {
+	if r.ContentLength == 0 {
+		return nil, nil, nil
+	}
+	if r.ContentLength > maxTransfer {
+		return nil, nil, &http.MaxBytesError{Limit: maxTransfer}
+	}
+	most := maxBody + 1
+	if r.ContentLength > maxBody {
+		most = firstPart
+	}
+	u := newUpload(w, r)
+	body, whole, err := u.keep(most, r.ContentLength)
+	if whole || err != nil {
+		return body, nil, err
+	}
+	return body, u, nil
 }
 
 // usableID guards the table of requests and the header it goes on in.
@@ -188,6 +261,12 @@
 func write(w http.ResponseWriter, a answer) {
 	// A client that reads nothing must not hold the handler for ever.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	a.length = int64(len(a.body))
+	head(w, a)
+	_, _ = w.Write(a.body) // the client may have left; the request is over either way
+}
+
+func head(w http.ResponseWriter, a answer) {
 	h := w.Header()
 	if a.contentType != "" {
 		h.Set("Content-Type", a.contentType)
@@ -195,7 +274,8 @@
 	if a.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	if a.length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
 	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body) // the client may have left; the request is over either way
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -237,13 +237,13 @@
 	}
 }
 
-// shrink closes idle connections while more than least are open, and allows no more than are then.
-func (u *upstream) shrink(least int) int {
+// shrink closes idle connections while more than least are open, and allows but a few more than that.
+func (u *upstream) shrink(least, spare int) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for u.open > least && u.evict() {
 	}
-	u.most = max(least, u.open)
+	u.most = max(least, u.open) + spare
 	return u.most
 }
 
@@ -282,9 +282,17 @@
 	report []float64
 }
 
+// outgoing is one attempt's request.
+type outgoing struct {
+	*exchange
+	waits  time.Duration // for the answer
+	cancel context.CancelCauseFunc
+	begin  func(answer) // takes an answer that is passed on as it comes
+}
+
 // attempt sends x to the server once, and waits for the whole answer until ctx ends. Ending ctx
 // closes the connection, which is how a server learns that nobody waits.
-func (u *upstream) attempt(ctx context.Context, id string, x *exchange) result {
+func (u *upstream) attempt(ctx context.Context, id string, x outgoing) result {
 	c, err := u.acquire(ctx, id)
 	if err != nil {
 		return result{code: broken(ctx, false)}
@@ -297,7 +305,9 @@
 			}
 		},
 	})
-	resp, err := c.RoundTrip(u.request(ctx, c.pool.addr, x))
+	req, endRequest := u.request(ctx, c.pool.addr, x)
+	defer endRequest()
+	resp, err := c.RoundTrip(req)
 	if err != nil {
 		// RoundTrip returns only once nothing is being written any more, so failed is final.
 		mayRun := wrote.Load() && !c.raw.failed.Load()
@@ -308,22 +318,30 @@
 		return result{code: broken(ctx, mayRun)}
 	}
 	c.raw.countSent()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err != nil || len(body) > maxBody {
-		u.release(c, id, false)
+	a := answer{status: http.StatusOK, contentType: resp.Header.Get("Content-Type"), length: resp.ContentLength}
+	whole := false
+	if resp.StatusCode != http.StatusOK || resp.ContentLength <= maxBody {
+		a.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+		whole = len(a.body) <= maxBody
+	}
+	if err == nil && !whole && resp.StatusCode == http.StatusOK {
+		err = pass(ctx, a, newDownload(resp.Body, x.cancel), x.begin)
+		whole = err == nil
+	}
+	if err == nil {
 		resp.Body.Close()
-		if err == nil {
-			return result{code: policy.ServerError}
-		}
+	}
+	u.release(c, id, whole && err == nil && (x.rest == nil || x.rest.whole.Load()))
+	switch {
+	case errors.Is(err, errClient):
+		return result{code: policy.Cancelled}
+	case err != nil:
 		return result{code: broken(ctx, true)}
 	}
-	resp.Body.Close()
-	u.release(c, id, true)
 	r := result{code: policy.ServerError, report: loadReport(resp.Header.Get("X-Load"), u.report)}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		r.code = policy.OK
-		r.answer = answer{status: http.StatusOK, body: body, contentType: resp.Header.Get("Content-Type")}
+		r.code, r.answer = policy.OK, a
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if resp.Header.Get("X-Not-Run") == "1" { // without it, it may have run
 			r.code = policy.Full
@@ -332,11 +350,23 @@
 	return r
 }
 
+// pass hands over an answer that is passed on as it comes, and waits until it is over.
+func pass(ctx context.Context, a answer, d *download, begin func(answer)) error {
+	a.rest = d
+	begin(a)
+	select {
+	case err := <-d.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // broken names the outcome of an attempt that brought no answer. One whose last byte was never
 // written can't have run, also where its time is up; when unsure, it may have run.
 func broken(ctx context.Context, mayRun bool) policy.Code {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && context.Cause(ctx) != errTimeUp:
 		return policy.Cancelled
 	case !mayRun:
 		return policy.ConnectFailed
@@ -346,11 +376,11 @@
 	return policy.Reset
 }
 
-// request makes the copy of x that a server gets.
-func (u *upstream) request(ctx context.Context, addr string, x *exchange) *http.Request {
+// request makes the copy of x that a server gets; end is to be called with the attempt's end.
+func (u *upstream) request(ctx context.Context, addr string, x outgoing) (req *http.Request, end func()) {
 	to := *x.url
 	to.Scheme, to.Host = "http", addr
-	req := (&http.Request{Method: x.method, URL: &to, Host: x.host, Proto: "HTTP/1.1", ProtoMajor: 1,
+	req = (&http.Request{Method: x.method, URL: &to, Host: x.host, Proto: "HTTP/1.1", ProtoMajor: 1,
 		ProtoMinor: 1, Header: make(http.Header)}).WithContext(ctx)
 	req.Header["User-Agent"] = []string{""} // nothing is added in the client's name
 	req.Header.Set("X-Request-Id", x.req.ID)
@@ -359,14 +389,17 @@
 			req.Header.Set(name, v)
 		}
 	}
-	if end, ok := ctx.Deadline(); ok {
-		left := max(1, time.Until(end).Milliseconds())
-		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(left, 10))
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, x.waits.Milliseconds()), 10))
+	if x.rest != nil {
+		silence := time.AfterFunc(peerSilence, func() { x.cancel(errTimeUp) })
+		req.Body = io.NopCloser(io.MultiReader(bytes.NewReader(x.body), rest{x.rest, silence}))
+		req.ContentLength = x.length
+		return req, func() { silence.Stop() }
 	}
 	if len(x.body) > 0 {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(x.body)), int64(len(x.body))
 	}
-	return req
+	return req, func() {}
 }
 
 // loadReport reads `name=value,name=value` into the order of names; nil where there is none.
--- a/policy/api.go
+++ b/policy/api.go
@@ -158,8 +158,12 @@
 	ExpiresIn              time.Duration // until the client gives this try up
 	Hint                   time.Duration // guess of its cost in core time; 0 if unknown
 	Retry, Write           bool
+	Partial                bool // its last byte is still to come: ExpiresIn counts from Complete on
 }
 
+// Complete says that the last byte of a Partial request has come.
+type Complete struct{ ID string }
+
 // FirstByte says that a streamed answer has begun: the attempt now belongs to the client.
 type FirstByte struct {
 	ID, Server string
@@ -192,6 +196,7 @@
 	Code       Code
 	Latency    time.Duration
 	Ended      bool
+	Spent      bool      // the request can't be written again, for part of it has left the node
 	Report     []float64 // load report in the order of Settings.Report; nil for none
 }
 
@@ -228,6 +233,7 @@
 	Refuse                      // ID, Wait: the client may safely come again
 	Fail                        // ID: promises nothing
 	Cancel                      // ID, Attempt
+	Bound                       // ID, Attempt, Until: a time for an attempt that had none
 	SetTimer                    // Wait, Token
 	Probe                       // Server
 	Tell                        // Peer (-1 for all), Text
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,6 +60,8 @@
 		b.onOutcome(e)
 	case FirstByte:
 		b.onFirstByte(e)
+	case Complete:
+		b.onComplete(e)
 	case Lapsed:
 		if r := b.reqs[e.ID]; r != nil {
 			b.end(r)
@@ -171,17 +173,12 @@
 	if c == nil { // not in the settings: one safe try, never repeated
 		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, index: -1, open: &b.pool}
 	}
-	r := &request{id: e.ID, class: c, deadline: b.now + e.ExpiresIn}
-	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint))
-	aim -= c.waited(e)
-	r.giveUp, r.worthTo = min(r.deadline, b.now+aim/2), r.deadline
-	if c.LateWorth <= 0 {
-		r.worthTo = min(r.deadline, b.now+aim)
-	}
+	r := &request{Request: e, class: c}
+	b.due(r)
 	if b.set.WarmKeys && e.Key != "" {
 		r.key = hash(e.Key)
 	}
-	b.reqs[r.id] = r
+	b.reqs[r.ID] = r
 	b.took = append(b.took, b.now)
 	if ok, wait := b.admit(e.Tenant, e.Class); !ok {
 		b.refuse(r, wait)
@@ -190,6 +187,39 @@
 	b.dispatch(r)
 }
 
+// due sets by when r is to be answered. A request that isn't whole has time: the node sees to it that
+// its bytes keep coming, and until the last of them no server works on it.
+func (b *Balancer) due(r *request) {
+	aim := r.class.Aim + time.Duration(r.class.AimStretch*float64(r.Hint)) - r.class.waited(r.Request)
+	r.deadline = b.now + r.ExpiresIn
+	r.giveUp, r.worthTo = min(r.deadline, b.now+aim/2), r.deadline
+	if r.class.LateWorth <= 0 {
+		r.worthTo = min(r.deadline, b.now+aim)
+	}
+	if r.Partial {
+		r.deadline, r.worthTo = b.now+partialMost, b.now+partialMost
+	}
+}
+
+// onComplete starts the time of a request that was sent on while it came in.
+func (b *Balancer) onComplete(e Complete) {
+	r := b.reqs[e.ID]
+	if r == nil || !r.Partial {
+		return
+	}
+	r.Partial = false
+	b.due(r)
+	if n := len(r.attempts) - 1; r.pending > 0 {
+		b.do(Action{Kind: Bound, ID: r.ID, Attempt: n, Until: r.worthTo})
+		if r.attempts[n].sent = b.now; r.attempts[n].light {
+			b.occupy(&r.attempts[n], 1)
+		}
+		b.watch(r)
+	}
+}
+
+const partialMost = 15 * time.Minute // for a request to come in, at the least pace that a node bears
+
 // waited tells for how long the client of e has been asking: its aim counts from the first try, and work
 // for an answer after that is lost. A first try is open for a part of the deadline that is the same for
 // all; one that is open for less ends with the deadline, which tells when the first began. Of the other
@@ -701,19 +731,17 @@
 		b.charge(r)
 	}
 	idle := b.freshen(s)
-	b.do(Action{Kind: Send, ID: r.id, Server: s.Server, Until: r.worthTo})
+	b.do(Action{Kind: Send, ID: r.ID, Server: s.Server, Until: r.worthTo})
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, trial: trial, idle: idle,
-		paced: b.paced(s)})
+		paced: b.paced(s), light: r.Partial})
 	r.pending++
-	s.inflight++
-	if !r.attempts[len(r.attempts)-1].paced {
-		b.inflight++
-	}
-	s.use(b.now)
 	s.lastSend = b.now
 	s.cold.tokens--
 	r.settle()
-	b.watch(r)
+	if !r.Partial {
+		b.occupy(&r.attempts[len(r.attempts)-1], 1)
+		b.watch(r)
+	}
 }
 
 // ---- Connections ----
@@ -837,7 +865,7 @@
 
 // hedge sends a second copy where the class, the site and the budget allow one.
 func (b *Balancer) hedge(r *request) {
-	if r.class.Repeat == Never || !b.set.Allowed.Hedge || !b.mayRepeat() || b.spent(r) {
+	if r.class.Repeat == Never || r.Partial || !b.set.Allowed.Hedge || !b.mayRepeat() || b.spent(r) {
 		return
 	}
 	if s, room := b.pick(r); s != nil && room {
@@ -854,12 +882,12 @@
 		b.refuse(r, 0)
 		return
 	}
-	b.do(Action{Kind: Fail, ID: r.id})
+	b.do(Action{Kind: Fail, ID: r.ID})
 	b.end(r)
 }
 
 func (b *Balancer) refuse(r *request, wait time.Duration) {
-	b.do(Action{Kind: Refuse, ID: r.id, Wait: wait})
+	b.do(Action{Kind: Refuse, ID: r.ID, Wait: wait})
 	b.end(r)
 }
 
@@ -870,7 +898,7 @@
 		b.cancel(r, -1)
 	}
 	if r.pending == 0 {
-		delete(b.reqs, r.id)
+		delete(b.reqs, r.ID)
 	}
 }
 
@@ -878,7 +906,7 @@
 func (b *Balancer) cancel(r *request, but int) {
 	for i := range r.attempts {
 		if i != but && !r.attempts[i].over && b.set.Allowed.Cancel {
-			b.do(Action{Kind: Cancel, ID: r.id, Attempt: i})
+			b.do(Action{Kind: Cancel, ID: r.ID, Attempt: i})
 		}
 	}
 }
@@ -889,6 +917,9 @@
 	if r := b.reqs[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) {
 		r.stream = true
 		b.cancel(r, e.Attempt)
+		if a := &r.attempts[e.Attempt]; !a.light && !a.over { // the server has done its work
+			b.occupy(a, -1)
+		}
 	}
 }
 
@@ -900,10 +931,8 @@
 	a := &r.attempts[e.Attempt]
 	a.over, a.notRun = true, e.Code.NotRun()
 	r.pending--
-	a.server.use(b.now)
-	a.server.inflight--
-	if !a.paced {
-		b.inflight--
+	if !a.light {
+		b.occupy(a, -1)
 	}
 	r.settle()
 	b.observe(r, a, e)
@@ -911,7 +940,7 @@
 	case e.Ended || r.ended || e.Code == OK:
 		b.end(r)
 	case r.pending > 0: // a copy may yet answer
-	case e.Code == Moot || b.now >= r.deadline || r.stream ||
+	case e.Code == Moot || b.now >= r.deadline || r.stream || e.Spent ||
 		r.ranOn != nil && r.class.Repeat == Never:
 		b.giveUp(r)
 	default:
--- a/policy/state.go
+++ b/policy/state.go
@@ -96,7 +96,7 @@
 
 // request is one client request until its answer is given and its attempts are over.
 type request struct {
-	id       string
+	Request
 	class    *class
 	deadline Time
 	worthTo  Time   // later answers earn nothing
@@ -117,6 +117,7 @@
 	notRun bool // an outcome proved that it never ran
 	trial  bool
 	paced  bool // to a cold server
+	light  bool // no work of its server's: the request isn't whole yet, or its answer has begun
 	idle   int  // octave of the time that its connection was idle; 0 for one in use
 }
 
@@ -154,6 +155,20 @@
 	last   Time
 }
 
+// occupy counts an attempt as in flight at its server, or no longer.
+func (b *Balancer) occupy(a *attempt, by int) {
+	if a.light = by < 0; by > 0 {
+		a.server.inflight++
+		a.server.use(b.now)
+	} else {
+		a.server.use(b.now)
+		a.server.inflight--
+	}
+	if !a.paced {
+		b.inflight += by
+	}
+}
+
 // use notes that s has as many connections in use as attempts in flight.
 func (s *server) use(now Time) {
 	for len(s.used) < s.inflight {
