Take new settings at SIGHUP, as a whole or not at all

A key that the file in force has may not be missing, but for those that the wire page lets be absent.

Without the change reload_test.go and TestNewSettingsKeepWhatWasLearned don't build.

--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -41,21 +41,25 @@
 	}
 	slog.Info("listening", "name", c.Name, "address", at.Clients.Addr(), "servers", len(c.Known.Members))
 	changes := make(chan node.Change)
-	go follow(ctx, changed, changes)
+	go follow(ctx, c, changed, changes)
 	return node.Run(ctx, c, at, changes)
 }
 
-// follow reads the configuration anew at each signal, until ctx ends.
-func follow(ctx context.Context, changed <-chan os.Signal, changes chan<- node.Change) {
+// follow reads the configuration anew at each signal, until ctx ends. A file has to hold what the last one
+// that was taken held.
+func follow(ctx context.Context, c node.Config, changed <-chan os.Signal, changes chan<- node.Change) {
 	for {
 		select {
 		case <-changed:
 		case <-ctx.Done():
 			return
 		}
-		addr, err := node.LoadDiscovery(os.Getenv)
+		next, err := node.Reload(os.Getenv, c)
+		if err == nil {
+			c = next
+		}
 		select {
-		case changes <- node.Change{Discovery: addr, Err: err}:
+		case changes <- node.Change{Config: next, Err: err}:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -33,6 +33,8 @@
 	// Figures of the settings that bind the node and not the module.
 	MaxOpen        int           // unanswered requests; 0: no limit
 	ConnectTimeout time.Duration // for a new connection to a server
+
+	shape any // the keys of the file
 }
 
 // leastSockets is what a node can work with at all: a few for itself, and some for each side.
@@ -44,7 +46,7 @@
 // LoadConfig reads the file that ROUTER_CONFIG names. The other variables, where set, go before what
 // the file says. Errors name the field.
 func LoadConfig(getenv func(string) string) (Config, error) {
-	c, err := readConfig(getenv)
+	c, err := readConfig(getenv, nil)
 	if err != nil {
 		return Config{}, err
 	}
@@ -70,21 +72,8 @@
 	return c, nil
 }
 
-// LoadDiscovery reads where discovery is from the file that ROUTER_CONFIG names, after a change of it.
-// ROUTER_DISCOVERY tells only where it was at the start.
-func LoadDiscovery(getenv func(string) string) (string, error) {
-	c, err := readConfig(getenv)
-	if err != nil {
-		return "", err
-	}
-	if err := checkAddress(c.Discovery); err != nil {
-		return "", fmt.Errorf("configuration: discovery: %w", err)
-	}
-	return c.Discovery, nil
-}
-
-// readConfig reads the file that ROUTER_CONFIG names.
-func readConfig(getenv func(string) string) (Config, error) {
+// readConfig reads the file that ROUTER_CONFIG names. It has to have the keys that the one before had.
+func readConfig(getenv func(string) string, before any) (Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("ROUTER_CONFIG: not set")
@@ -93,10 +82,18 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
+	keys, err := shape(raw)
+	if err == nil {
+		err = sameShape("", before, keys)
+	}
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
 	c, err := parseConfig(raw)
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
+	c.shape = keys
 	return c, nil
 }
 
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -103,10 +103,16 @@
 	subscribe bool // watch only when the module has asked, and tell it of failures
 	revision  int64
 	asks      chan bool   // the module's newest wish to be kept told
-	moves     chan string // the newest address, where the configuration names another
+	moves     chan target // the newest, where the configuration names another
 	tell      func(any)
 }
 
+// target is what the configuration says of discovery.
+type target struct {
+	addr      string
+	subscribe bool
+}
+
 // errMoved ends a call to an address that the configuration no longer names.
 var errMoved = errors.New("discovery has moved")
 
@@ -118,7 +124,7 @@
 func newDiscovery(c Config, tell func(any)) *discovery {
 	return &discovery{
 		url: registryURL(c.Discovery), subscribe: c.Settings.Subscribe,
-		revision: c.Known.Revision, asks: make(chan bool, 1), moves: make(chan string, 1), tell: tell,
+		revision: c.Known.Revision, asks: make(chan bool, 1), moves: make(chan target, 1), tell: tell,
 		client: &http.Client{
 			// A Transport of its own, so neither a proxy nor the requests share its connection.
 			Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1,
@@ -138,31 +144,23 @@
 	d.asks <- on
 }
 
-// follow takes what a changed configuration says of discovery's address.
-func (d *discovery) follow(change Change, fig *figures) {
-	if change.Err != nil {
-		slog.Error("the changed configuration is not used", "err", change.Err)
-		fig.invalid.Inc()
-		return
-	}
-	d.move(change.Discovery)
-	fig.accepted.Inc()
-}
-
 // move names another address for discovery, which takes the place of one not yet heard. One goroutine
 // calls it, and it never blocks.
-func (d *discovery) move(addr string) {
+func (d *discovery) move(to target) {
 	select {
 	case <-d.moves:
 	default:
 	}
-	d.moves <- addr
+	d.moves <- to
 }
 
 // moveTo leaves the old address. Its revisions need not be the new one's, so the whole list is fetched.
-func (d *discovery) moveTo(addr string) {
-	slog.Info("discovery: moved", "address", addr)
-	d.url, d.revision = registryURL(addr), wholeList
+func (d *discovery) moveTo(to target) {
+	if url := registryURL(to.addr); url != d.url {
+		slog.Info("discovery: moved", "address", to.addr)
+		d.url, d.revision = url, wholeList
+	}
+	d.subscribe = to.subscribe
 	d.client.CloseIdleConnections()
 }
 
@@ -213,8 +211,8 @@
 	select {
 	case on := <-d.asks:
 		return on
-	case addr := <-d.moves:
-		d.moveTo(addr)
+	case to := <-d.moves:
+		d.moveTo(to)
 		return true // the new address is not the one that failed
 	case <-ctx.Done():
 		return false
@@ -235,10 +233,10 @@
 	select {
 	case <-done:
 		return l, err
-	case addr := <-d.moves:
+	case to := <-d.moves:
 		hangUp()
 		<-done
-		d.moveTo(addr)
+		d.moveTo(to)
 		return list{}, errMoved
 	}
 }
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -149,14 +149,14 @@
 		}
 		indexes(t, queries, "7")
 		moved := make(chan string, 100)
-		d.move(httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		d.move(target{httpServer(t, func(w http.ResponseWriter, r *http.Request) {
 			moved <- r.URL.RawQuery
 			if r.URL.RawQuery == "" {
 				_, _ = io.WriteString(w, `{"revision":3,"complete":true,"members":[`+entry("s9", "draining")+`]}`)
 				return
 			}
 			<-r.Context().Done()
-		}))
+		}), subscribe})
 		if n := receive(t, "the list", told); n.kind != policy.ListReplace || n.members[0].Server != "s9" {
 			t.Errorf("subscribe %v: news %+v", subscribe, n)
 		}
@@ -178,12 +178,12 @@
 	if n := receive(t, "the failure", told); n.kind != policy.ListUnavailable {
 		t.Fatalf("news %+v", n)
 	}
-	d.move(httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+	d.move(target{httpServer(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.RawQuery != "" {
 			<-r.Context().Done()
 		}
 		_, _ = io.WriteString(w, `{"revision":3,"complete":true,"members":[`+entry("s9", "up")+`]}`)
-	}))
+	}), true})
 	if n := receive(t, "the list", told); n.kind != policy.ListReplace {
 		t.Errorf("news %+v", n)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/policy"
@@ -60,6 +61,8 @@
 	clock   clock
 	module  module
 	allowed policy.Allowed
+	target  target // discovery as last configured
+	terms   atomic.Pointer[terms]
 	maxOpen int
 	up      *upstream
 	fig     *figures
@@ -131,6 +134,8 @@
 	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up, fig: fig,
 		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}),
 		requests: make(map[string]*request), members: make(map[string]member)}
+	l.target = target{c.Discovery, c.Settings.Subscribe}
+	l.terms.Store(newTerms(c.Settings.Classes))
 	l.disc = newDiscovery(c, l.send)
 	return l, nil
 }
@@ -209,6 +214,8 @@
 		l.end(ctx, e)
 	case news:
 		l.listed(ctx, e)
+	case retuned:
+		l.retune(ctx, e.Config)
 	case ceded:
 		e.reply <- legacy{slices.Collect(maps.Values(l.members)), l.module.Knowledge(l.clock.now())}
 		l.tell(ctx, policy.Ceded{On: true})
@@ -237,6 +244,7 @@
 	l.owed++
 	r.backstop = &timer{backstop: r}
 	req := x.req
+	req.Former = req.Former || x.terms != l.terms.Load() // changed while it came in
 	if req.Partial {
 		r.timeFrom(l.clock.now() + longestUpload)
 		req.ExpiresIn = x.clientWaits - r.margin()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,12 +20,6 @@
 	lastAnswers  = 100 * time.Millisecond // for what is failed then to reach its clients
 )
 
-// Change is what came of reading the configuration anew.
-type Change struct {
-	Discovery string
-	Err       error // nothing is taken from such a file
-}
-
 // Run serves clients until ctx ends. Then it goes on accepting for a moment, answers what it has taken,
 // and returns.
 func Run(ctx context.Context, c Config, at Listeners, changes <-chan Change) error {
@@ -42,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	s := newServer(c, l, sockets)
+	s := newServer(l, sockets)
 	s.http.ErrorLog = slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 
 	running, stop := context.WithCancel(context.Background())
@@ -72,22 +66,23 @@
 		case err := <-failed:
 			return fmt.Errorf("serving: %w", err)
 		case change := <-changes:
-			l.disc.follow(change, fig)
+			l.change(change)
 		case <-ctx.Done():
 		}
 	}
-	return s.drain(c, h)
+	return s.drain(h)
 }
 
 // drain ends the service. Connections go on coming for a while after the signal, and what sits in
 // them unread counts as taken, so the listener stays open until then. Clients go on using those they
 // have: ending them early would only move their load to the other nodes while this one is gone, so they
 // are served for as long as what comes can be answered before the node is killed.
-func (s *server) drain(c Config, h *handover) error {
+func (s *server) drain(h *handover) error {
 	slog.Info("stopping")
 	s.stopping.Store(true)
-	end := time.Now().Add(acceptFor + longestWait(c.Settings.Classes))
-	last := time.Now().Add(max(acceptFor, time.Until(end)-longestAnswer(c.Settings.Classes)))
+	terms := s.loop.terms.Load()
+	end := time.Now().Add(acceptFor + terms.longestOf(longestWait))
+	last := time.Now().Add(max(acceptFor, time.Until(end)-terms.longestOf(longestAnswer)))
 	for time.Now().Before(last) && !(h.superseded.Load() && s.peers.count() == 0) {
 		time.Sleep(min(stopPoll, time.Until(last)))
 	}
--- /dev/null
+++ b/internal/node/reload_test.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cobaltward/policy"
+)
+
+// loadFile loads a configuration from a file of its own, whose later texts reload reads.
+func loadFile(t *testing.T, text string) (c Config, reload func(text string) (Config, error)) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	getenv := func(name string) string { return map[string]string{"ROUTER_CONFIG": path}[name] }
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(text)
+	c, err := LoadConfig(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, func(text string) (Config, error) {
+		write(text)
+		return Reload(getenv, c)
+	}
+}
+
+func fileText(known, settings string) string {
+	return strings.NewReplacer("KNOWN", known, "SETTINGS", settings).Replace(goodConfig)
+}
+
+// A broken file is turned down, by the name of the field where there is one.
+func TestReloadTurnsDownBrokenFiles(t *testing.T) {
+	good := fileText(knownList("127.0.0.1:9"), testSettings)
+	_, reload := loadFile(t, good)
+	if _, err := reload(good); err != nil {
+		t.Fatalf("the same file again: %v", err)
+	}
+	for name, c := range map[string]struct{ old, new, want string }{
+		"empty":              {good, "", "JSON"},
+		"cut short":          {good, good[:len(good)/2], "unexpected end of JSON"},
+		"not an object":      {good, "[]", ""},
+		"no discovery":       {`"discovery":"127.0.0.1:8500",`, "", "discovery"},
+		"bad discovery":      {`127.0.0.1:8500`, "nowhere", "discovery"},
+		"no limits":          {`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},`, "", "limits"},
+		"no classes":         {`"services":`, `"sservices":`, "settings.services: missing"},
+		"no tenants":         {`"tenants":`, `"ttenants":`, "settings.tenants: missing"},
+		"no rules":           {`"guarantees":`, `"gguarantees":`, "settings.guarantees: missing"},
+		"a rule missing":     {`"drainGrace":500,`, "", "settings.guarantees.drainGrace: missing"},
+		"null for a key":     {`"retryAfter":true`, `"retryAfter":null`, "settings.limits.retryAfter: missing"},
+		"no name":            {`"name":"pay",`, "", "name"},
+		"empty name":         {`"name":"pay"`, `"name":""`, "name"},
+		"named twice":        {`"name":"pay"`, `"name":"read"`, "named twice"},
+		"no effect":          {`"aim":4000,"deadline":9000,"repeat":"single_shot"`, `"aim":4000,"deadline":9000`, "settings.services[1].repeat: missing"},
+		"no deadline":        {`"aim":4000,"deadline":9000,"repeat":"free"`, `"aim":4000,"repeat":"free"`, "deadline"},
+		"deadline of 0":      {`"deadline":9000,"repeat":"free"`, `"deadline":0,"repeat":"free"`, "deadline"},
+		"negative deadline":  {`"deadline":9000,"repeat":"free"`, `"deadline":-5,"repeat":"free"`, "deadline"},
+		"deadline in words":  {`"deadline":9000,"repeat":"free"`, `"deadline":"9000","repeat":"free"`, "settings.services[0].deadline"},
+		"unknown effect":     {`"repeat":"free"`, `"repeat":"often"`, "settings.services[0].repeat"},
+		"no attempts":        {`"maxAttempts":3,`, "", "settings.limits.maxAttempts"},
+		"attempts of 0":      {`"maxAttempts":3`, `"maxAttempts":0`, "settings.limits.maxAttempts"},
+		"negative attempts":  {`"maxAttempts":3`, `"maxAttempts":-1`, "attempts"},
+		"half an attempt":    {`"maxAttempts":3`, `"maxAttempts":1.5`, "settings.limits.maxAttempts"},
+		"attempts in words":  {`"maxAttempts":3`, `"maxAttempts":"3"`, "settings.limits.maxAttempts"},
+		"settings no object": {testSettings, `7`, "settings"},
+	} {
+		if !strings.Contains(good, c.old) {
+			t.Fatalf("%s: the file has no %q", name, c.old)
+		}
+		if _, err := reload(strings.Replace(good, c.old, c.new, 1)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got %v, want it to name %q", name, err, c.want)
+		}
+	}
+}
+
+const laterSettings = `{"position":0,"groupSize":1,"zone":"a",
+	"services":[{"name":"read","aim":4000,"deadline":9000,"repeat":"single_shot"},
+		{"name":"undo","aim":4000,"deadline":9000,"repeat":"guarded","group":"all","window":4000},
+		{"name":"order","aim":4000,"deadline":9000,"repeat":"free"}],
+	"tenants":[{"name":"t","quotaRps":1000},{"name":"tiny","quotaRps":0.001}],
+	"limits":{"cancelling":true,"connIdle":60000,"connectTimeout":2000,"maxAttempts":1,"maxOpen":100,
+		"retryAfter":true,"secondCopies":true},
+	"guarantees":{"drainGrace":500,"cold":1,"coldShare":0.5,"fallMultiple":3,"overloadFor":1000}}`
+
+// New settings bind as a whole: a class comes, one goes, another's effect and the attempts change. What a
+// tenant has used up stays so, and a bad file in between changes nothing.
+func TestNewSettingsBindAtOnce(t *testing.T) {
+	var full atomic.Int32
+	server := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.Header.Get("X-Request-Id"), "full") {
+			full.Add(1)
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	known := knownList(server, server, server)
+	c, reload := loadFile(t, fileText(known, testSettings))
+	changes := make(chan Change)
+	at := Listeners{Clients: listen(t), Control: listen(t)}
+	ctl := at.Control.Addr().String()
+	node, _ := startNodeAt(t, c, at, changes)
+	change := func(text string) {
+		t.Helper()
+		next, err := reload(text)
+		changes <- Change{next, err}
+	}
+	ask := func(method, class, id string, headers ...string) int {
+		t.Helper()
+		resp, _ := do(t, clientRequest(t, node, method, class, id, "", headers...))
+		return resp.StatusCode
+	}
+	wants := func(want int, got int, what string) {
+		t.Helper()
+		if got != want {
+			t.Errorf("%s: status %d, want %d", what, got, want)
+		}
+	}
+	for i := range 3 {
+		wants(200, ask("GET", "read", fmt.Sprint("tiny", i), "X-Tenant", "tiny"), "within the burst")
+	}
+	ask("GET", "read", "full-before")
+	if n := full.Swap(0); n != 3 {
+		t.Errorf("%d attempts before, want 3", n)
+	}
+	wants(400, ask("GET", "order", "o1"), "a class to come")
+	change(fileText(known, strings.Replace(laterSettings, `"maxAttempts":1,`, "", 1)))
+	awaitStats(t, ctl, map[string]float64{"app_cfg_invalid_total": 1, "app_cfg_accepted_total": 0})
+	wants(400, ask("GET", "order", "o2"), "a class of a broken file")
+
+	began := time.Now()
+	change(fileText(known, laterSettings))
+	awaitStats(t, ctl, map[string]float64{"app_cfg_invalid_total": 1, "app_cfg_accepted_total": 1,
+		`app_fulfilled_total{priority="order"}`: 0, `app_fulfilled_total{priority="read"}`: 3})
+	wants(200, ask("GET", "order", "o3"), "the new class")
+	wants(200, ask("POST", "read", "r1"), "the class with a new effect")
+	await(t, "the dropped class's end", func() bool { return ask("POST", "pay", fmt.Sprint("p", time.Now().UnixNano())) == 400 })
+	if took := time.Since(began); took > formerFor+time.Second/2 {
+		t.Errorf("the dropped class was served for %v", took)
+	}
+	wants(405, ask("GET", "read", "r2"), "the former form of a class")
+	ask("GET", "order", "full-after")
+	if n := full.Load(); n != 1 {
+		t.Errorf("%d attempts after, want 1", n)
+	}
+	wants(429, ask("GET", "order", "tiny-after", "X-Tenant", "tiny"), "an empty bucket")
+	if _, ok := stats(t, ctl)[`app_fulfilled_total{priority="pay"}`]; !ok {
+		t.Error("the counts of the dropped class are gone")
+	}
+}
+
+// Just after a change a request in its class's former form is taken by the former rules.
+func TestFormerFormsAreTakenForAMoment(t *testing.T) {
+	free, once := policy.Class{Name: "c", Repeat: policy.Free}, policy.Class{Name: "c"}
+	gone := policy.Class{Name: "gone"}
+	now := time.Now()
+	for _, c := range []struct {
+		changed     time.Time
+		method      string
+		class       string
+		former, ok  bool
+		wantsRepeat policy.Repeat
+	}{
+		{now, "GET", "c", true, true, policy.Free},
+		{now, "POST", "c", false, true, policy.Never},
+		{now, "POST", "gone", true, true, policy.Never},
+		{now.Add(-2 * formerFor), "GET", "c", false, true, policy.Never},
+		{now.Add(-2 * formerFor), "POST", "gone", false, false, policy.Never},
+	} {
+		r := &http.Request{Method: c.method, Header: http.Header{"X-Class": {c.class}}}
+		got, former, ok := newTerms([]policy.Class{free, gone}).after([]policy.Class{once}, c.changed).class(r)
+		if former != c.former || ok != c.ok || got.Repeat != c.wantsRepeat {
+			t.Errorf("%s %s, changed %v ago: former %v, ok %v, repeat %v", c.method, c.class, now.Sub(c.changed), former, ok, got.Repeat)
+		}
+	}
+}
+
+// Signals in a row, good files and bad, and one while the node stops, do no harm.
+func TestManyChangesInARow(t *testing.T) {
+	server := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+	known := knownList(server)
+	c, reload := loadFile(t, fileText(known, testSettings))
+	changes := make(chan Change)
+	node, stop := startNodeAt(t, c, Listeners{Clients: listen(t)}, changes)
+	for i := range 50 {
+		text := fileText(known, []string{testSettings, laterSettings, ""}[i%3])
+		next, err := reload(text)
+		changes <- Change{next, err}
+	}
+	next, err := reload(fileText(known, laterSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes <- Change{Config: next}
+	if resp, _ := do(t, clientRequest(t, node, "GET", "order", "r", "")); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -33,6 +33,7 @@
 	length      int64       // of the whole body; -1 where it isn't told
 	came        policy.Time // when its last byte had been read, but for one with a rest
 	clientWaits time.Duration
+	terms       *terms      // that it was read by
 	reply       chan answer // holds one, so the loop never waits for the client
 }
 
@@ -49,18 +50,14 @@
 // server takes requests from clients, hands them to the loop, and writes the loop's answers.
 type server struct {
 	loop     *loop
-	classes  map[string]policy.Class
 	stopping atomic.Bool // the front is told that the node isn't ready
 	draining atomic.Bool // and answers end their connections
 	peers    *peers
 	http     http.Server
 }
 
-func newServer(c Config, l *loop, maxConns int) *server {
-	s := &server{loop: l, classes: make(map[string]policy.Class), peers: newPeers(maxConns)}
-	for _, class := range c.Settings.Classes {
-		s.classes[class.Name] = class
-	}
+func newServer(l *loop, maxConns int) *server {
+	s := &server{loop: l, peers: newPeers(maxConns)}
 	s.http = http.Server{
 		Handler: s, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: clientIdle, DisableGeneralOptionsHandler: true,
@@ -80,7 +77,11 @@
 		s.health(w)
 		return
 	}
-	s.count(r, s.serve(w, r, full))
+	class, _, known := s.loop.terms.Load().class(r)
+	status := s.serve(w, r, full)
+	if known {
+		s.loop.fig.class(class.Name).count(status)
+	}
 }
 
 // serve answers a client's request, and returns the status that it gave.
@@ -146,7 +147,7 @@
 		return
 	}
 	if !errors.Is(err, errClient) {
-		s.count(r, http.StatusBadGateway)
+		s.loop.fig.class(x.req.Class).count(http.StatusBadGateway)
 		if conn != nil && a.length < 0 && !r.ProtoAtLeast(1, 1) { // a plain close would mean the end
 			_ = conn.SetLinger(0)
 		}
@@ -154,13 +155,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// count books the end of a client's request with its class.
-func (s *server) count(r *http.Request, status int) {
-	if class, ok := s.classes[r.Header.Get("X-Class")]; ok {
-		s.loop.fig.class(class.Name).count(status)
-	}
-}
-
 // health tells the front that the node may be taken in.
 func (s *server) health(w http.ResponseWriter) {
 	if !s.taking() {
@@ -185,7 +179,8 @@
 	if !usableID(id) {
 		return nil, http.StatusBadRequest, "X-Request-Id: missing or malformed"
 	}
-	class, ok := s.classes[h.Get("X-Class")]
+	terms := s.loop.terms.Load()
+	class, former, ok := terms.class(r)
 	if !ok {
 		return nil, http.StatusBadRequest, "X-Class: unknown"
 	}
@@ -193,10 +188,7 @@
 	if err != nil || waits == 0 || waits > maxDeadlineMs {
 		return nil, http.StatusBadRequest, "X-Deadline-Ms: want whole milliseconds above 0"
 	}
-	method := http.MethodPost
-	if class.Repeat == policy.Free {
-		method = http.MethodGet
-	}
+	method := methodOf(class)
 	if r.Method != method {
 		w.Header().Set("Allow", method)
 		return nil, http.StatusMethodNotAllowed, "this class takes " + method
@@ -217,10 +209,10 @@
 	x = &exchange{
 		req: policy.Request{ID: id, Class: class.Name, Tenant: h.Get("X-Tenant"), Key: h.Get("X-Key"),
 			Hint: time.Duration(hint) * time.Microsecond, Retry: h.Get("X-Retry") == "1",
-			Partial: rest != nil},
+			Partial: rest != nil, Former: former},
 		method: method, url: r.URL, host: r.Host, header: h, body: body, rest: rest,
 		length: r.ContentLength, came: s.loop.clock.now(),
-		clientWaits: time.Duration(waits) * time.Millisecond, reply: make(chan answer, 1),
+		clientWaits: time.Duration(waits) * time.Millisecond, terms: terms, reply: make(chan answer, 1),
 	}
 	if rest != nil {
 		rest.ended = func(err error) { s.loop.send(uploaded{x, err}) }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -89,19 +89,43 @@
 type rawConnKey struct{}
 
 func newUpstream(c Config, most int, fig *figures) *upstream {
-	idle := c.Settings.Allowed.ConnIdle
-	if idle == 0 {
-		idle = defaultConnIdle
-	}
-	return &upstream{
-		dialer:  net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1},
-		idleFor: idle / 2, // what is written just as the server closes would end as a reset
-		report:  c.Settings.Report, relayed: fig.relayed, pools: make(map[string]*pool), most: most,
+	u := &upstream{
+		relayed: fig.relayed, pools: make(map[string]*pool), most: most,
 		transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
 			DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 				return ctx.Value(rawConnKey{}).(*rawConn), nil
 			}},
 	}
+	u.retune(c)
+	return u
+}
+
+// retune takes over what a configuration says of connections and reports.
+func (u *upstream) retune(c Config) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	idle := c.Settings.Allowed.ConnIdle
+	if idle == 0 {
+		idle = defaultConnIdle
+	}
+	u.dialer = net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1}
+	u.idleFor = idle / 2 // what is written just as the server closes would end as a reset
+	u.report = c.Settings.Report
+}
+
+// reportNames are the figures of a load report.
+func (u *upstream) reportNames() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.report
+}
+
+// dial opens a connection.
+func (u *upstream) dial(ctx context.Context, addr string) (net.Conn, error) {
+	u.mu.Lock()
+	dialer := u.dialer
+	u.mu.Unlock()
+	return dialer.DialContext(ctx, "tcp", addr)
 }
 
 // update follows the list. A server that moved or started anew gets a new pool: what was open to its
@@ -183,7 +207,7 @@
 	if c != nil || err != nil {
 		return c, err
 	}
-	tcp, err := u.dialer.DialContext(ctx, "tcp", p.addr)
+	tcp, err := u.dial(ctx, p.addr)
 	if err != nil {
 		u.unreserve()
 		return nil, err
@@ -338,7 +362,7 @@
 	case err != nil:
 		return result{code: broken(ctx, true)}
 	}
-	r := result{code: policy.ServerError, report: loadReport(resp.Header.Get("X-Load"), u.report)}
+	r := result{code: policy.ServerError, report: loadReport(resp.Header.Get("X-Load"), u.reportNames())}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		r.code, r.answer = policy.OK, a
--- a/policy/api.go
+++ b/policy/api.go
@@ -95,7 +95,7 @@
 	Attempts     *Budget       // of further attempts; nil where none is stated
 }
 
-// Settings is what a node is told at its start.
+// Settings is what a node is told at its start, and as an event when it changes.
 type Settings struct {
 	Node, Nodes int // this node's number, and how many there are
 	Zone        string
@@ -158,6 +158,7 @@
 	ExpiresIn              time.Duration // until the client gives this try up
 	Hint                   time.Duration // guess of its cost in core time; 0 if unknown
 	Retry, Write           bool
+	Former                 bool // it is in its class as that was before the last Settings
 	Partial                bool // its last byte is still to come: ExpiresIn counts from Complete on
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,34 +19,11 @@
 		return nil, err
 	}
 	b := &Balancer{
-		set: set, now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))),
-		classes: make(map[string]*class), tenants: make(map[string]Limit),
+		now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))), lanes: make(map[string]*lane),
 		buckets: make(map[bucketKey]*bucket), pace: 1, trust: trustFirst,
-		servers: make(map[string]*server), reqs: make(map[string]*request), budget: defaultBudget,
-		kinds: make(map[string]*load),
-	}
-	for i, name := range []string{reportLatency, reportUtil, reportRate} {
-		b.reports[i] = slices.Index(set.Report, name)
-	}
-	if set.Rules.Attempts != nil {
-		b.budget = *set.Rules.Attempts
-	}
-	for i, c := range set.Classes {
-		if c.Aim == 0 {
-			c.Aim = c.Deadline
-		}
-		b.ranked = append(b.ranked, &class{Class: c, index: i, open: &b.pool, tail: c.Aim / 2})
-		b.classes[c.Name] = b.ranked[i]
-		b.dearest = max(b.dearest, c.Worth)
-	}
-	b.other = set.Limits.Default
-	for _, t := range set.Tenants { // a tenant that nobody agreed a share with counts as the smallest
-		l := b.shareOf(t.Quota)
-		b.tenants[t.Name] = l
-		if set.Limits.Default == nil && (b.other == nil || l.PerWindow < b.other.PerWindow) {
-			b.other = &l
-		}
+		servers: make(map[string]*server), reqs: make(map[string]*request), kinds: make(map[string]*load),
 	}
+	b.configure(set)
 	return b, nil
 }
 
@@ -70,12 +47,24 @@
 		b.onTimer(e.Token)
 	case MemberList:
 		b.onList(e)
+	case Settings:
+		b.onSettings(e)
 	case Ceded:
 		b.onCeded(e)
 	}
 	return b.out
 }
 
+// onSettings goes on by other settings with all that was learned. Open requests keep their class.
+func (b *Balancer) onSettings(set Settings) {
+	asks := set.Subscribe && !b.set.Subscribe
+	b.configure(set)
+	b.reorder()
+	if asks {
+		b.askList()
+	}
+}
+
 // seconds turns a number of seconds into a Duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -170,10 +159,13 @@
 		return // a duplicate of a request in hand
 	}
 	c := b.classes[e.Class]
+	if was := b.former[e.Class]; e.Former && was != nil {
+		c = was
+	}
 	if c == nil { // not in the settings: one safe try, never repeated
-		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, index: -1, open: &b.pool}
+		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, open: &b.pool, lane: &lane{index: -1}}
 	}
-	r := &request{Request: e, class: c}
+	r := &request{Request: e, class: c, most: max(1, b.set.Allowed.MaxAttempts)}
 	b.due(r)
 	if b.set.WarmKeys && e.Key != "" {
 		r.key = hash(e.Key)
@@ -694,7 +686,7 @@
 
 // spent tells whether r has had its attempts, or its time to be worth another.
 func (b *Balancer) spent(r *request) bool {
-	return len(r.attempts) >= max(1, b.set.Allowed.MaxAttempts) || b.now >= r.worthTo
+	return len(r.attempts) >= min(r.most, max(1, b.set.Allowed.MaxAttempts)) || b.now >= r.worthTo
 }
 
 // mayRepeat guards the sixth rule: attempts beyond each request's first stay within the site's
@@ -796,12 +788,12 @@
 	if c := r.class; c.index >= 0 {
 		due := b.now + time.Duration(tailMargin*float64(c.tail))
 		c.watched = append(c.watched, watch{r, len(r.attempts) - 1, due})
-		b.arm(c)
+		b.arm(c.lane)
 	}
 }
 
 // arm sets the timer of a class for the head of its queue.
-func (b *Balancer) arm(c *class) {
+func (b *Balancer) arm(c *lane) {
 	if !c.armed && len(c.watched) > 0 {
 		c.armed = true
 		b.do(Action{Kind: SetTimer, Wait: max(time.Millisecond, c.watched[0].due-b.now),
@@ -825,8 +817,8 @@
 		b.release()
 	case token == listToken:
 		b.askList()
-	case token >= watchToken && token < watchToken+uint64(len(b.ranked)):
-		b.sweep(b.ranked[token-watchToken])
+	case token >= watchToken && token < watchToken+uint64(len(b.watches)):
+		b.sweep(b.watches[token-watchToken])
 	}
 }
 
@@ -843,7 +835,7 @@
 
 // sweep looks at the attempts of a class that have been out for long: a server silent since then
 // gets a strike, and a request that may run twice gets a second copy.
-func (b *Balancer) sweep(c *class) {
+func (b *Balancer) sweep(c *lane) {
 	c.armed = false
 	for len(c.watched) > 0 && c.watched[0].due <= b.now {
 		w := c.watched[0]
@@ -1232,7 +1224,7 @@
 	for _, s := range b.order {
 		s.safest = Never
 	}
-	for _, c := range b.ranked {
+	for c := range b.inUse() {
 		bound := len(c.Kinds)+len(c.Zones) > 0
 		if bound {
 			c.open = &pool{}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -861,3 +861,56 @@
 		t.Error("a new process of a server inherits the threshold of its former one")
 	}
 }
+
+// New settings leave what was learned, and requests that are open, as they were; former forms are taken
+// by the former rules.
+func TestNewSettingsKeepWhatWasLearned(t *testing.T) {
+	set := site(1)
+	b := start(t, set, members(4))
+	first := sentTo(t, b.Handle(0, ask("open", "free")))
+	b.servers["s00"].threshold = 9
+	b.buckets[bucketKey{tenant: "t"}].tokens = 5
+	b.classes["free"].tail = 77 * ms
+
+	next := site(1)
+	next.Classes[0].Repeat = Never
+	next.Classes = slices.Delete(next.Classes, 1, 2) // "once" is dropped
+	next.Classes = append(next.Classes, Class{Name: "new", Aim: 250 * ms, Deadline: 600 * ms, Repeat: Free})
+	next.Allowed.MaxAttempts = 2
+	b.Handle(ms, next)
+	if s := b.servers["s00"]; s.threshold != 9 || s.inflight+b.servers["s01"].inflight+b.servers["s02"].inflight != 1 {
+		t.Errorf("threshold %v", s.threshold)
+	}
+	if got := b.buckets[bucketKey{tenant: "t"}].tokens; got != 5 {
+		t.Errorf("%d tokens", got)
+	}
+	if got := b.classes["free"].tail; got != 77*ms {
+		t.Errorf("tail %v", got)
+	}
+	again := func(id, server string) bool {
+		return len(of(b.Handle(2*ms, Outcome{ID: id, Server: server, Code: TimedOut}), Send)) > 0
+	}
+	if !again("open", first) {
+		t.Error("a request that came while its class was free is not repeated")
+	}
+	if acts := b.Handle(3*ms, Outcome{ID: "open", Attempt: 1, Code: TimedOut}); len(of(acts, Send)) > 0 {
+		t.Error("a third attempt, though two are allowed by now")
+	}
+	if again("strict", sentTo(t, b.Handle(2*ms, ask("strict", "free")))) {
+		t.Error("a class that must not run twice by now is repeated")
+	}
+	was := ask("was", "free")
+	was.Former = true
+	if !again("was", sentTo(t, b.Handle(2*ms, was))) {
+		t.Error("a request in its class's former form is not repeated")
+	}
+	if again("gone", sentTo(t, b.Handle(2*ms, ask("gone", "once")))) {
+		t.Error("a request of a dropped class is repeated")
+	}
+	if !again("new", sentTo(t, b.Handle(2*ms, ask("new", "new")))) {
+		t.Error("the new class is not repeated")
+	}
+	if acts := b.Handle(time.Second, Timer{Token: watchToken + 5}); len(of(acts, Send)) > 0 {
+		t.Error("the new class's timer sent a copy of what is over")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -15,6 +16,9 @@
 	rng       *rand.Rand
 	out       []Action
 	classes   map[string]*class
+	former    map[string]*class // as they were before the last settings
+	lanes     map[string]*lane  // of all classes ever named,
+	watches   []*lane           // and in the order of their timers
 	tenants   map[string]Limit
 	ranked    []*class // in the order of the settings
 	other     *Limit   // for tenants without a quota; nil: no limit
@@ -65,8 +69,13 @@
 // class is a request class with what was learned of it.
 type class struct {
 	Class
-	open     *pool // the servers that it may be sent to
-	index    int
+	open *pool // the servers that it may be sent to
+	*lane
+}
+
+// lane is what is known of a class by its name, also when the settings change it.
+type lane struct {
+	index    int           // of its timer; below 0 for a class that the settings don't name
 	tail     time.Duration // estimate of a high quantile of its latency
 	watched  []watch       // attempts to look at when they are slow, oldest first
 	firstTry time.Duration // the longest that a first try was open
@@ -97,6 +106,7 @@
 // request is one client request until its answer is given and its attempts are over.
 type request struct {
 	Request
+	most     int // attempts by the settings when it came
 	class    *class
 	deadline Time
 	worthTo  Time   // later answers earn nothing
@@ -350,3 +360,62 @@
 	}
 	b.countEjected()
 }
+
+// configure takes over settings. What was learned stays.
+func (b *Balancer) configure(set Settings) {
+	b.set, b.budget = set, defaultBudget
+	if set.Rules.Attempts != nil {
+		b.budget = *set.Rules.Attempts
+	}
+	for i, name := range []string{reportLatency, reportUtil, reportRate} {
+		b.reports[i] = slices.Index(set.Report, name)
+	}
+	b.former, b.classes, b.ranked, b.dearest = b.classes, make(map[string]*class), nil, 0
+	for _, c := range set.Classes {
+		if c.Aim == 0 {
+			c.Aim = c.Deadline
+		}
+		b.ranked = append(b.ranked, &class{Class: c, open: &b.pool, lane: b.lane(c)})
+		b.classes[c.Name] = b.ranked[len(b.ranked)-1]
+		b.dearest = max(b.dearest, c.Worth)
+	}
+	b.tenants, b.other = make(map[string]Limit), set.Limits.Default
+	for _, t := range set.Tenants { // a tenant that nobody agreed a share with counts as the smallest
+		l := b.shareOf(t.Quota)
+		b.tenants[t.Name] = l
+		if set.Limits.Default == nil && (b.other == nil || l.PerWindow < b.other.PerWindow) {
+			b.other = &l
+		}
+	}
+}
+
+// lane is what is known of c by its name.
+func (b *Balancer) lane(c Class) *lane {
+	l := b.lanes[c.Name]
+	if l == nil {
+		l = &lane{index: len(b.watches), tail: c.Aim / 2}
+		b.lanes[c.Name] = l
+		b.watches = append(b.watches, l)
+	}
+	if was := b.former[c.Name]; was != nil && was.Deadline != c.Deadline {
+		l.firstTry = 0 // a part of the deadline, and that is another now
+	}
+	l.tail = min(l.tail, c.Aim)
+	return l
+}
+
+// inUse are the classes that requests may be in: those of the settings, of the former ones, and of what
+// is open since before.
+func (b *Balancer) inUse() map[*class]bool {
+	all := make(map[*class]bool)
+	for _, c := range b.ranked {
+		all[c] = true
+	}
+	for _, c := range b.former {
+		all[c] = true
+	}
+	for _, r := range b.reqs {
+		all[r.class] = true
+	}
+	return all
+}
