--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -39,7 +39,8 @@
 	if err != nil {
 		return err
 	}
-	slog.Info("listening", "name", c.Name, "address", at.Clients.Addr(), "servers", len(c.Known.Members))
+	slog.Info("listening", "name", c.Name, "address", at.Clients.Addr(), "servers", len(c.Known.Members),
+		"cores", c.Cores, "memory_mb", c.MemoryMB, "sockets", c.Sockets, "max_open", c.MaxOpen)
 	changes := make(chan node.Change)
 	go follow(ctx, c, changed, changes)
 	return node.Run(ctx, c, at, changes)
--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -16,10 +16,12 @@
 	firstPart   = 16 << 10 // of a body known to be over maxBody is read before a server is asked for
 	blockSize   = 16 << 10 // of what passes on
 
-	// A body may take bodySlack, and as long as a client of slowestBody needs for what has come. Who sends
-	// half a request, or drips, is so ended within 3 s of the connect, together with headerTimeout.
-	bodySlack   = 600 * time.Millisecond
-	slowestBody = 51_200 // bytes a second: four fifths of what clients may be counted on to send
+	// A request may take wholeTimeout from its first byte, or from the connect. Its body may take longer
+	// while it comes at the pace of slowestBody, and bodySlack. Who sends half a request, or drips, is so
+	// ended within 3 s of the connect.
+	wholeTimeout = 2800 * time.Millisecond
+	bodySlack    = 600 * time.Millisecond
+	slowestBody  = 51_200 // bytes a second: four fifths of what clients may be counted on to send
 
 	peerSilence  = 5 * time.Second  // of a server in the middle of a body, either way
 	blockTimeout = 10 * time.Second // for a client to take one block
@@ -39,6 +41,7 @@
 type upload struct {
 	body    io.Reader
 	rc      *http.ResponseController
+	slack   time.Duration // of wholeTimeout, what the header has left
 	got     int64
 	waited  time.Duration // for the client; what a server takes is not the client's time
 	whole   atomic.Bool
@@ -47,13 +50,14 @@
 	ended   func(error) // called once, when an attempt has read the last byte, or can't
 }
 
-func newUpload(w http.ResponseWriter, r *http.Request) *upload {
-	return &upload{body: http.MaxBytesReader(w, r.Body, maxTransfer), rc: http.NewResponseController(w)}
+func newUpload(w http.ResponseWriter, r *http.Request, began time.Time) *upload {
+	return &upload{body: http.MaxBytesReader(w, r.Body, maxTransfer), rc: http.NewResponseController(w),
+		slack: wholeTimeout - time.Since(began)}
 }
 
 func (u *upload) Read(p []byte) (int, error) {
 	from := time.Now()
-	left := bodySlack + time.Duration(u.got)*time.Second/slowestBody - u.waited
+	left := max(u.slack, bodySlack+time.Duration(u.got)*time.Second/slowestBody) - u.waited
 	if err := u.rc.SetReadDeadline(from.Add(left)); err != nil {
 		return 0, err
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -27,7 +28,7 @@
 
 // newControl makes the operators' side; taking tells whether the node takes clients.
 func newControl(f *figures, taking func() bool) *control {
-	c := &control{peers: newPeers(controlSockets / 2)}
+	c := &control{peers: newPeers(func() int { return controlSockets / 2 }, new(atomic.Int64), func() {})}
 	mux := http.NewServeMux()
 	mux.HandleFunc(http.MethodGet+" "+healthPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !taking() {
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"strconv"
+	"sync/atomic"
 )
 
 // errFraming makes net/http answer 400 and close: what follows such a header could be a body to one
@@ -28,9 +29,10 @@
 // goroutine reads from a connection at a time.
 type framedConn struct {
 	net.Conn
-	line     []byte // of a header, as far as read
-	lines    int    // of that header before it
-	old      bool   // HTTP/1.0
+	heard    atomic.Bool // anything came
+	line     []byte      // of a header, as far as read
+	lines    int         // of that header before it
+	old      bool        // HTTP/1.0
 	lengths  int
 	length   uint64 // as stated in that header
 	codings  int
@@ -44,6 +46,9 @@
 		return 0, c.err
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(true)
+	}
 	if c.err = c.follow(p[:n]); c.err != nil {
 		return 0, c.err
 	}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -408,12 +408,11 @@
 
 // resize shares sockets out between the clients' and the servers' side.
 func (h *handover) resize(sockets int) {
-	side := max(1, (sockets-h.c.ownSockets())/2)
-	h.up.resize(side)
-	h.s.peers.resize(side)
+	h.up.sockets.total.Store(int64(max(leastPart, sockets-h.c.ownSockets())))
+	h.up.unbound()
 	// The server refuses requests on connections over its side; the gate makes sure that even clients
 	// who connect and say nothing leave the servers' side its descriptors.
-	h.gate.resize(side + ownSockets/2)
+	h.gate.resize(h.up.sockets.mostClients() + ownSockets/2)
 }
 
 // grant takes what the process before this one has let go of.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -51,6 +51,7 @@
 type module interface {
 	Handle(now policy.Time, ev policy.Event) []policy.Action
 	Servers() (listed, avoided int)
+	Tail() time.Duration
 	Knowledge(now policy.Time) policy.Knowledge
 	Learn(now policy.Time, k policy.Knowledge)
 }
@@ -108,7 +109,8 @@
 	}
 	ceded     struct{ reply chan<- legacy } // another process takes over
 	takenBack struct{ served bool }         // and is gone again
-	begun     struct {                      // an answer that is passed on as it comes
+	tailAsked struct{ reply chan<- time.Duration }
+	begun     struct { // an answer that is passed on as it comes
 		r *request
 		n int
 		answer
@@ -219,6 +221,8 @@
 	case ceded:
 		e.reply <- legacy{slices.Collect(maps.Values(l.members)), l.module.Knowledge(l.clock.now())}
 		l.tell(ctx, policy.Ceded{On: true})
+	case tailAsked:
+		e.reply <- l.module.Tail()
 	case takenBack:
 		l.tell(ctx, policy.Ceded{Served: e.served})
 	case finish:
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -29,6 +29,7 @@
 }
 
 func (s *script) Servers() (listed, avoided int)             { return 0, 0 }
+func (s *script) Tail() time.Duration                        { return 0 }
 func (s *script) Knowledge(policy.Time) (k policy.Knowledge) { return k }
 func (s *script) Learn(now policy.Time, _ policy.Knowledge)  {}
 
@@ -67,7 +68,7 @@
 	t.Helper()
 	c := testConfig(t, knownList(addr))
 	fig := newFigures(c.Settings.Classes)
-	up := newUpstream(c, 100, fig)
+	up := newUpstream(c, testSockets(200), fig)
 	l, err := newLoop(c, clock{start: time.Now()}, up, fig)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,19 +24,19 @@
 // and returns.
 func Run(ctx context.Context, c Config, at Listeners, changes <-chan Change) error {
 	ck := clock{start: time.Now()}
-	sockets := c.Sockets
+	shared, held := new(sockets), c.Sockets
 	if at.heir != nil {
-		sockets, c.Known = at.heir.Sockets, list{Revision: wholeList, Members: at.heir.Members}
+		held, c.Known = at.heir.Sockets, list{Revision: wholeList, Members: at.heir.Members}
 	}
 	limitMemory(c, 1)
 	fig := newFigures(c.Settings.Classes)
-	up := newUpstream(c, sockets, fig)
+	up := newUpstream(c, shared, fig)
 	defer up.close()
 	l, err := newLoop(c, ck, up, fig)
 	if err != nil {
 		return err
 	}
-	s := newServer(l, sockets)
+	s := newServer(l)
 	s.http.ErrorLog = slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 
 	running, stop := context.WithCancel(context.Background())
@@ -52,9 +52,9 @@
 	parts.Go(func() { l.disc.run(running) })
 
 	failed := make(chan error, 1)
-	clients := newGate(at.Clients, sockets)
-	h := &handover{c: c, path: handoverPath(c), s: s, up: up, gate: clients, share: sockets}
-	h.resize(sockets) // each request in hand needs a descriptor on either side
+	clients := newGate(at.Clients, held)
+	h := &handover{c: c, path: handoverPath(c), s: s, up: up, gate: clients, share: held}
+	h.resize(held)
 	parts.Go(func() { failed <- s.http.Serve(framingListener{clients}) })
 	parts.Go(func() { h.start(running, at.heir) })
 	if at.Control != nil {
@@ -82,7 +82,7 @@
 	s.stopping.Store(true)
 	terms := s.loop.terms.Load()
 	end := time.Now().Add(acceptFor + terms.longestOf(longestWait))
-	last := time.Now().Add(max(acceptFor, time.Until(end)-terms.longestOf(longestAnswer)))
+	last := time.Now().Add(max(acceptFor, time.Until(end)-s.lastAnswer(terms)))
 	for time.Now().Before(last) && !(h.superseded.Load() && s.peers.count() == 0) {
 		time.Sleep(min(stopPoll, time.Until(last)))
 	}
@@ -97,6 +97,21 @@
 	return s.http.Close()
 }
 
+// lastAnswer is how long what comes last is given: twice what slow answers took lately, which nearly all
+// make, and no more than an answer is worth anything. Whoever is turned away earlier burdens other nodes,
+// or finds none.
+func (s *server) lastAnswer(terms *terms) time.Duration {
+	longest := terms.longestOf(longestAnswer)
+	reply := make(chan time.Duration, 1)
+	s.loop.send(tailAsked{reply})
+	select {
+	case tail := <-reply:
+		return min(longest, 2*tail)
+	case <-s.loop.done:
+		return longest
+	}
+}
+
 // limitMemory sets the part of the memory limit that this process may use.
 func limitMemory(c Config, part float64) {
 	debug.SetMemoryLimit(int64(part * heapPart * float64(c.MemoryMB) * (1 << 20)))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,12 +15,16 @@
 	silentLeast = 500 * time.Millisecond
 	// idleLeast is the same for one that was answered, and the least that clients are owed.
 	idleLeast = 2 * time.Second
+	// headLeast is the same for one in the middle of its first header: clients may take so long for it.
+	headLeast = 2 * time.Second
 )
 
 // peers knows the connections on the clients' side. It sees to it that those with nothing to do give
 // way to new ones once their part of the descriptors is used up.
 type peers struct {
-	most int
+	most    func() int
+	counted *atomic.Int64 // how many there are
+	yield   func()        // asks for descriptors that others can do without
 
 	mu   sync.Mutex
 	open map[net.Conn]*peer
@@ -29,13 +34,17 @@
 	conn  net.Conn
 	state http.ConnState
 	since time.Time
-	over  bool // came when the limit was reached and no other could give way
+	asked int       // requests that it has begun
+	begun time.Time // its request's first byte, or the connect if that is its first request
+	over  bool      // came when the limit was reached and no other could give way
 	shed  bool
 }
 
 type peerKey struct{}
 
-func newPeers(most int) *peers { return &peers{most: most, open: make(map[net.Conn]*peer)} }
+func newPeers(most func() int, counted *atomic.Int64, yield func()) *peers {
+	return &peers{most: most, counted: counted, yield: yield, open: make(map[net.Conn]*peer)}
+}
 
 // overLimit tells whether the connection of a request is one too many.
 func overLimit(ctx context.Context) bool {
@@ -51,13 +60,28 @@
 	return nil
 }
 
+// begunAt tells when the request of a connection began.
+func (s *peers) begunAt(ctx context.Context) time.Time {
+	p, _ := ctx.Value(peerKey{}).(*peer)
+	if p == nil {
+		return time.Now()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return p.begun
+}
+
 // admit takes in a new connection before anything is read from it.
 func (s *peers) admit(ctx context.Context, c net.Conn) context.Context {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := &peer{conn: c, state: http.StateNew, since: now, over: len(s.open) >= s.most && !s.shed(now)}
+	if len(s.open) >= s.most() {
+		s.yield()
+	}
+	p := &peer{conn: c, state: http.StateNew, since: now, begun: now, over: len(s.open) >= s.most() && !s.shed(now)}
 	s.open[c] = p
+	s.counted.Store(int64(len(s.open)))
 	return context.WithValue(ctx, peerKey{}, p)
 }
 
@@ -67,7 +91,14 @@
 	defer s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(s.open, c)
+		s.counted.Store(int64(len(s.open)))
 	} else if p := s.open[c]; p != nil {
+		if state == http.StateActive {
+			p.asked++
+		}
+		if state == http.StateActive && p.state != http.StateNew {
+			p.begun = time.Now()
+		}
 		p.state, p.since, p.shed = state, time.Now(), false
 	}
 }
@@ -79,10 +110,14 @@
 	return len(s.open)
 }
 
-func (s *peers) resize(most int) {
+// crowded tells whether a request's connection is to end with the answer: more than half of the places
+// are taken, and one that stays idle has to be borne for some time. Who has come back for a second
+// request is a client that uses its connection, and keeps it.
+func (s *peers) crowded(ctx context.Context) bool {
+	p, _ := ctx.Value(peerKey{}).(*peer)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.most = most
+	return p != nil && p.asked < 2 && len(s.open) > s.most()/2
 }
 
 // shed ends the connection that was without a request for longest, if one was for long enough.
@@ -92,6 +127,9 @@
 		least := idleLeast
 		if p.state == http.StateNew {
 			least = silentLeast
+			if f, ok := c.(*framedConn); ok && f.heard.Load() {
+				least = headLeast
+			}
 		}
 		if p.state == http.StateActive || p.shed || now.Sub(p.since) < least {
 			continue
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -58,7 +59,7 @@
 	}
 	ask("first")
 	var held []net.Conn
-	for range (leastSockets-ownSockets)/2 + 4 {
+	for range (leastSockets-ownSockets)*2/3 + 5 {
 		peer, err := net.Dial("tcp", node)
 		if err != nil {
 			t.Fatal(err)
@@ -96,7 +97,7 @@
 		"all in use":        {[]*peer{at(time.Minute, http.StateActive), at(time.Minute, http.StateActive)}, -1},
 		"for a moment only": {[]*peer{at(time.Second, http.StateIdle), at(time.Millisecond, http.StateNew)}, -1},
 	} {
-		s := newPeers(len(c.open))
+		s := newPeers(func() int { return len(c.open) }, new(atomic.Int64), func() {})
 		var ends []net.Conn
 		for _, p := range c.open {
 			mine, theirs := net.Pipe()
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -56,8 +56,8 @@
 	http     http.Server
 }
 
-func newServer(l *loop, maxConns int) *server {
-	s := &server{loop: l, peers: newPeers(maxConns)}
+func newServer(l *loop) *server {
+	s := &server{loop: l, peers: newPeers(l.up.sockets.forClients, &l.up.sockets.clients, l.up.yield)}
 	s.http = http.Server{
 		Handler: s, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: clientIdle, DisableGeneralOptionsHandler: true,
@@ -70,7 +70,10 @@
 	// Over its part of the descriptors the node still answers, and gets the descriptor back.
 	full := overLimit(r.Context())
 	// What comes after chunks is not followed by framedConn, so it must not be read as a request.
-	if full || s.draining.Load() || len(r.TransferEncoding) > 0 {
+	// A node that stops gets no new connections, and its clients are best kept: the others have to bear
+	// whoever leaves.
+	crowded := !s.stopping.Load() && s.peers.crowded(r.Context())
+	if full || s.draining.Load() || crowded || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == readyPath && r.Method == http.MethodGet {
@@ -78,23 +81,25 @@
 		return
 	}
 	class, _, known := s.loop.terms.Load().class(r)
-	status := s.serve(w, r, full)
-	if known {
+	if status := s.serve(w, r, full); known && status != 0 {
 		s.loop.fig.class(class.Name).count(status)
 	}
 }
 
-// serve answers a client's request, and returns the status that it gave.
+// serve answers a client's request, and returns the status that it gave; 0 for one that never came whole.
 func (s *server) serve(w http.ResponseWriter, r *http.Request, full bool) int {
 	if full {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return http.StatusServiceUnavailable
 	}
-	x, status, problem := s.read(w, r)
-	if x == nil {
+	x, bad := s.read(w, r)
+	if bad != nil {
 		w.Header().Set("Connection", "close") // no client of ours sends such: its descriptor is wanted
-		http.Error(w, problem, status)
-		return status
+		http.Error(w, bad.text, bad.status)
+		if bad.cut {
+			return 0
+		}
+		return bad.status
 	}
 	s.loop.fig.open.Add(1)
 	defer s.loop.fig.open.Add(-1)
@@ -107,6 +112,9 @@
 		select {
 		case a := <-x.reply:
 			s.answer(w, r, x, a)
+			if a.status < http.StatusInternalServerError && x.rest != nil && !x.rest.whole.Load() {
+				return 0
+			}
 			return a.status
 		case <-gone:
 			if x.rest != nil && !x.rest.whole.Load() {
@@ -172,38 +180,45 @@
 	}
 }
 
+// fault is what is wrong with a request.
+type fault struct {
+	status int
+	text   string
+	cut    bool // it never came whole, so it was not taken
+}
+
 // read takes in a whole request, or says what is wrong with it. What it lets through reaches servers.
-func (s *server) read(w http.ResponseWriter, r *http.Request) (x *exchange, status int, problem string) {
+func (s *server) read(w http.ResponseWriter, r *http.Request) (x *exchange, bad *fault) {
 	h := r.Header
 	id := h.Get("X-Request-Id")
 	if !usableID(id) {
-		return nil, http.StatusBadRequest, "X-Request-Id: missing or malformed"
+		return nil, &fault{status: http.StatusBadRequest, text: "X-Request-Id: missing or malformed"}
 	}
 	terms := s.loop.terms.Load()
 	class, former, ok := terms.class(r)
 	if !ok {
-		return nil, http.StatusBadRequest, "X-Class: unknown"
+		return nil, &fault{status: http.StatusBadRequest, text: "X-Class: unknown"}
 	}
 	waits, err := strconv.ParseUint(h.Get("X-Deadline-Ms"), 10, 64)
 	if err != nil || waits == 0 || waits > maxDeadlineMs {
-		return nil, http.StatusBadRequest, "X-Deadline-Ms: want whole milliseconds above 0"
+		return nil, &fault{status: http.StatusBadRequest, text: "X-Deadline-Ms: want whole milliseconds above 0"}
 	}
 	method := methodOf(class)
 	if r.Method != method {
 		w.Header().Set("Allow", method)
-		return nil, http.StatusMethodNotAllowed, "this class takes " + method
+		return nil, &fault{status: http.StatusMethodNotAllowed, text: "this class takes " + method}
 	}
 	// Servers drop the repeats of a key: without one, a second attempt could take effect twice.
 	if class.Repeat == policy.Guarded && h.Get("Idempotency-Key") == "" {
-		return nil, http.StatusBadRequest, "Idempotency-Key: missing"
+		return nil, &fault{status: http.StatusBadRequest, text: "Idempotency-Key: missing"}
 	}
-	body, rest, err := takeBody(w, r)
+	body, rest, err := takeBody(w, r, s.peers.begunAt(r.Context()))
 	if err != nil {
-		status, problem := uploadStatus(err)
-		return nil, status, problem
+		status, text := uploadStatus(err)
+		return nil, &fault{status: status, text: text, cut: true}
 	}
 	if method == http.MethodGet && len(body) > 0 {
-		return nil, http.StatusBadRequest, "a GET has no body"
+		return nil, &fault{status: http.StatusBadRequest, text: "a GET has no body"}
 	}
 	hint, _ := strconv.ParseUint(h.Get("X-Cost-Hint"), 10, 32) // a guess; none is as good as a bad one
 	x = &exchange{
@@ -217,11 +232,11 @@
 	if rest != nil {
 		rest.ended = func(err error) { s.loop.send(uploaded{x, err}) }
 	}
-	return x, 0, ""
+	return x, nil
 }
 
 // takeBody reads a body up to what is kept; the rest is an attempt's to read.
-func takeBody(w http.ResponseWriter, r *http.Request) (body []byte, rest *upload, err error) {
+func takeBody(w http.ResponseWriter, r *http.Request, began time.Time) (body []byte, rest *upload, err error) {
 	if r.ContentLength == 0 {
 		return nil, nil, nil
 	}
@@ -232,7 +247,7 @@
 	if r.ContentLength > maxBody {
 		most = firstPart
 	}
-	u := newUpload(w, r)
+	u := newUpload(w, r, began)
 	body, whole, err := u.keep(most, r.ContentLength)
 	if whole || err != nil {
 		return body, nil, err
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -130,7 +130,7 @@
 		}
 		return nil
 	})
-	node := httpServer(t, newServer(l, 100).ServeHTTP)
+	node := httpServer(t, newServer(l).ServeHTTP)
 	c, err := net.Dial("tcp", node)
 	if err != nil {
 		t.Fatal(err)
@@ -223,7 +223,7 @@
 		}
 		return nil
 	})
-	s := newServer(l, 100)
+	s := newServer(l)
 	node := httpServer(t, s.ServeHTTP)
 	receive(t, "readiness", l.ready)
 	for _, draining := range []bool{false, true} {
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -115,6 +115,13 @@
 	return startNodeAt(t, c, Listeners{Clients: listen(t)}, nil)
 }
 
+// testSockets are as many descriptors for connections.
+func testSockets(n int64) *sockets {
+	s := new(sockets)
+	s.total.Store(n)
+	return s
+}
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -40,11 +40,12 @@
 	idleFor   time.Duration   // an idle connection is dropped after this
 	report    []string        // names of the figures of a load report, in order
 	relayed   *metrics.Counter
+	sockets   *sockets
 
 	mu    sync.Mutex
 	pools map[string]*pool
 	open  int // connections, those being made among them
-	most  int // that may be open: the rest of the descriptors is the clients'
+	most  int // that may be open, besides what the clients leave; 0 for no such limit
 }
 
 // pool holds the idle connections to one process of one server, the last used at the end.
@@ -88,9 +89,9 @@
 
 type rawConnKey struct{}
 
-func newUpstream(c Config, most int, fig *figures) *upstream {
+func newUpstream(c Config, shared *sockets, fig *figures) *upstream {
 	u := &upstream{
-		relayed: fig.relayed, pools: make(map[string]*pool), most: most,
+		relayed: fig.relayed, pools: make(map[string]*pool), sockets: shared,
 		transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
 			DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 				return ctx.Value(rawConnKey{}).(*rawConn), nil
@@ -168,7 +169,7 @@
 		c.Close()
 	}
 	p.idle = append([]*conn(nil), p.idle[n:]...)
-	u.open -= n
+	u.count(-n)
 }
 
 // closeIdle drops the idle connections to one server.
@@ -192,7 +193,7 @@
 				continue
 			}
 			c.Close()
-			u.open--
+			u.count(-1)
 		}
 		p.idle = kept
 	}
@@ -237,27 +238,47 @@
 			return p, c, nil
 		}
 		c.Close()
-		u.open--
+		u.count(-1)
 	}
-	if u.open >= u.most && !u.evict() {
+	if u.open >= u.limit() && !u.evict() {
 		return nil, nil, errNoSockets
 	}
-	u.open++
+	u.count(1)
 	return p, nil, nil
 }
 
 func (u *upstream) unreserve() {
 	u.mu.Lock()
-	u.open--
+	u.count(-1)
 	u.mu.Unlock()
 }
 
-// resize sets how many connections may be open; idle ones beyond are closed.
-func (u *upstream) resize(most int) {
+// count books connections that come or go.
+func (u *upstream) count(n int) {
+	u.open += n
+	u.sockets.servers.Store(int64(u.open))
+}
+
+// limit is how many connections may be open now.
+func (u *upstream) limit() int {
+	if u.most > 0 {
+		return min(u.most, u.sockets.forServers())
+	}
+	return u.sockets.forServers()
+}
+
+// unbound ends the limit that shrink set.
+func (u *upstream) unbound() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.most = 0
+}
+
+// yield closes idle connections beyond the part that is the servers' in any case.
+func (u *upstream) yield() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.most = most
-	for u.open > u.most && u.evict() {
+	for u.open > u.sockets.least() && u.evict() {
 	}
 }
 
@@ -296,7 +317,7 @@
 		return
 	}
 	c.Close()
-	u.open--
+	u.count(-1)
 }
 
 // result is how an attempt ended.
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -19,7 +19,7 @@
 func testUpstream(t *testing.T, addrs ...string) *upstream {
 	t.Helper()
 	c := testConfig(t, knownList(addrs...))
-	u := newUpstream(c, 100, newFigures(c.Settings.Classes))
+	u := newUpstream(c, testSockets(200), newFigures(c.Settings.Classes))
 	u.update(news{policy.ListRestored, c.Known.Members})
 	t.Cleanup(u.close)
 	return u
--- a/policy/state.go
+++ b/policy/state.go
@@ -59,6 +59,14 @@
 // and at most tried out.
 func (b *Balancer) Servers() (listed, avoided int) { return len(b.servers), b.avoided }
 
+// Tail is how long slow answers take, in the slowest class.
+func (b *Balancer) Tail() (longest time.Duration) {
+	for _, c := range b.ranked {
+		longest = max(longest, c.tail)
+	}
+	return longest
+}
+
 // pool is a set of servers in packing order.
 type pool struct {
 	order   []*server // own zone first, each part in id order
