End who falls silent in the middle of a request where places are short

A half-written head was safe from being shed for 2 s. Now whoever owes the rest of a request and has sent nothing for half a second makes room for others (peers.go, quiet); slow clients send piece by piece. Further: a stopping node gives what comes last the time of slow answers, not twice that.

--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync/atomic"
+	"time"
 )
 
 // errFraming makes net/http answer 400 and close: what follows such a header could be a body to one
@@ -29,10 +30,10 @@
 // goroutine reads from a connection at a time.
 type framedConn struct {
 	net.Conn
-	heard    atomic.Bool // anything came
-	line     []byte      // of a header, as far as read
-	lines    int         // of that header before it
-	old      bool        // HTTP/1.0
+	heard    atomic.Int64 // when something last came, in Unix nanoseconds; 0 for never
+	line     []byte       // of a header, as far as read
+	lines    int          // of that header before it
+	old      bool         // HTTP/1.0
 	lengths  int
 	length   uint64 // as stated in that header
 	codings  int
@@ -47,7 +48,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.heard.Store(true)
+		c.heard.Store(time.Now().UnixNano())
 	}
 	if c.err = c.follow(p[:n]); c.err != nil {
 		return 0, c.err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,7 +97,7 @@
 	return s.http.Close()
 }
 
-// lastAnswer is how long what comes last is given: twice what slow answers took lately, which nearly all
+// lastAnswer is how long what comes last is given: what slow answers took lately, which nearly all
 // make, and no more than an answer is worth anything. Whoever is turned away earlier burdens other nodes,
 // or finds none.
 func (s *server) lastAnswer(terms *terms) time.Duration {
@@ -106,7 +106,7 @@
 	s.loop.send(tailAsked{reply})
 	select {
 	case tail := <-reply:
-		return min(longest, 2*tail)
+		return min(longest, tail)
 	case <-s.loop.done:
 		return longest
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -10,13 +10,11 @@
 )
 
 const (
-	// silentLeast is how long a connection may be without its first byte before it can lose its
-	// descriptor to another: a client that connects has its request at hand.
+	// silentLeast is how long a connection may be without a byte of the request that it owes before it can
+	// lose its descriptor to another: a client has its request at hand, and a slow one sends piece by piece.
 	silentLeast = 500 * time.Millisecond
 	// idleLeast is the same for one that was answered, and the least that clients are owed.
 	idleLeast = 2 * time.Second
-	// headLeast is the same for one in the middle of its first header: clients may take so long for it.
-	headLeast = 2 * time.Second
 )
 
 // peers knows the connections on the clients' side. It sees to it that those with nothing to do give
@@ -36,6 +34,7 @@
 	since time.Time
 	asked int       // requests that it has begun
 	begun time.Time // its request's first byte, or the connect if that is its first request
+	reads bool      // its handler reads the body
 	over  bool      // came when the limit was reached and no other could give way
 	shed  bool
 }
@@ -120,22 +119,39 @@
 	return p != nil && p.asked < 2 && len(s.open) > s.most()/2
 }
 
-// shed ends the connection that was without a request for longest, if one was for long enough.
+// reading notes that the handler of a request begins or ends to read its body.
+func (s *peers) reading(ctx context.Context, on bool) {
+	if p, _ := ctx.Value(peerKey{}).(*peer); p != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		p.reads = on
+	}
+}
+
+// quiet is how long a connection has been without what is awaited from it, and whether that is long
+// enough to end it.
+func (p *peer) quiet(c net.Conn, now time.Time) (span time.Duration, enough bool) {
+	span = now.Sub(p.since)
+	owes := p.state == http.StateNew || p.state == http.StateActive && p.reads
+	if f, ok := c.(*framedConn); ok && owes {
+		span = min(span, now.Sub(time.Unix(0, f.heard.Load())))
+	}
+	switch {
+	case p.shed:
+		return span, false
+	case owes:
+		return span, span >= silentLeast
+	}
+	return span, p.state == http.StateIdle && span >= idleLeast
+}
+
+// shed ends the connection that was quiet for longest, if one was for long enough.
 func (s *peers) shed(now time.Time) bool {
 	var oldest net.Conn
+	var longest time.Duration
 	for c, p := range s.open {
-		least := idleLeast
-		if p.state == http.StateNew {
-			least = silentLeast
-			if f, ok := c.(*framedConn); ok && f.heard.Load() {
-				least = headLeast
-			}
-		}
-		if p.state == http.StateActive || p.shed || now.Sub(p.since) < least {
-			continue
-		}
-		if oldest == nil || p.since.Before(s.open[oldest].since) {
-			oldest = c
+		if span, enough := p.quiet(c, now); enough && span > longest {
+			oldest, longest = c, span
 		}
 	}
 	if oldest == nil {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -212,7 +212,9 @@
 	if class.Repeat == policy.Guarded && h.Get("Idempotency-Key") == "" {
 		return nil, &fault{status: http.StatusBadRequest, text: "Idempotency-Key: missing"}
 	}
+	s.peers.reading(r.Context(), true)
 	body, rest, err := takeBody(w, r, s.peers.begunAt(r.Context()))
+	s.peers.reading(r.Context(), false)
 	if err != nil {
 		status, text := uploadStatus(err)
 		return nil, &fault{status: status, text: text, cut: true}
