--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,11 +78,11 @@
 // have: ending them early would only move their load to the other nodes while this one is gone, so they
 // are served for as long as what comes can be answered before the node is killed.
 func (s *server) drain(h *handover) error {
-	slog.Info("stopping")
 	s.stopping.Store(true)
 	terms := s.loop.terms.Load()
 	end := time.Now().Add(acceptFor + terms.longestOf(longestWait))
 	last := time.Now().Add(max(acceptFor, time.Until(end)-s.lastAnswer(terms)))
+	slog.Info("stopping", "serves", time.Until(last).Round(time.Millisecond), "ends", time.Until(end).Round(time.Millisecond))
 	for time.Now().Before(last) && !(h.superseded.Load() && s.peers.count() == 0) {
 		time.Sleep(min(stopPoll, time.Until(last)))
 	}
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,7 +19,8 @@
 	head := "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Class: pay\r\nX-Tenant: t\r\nX-Deadline-Ms: 8000\r\n"
 	var all sync.WaitGroup
 	for _, sent := range []string{"", "P", head, head + "Content-Length: 9\r\n\r\n", head + "Content-Length: 9\r\n\r\nbo",
-		head + "Transfer-Encoding: chunked\r\n\r\n4\r\nab"} {
+		head + "Transfer-Encoding: chunked\r\n\r\n4\r\nab",
+		strings.Replace(head, "pay", "unknown", 1) + "Content-Length: 9\r\n\r\nbo"} {
 		all.Go(func() {
 			began := time.Now()
 			talk(t, node, sent)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -89,11 +89,13 @@
 // serve answers a client's request, and returns the status that it gave; 0 for one that never came whole.
 func (s *server) serve(w http.ResponseWriter, r *http.Request, full bool) int {
 	if full {
+		leaveBody(w)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return http.StatusServiceUnavailable
 	}
 	x, bad := s.read(w, r)
 	if bad != nil {
+		leaveBody(w)
 		w.Header().Set("Connection", "close") // no client of ours sends such: its descriptor is wanted
 		http.Error(w, bad.text, bad.status)
 		if bad.cut {
@@ -180,6 +182,12 @@
 	}
 }
 
+// leaveBody bounds what net/http does for a body that nobody read: it reads on, lest a close at once takes
+// the answer with it.
+func leaveBody(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(silentLeast))
+}
+
 // fault is what is wrong with a request.
 type fault struct {
 	status int
