--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -15,6 +15,9 @@
 	silentLeast = 500 * time.Millisecond
 	// idleLeast is the same for one that was answered, and the least that clients are owed.
 	idleLeast = 2 * time.Second
+	// crowdedPart of the places may be taken before connections end with their first answer. Those that stay
+	// then are owed idleLeast each, and new clients come meanwhile.
+	crowdedPart = 4
 )
 
 // peers knows the connections on the clients' side. It sees to it that those with nothing to do give
@@ -109,14 +112,14 @@
 	return len(s.open)
 }
 
-// crowded tells whether a request's connection is to end with the answer: more than half of the places
+// crowded tells whether a request's connection is to end with the answer: more than a part of the places
 // are taken, and one that stays idle has to be borne for some time. Who has come back for a second
 // request is a client that uses its connection, and keeps it.
 func (s *peers) crowded(ctx context.Context) bool {
 	p, _ := ctx.Value(peerKey{}).(*peer)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return p != nil && p.asked < 2 && len(s.open) > s.most()/2
+	return p != nil && p.asked < 2 && len(s.open) > s.most()/crowdedPart
 }
 
 // reading notes that the handler of a request begins or ends to read its body.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -95,7 +95,9 @@
 	}
 	x, bad := s.read(w, r)
 	if bad != nil {
-		leaveBody(w)
+		if !bad.cut { // else its time is up
+			leaveBody(w)
+		}
 		w.Header().Set("Connection", "close") // no client of ours sends such: its descriptor is wanted
 		http.Error(w, bad.text, bad.status)
 		if bad.cut {
