--- a/cmd/wayhold/main_test.go
+++ b/cmd/wayhold/main_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -74,3 +76,26 @@
 		t.Error(err)
 	}
 }
+
+// An address for operators that can't be had is a failed start, and says so in one line.
+func TestControlAddressInUse(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1f",
+		"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"revision":7,"complete":true,"members":[]},
+		"settings":{"position":0,"groupSize":1,"services":[{"name":"x","deadline":600,"repeat":"free"}]}}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("ROUTER_CONFIG", path)
+	for _, addr := range []string{taken.Addr().String(), "nowhere"} {
+		t.Setenv("ROUTER_CONTROL", addr)
+		if err := run(); err == nil || !strings.Contains(err.Error(), "control: ") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v", addr, err)
+		}
+	}
+}
--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -324,3 +324,57 @@
 func (errTimeout) Error() string   { return "i/o timeout" }
 func (errTimeout) Timeout() bool   { return true }
 func (errTimeout) Temporary() bool { return true }
+
+// An answer that ends with its connection is whole, short or long.
+func TestAnswerByClosePasses(t *testing.T) {
+	for _, size := range []int{5, 3 * maxBody} {
+		want := noise(size)
+		server := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+			if swallow(r) {
+				_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\n\r\n")
+				_, _ = c.Write(want)
+			}
+		})
+		node, _ := startNode(t, testConfig(t, knownList(server)))
+		for i := range 2 { // the connection is of no further use
+			resp, got := do(t, clientRequest(t, node, "GET", "read", fmt.Sprint("r", i), ""))
+			if resp.StatusCode != http.StatusOK || got != string(want) {
+				t.Errorf("%d bytes: status %d, %d bytes came back", size, resp.StatusCode, len(got))
+			}
+		}
+	}
+}
+
+// A client that waits to be told to send its body is told so only if the body is wanted.
+func TestExpectedContinueComesOnlyWhereWanted(t *testing.T) {
+	server := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n)
+	})
+	node, _ := startNode(t, testConfig(t, knownList(server)))
+	for _, c := range []struct{ class, length, first string }{
+		{"pay", "3", " 100 "}, {"pay", fmt.Sprint(maxTransfer + 1), " 413 "}, {"unknown", "3", " 400 "},
+	} {
+		conn, err := net.Dial("tcp", node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: e%s%s\r\nX-Class: %s\r\nX-Tenant: t\r\nX-Deadline-Ms: 8000\r\n"+
+			"Expect: 100-continue\r\nContent-Length: %s\r\n\r\n", c.class, c.length, c.class, c.length)
+		r := bufio.NewReader(conn)
+		first, err := r.ReadString('\n')
+		if err != nil || !strings.Contains(first, c.first) {
+			t.Errorf("%s, length %s: got %q, %v", c.class, c.length, first, err)
+		}
+		if c.first != " 100 " {
+			continue
+		}
+		_, _ = io.WriteString(conn, "sum")
+		_, _ = r.ReadString('\n')
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("after the body: %v, %v", resp, err)
+		}
+	}
+}
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -222,3 +222,22 @@
 		t.Error(err)
 	}
 }
+
+// A class may bear any name; the figures stay readable.
+func TestFiguresOfOddlyNamedClasses(t *testing.T) {
+	names := []string{`a"b`, `back\slash`, "two words", "brace}", "comma,equals=", "größe", "line\nbreak", "\x01"}
+	f := newFigures(nil)
+	for _, name := range names {
+		f.class(name).count(http.StatusOK)
+	}
+	var text strings.Builder
+	f.set.WritePrometheus(&text)
+	if got := strings.Count(text.String(), "app_fulfilled_total{"); got != len(names) {
+		t.Errorf("%d classes of %d in\n%s", got, len(names), text.String())
+	}
+	for line := range strings.Lines(text.String()) {
+		if i := strings.LastIndex(line, " "); i < 0 || len(strings.TrimSpace(line[i:])) == 0 {
+			t.Errorf("line %q has no figure", line)
+		}
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -76,7 +76,7 @@
 	if full || s.draining.Load() || crowded || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	if r.URL.Path == readyPath && r.Method == http.MethodGet {
+	if r.URL.Path == readyPath && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		s.health(w)
 		return
 	}
