--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -76,6 +76,7 @@
 	if full || s.draining.Load() || crowded || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
+	giveWrite(w, writeTimeout) // the last answer on this connection had another deadline
 	if r.URL.Path == readyPath && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		s.health(w)
 		return
@@ -278,13 +279,17 @@
 }
 
 func write(w http.ResponseWriter, a answer) {
-	// A client that reads nothing must not hold the handler for ever.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	giveWrite(w, writeTimeout)
 	a.length = int64(len(a.body))
 	head(w, a)
 	_, _ = w.Write(a.body) // the client may have left; the request is over either way
 }
 
+// giveWrite bounds what is written next: a client that reads nothing must not hold the handler for ever.
+func giveWrite(w http.ResponseWriter, d time.Duration) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d))
+}
+
 func head(w http.ResponseWriter, a answer) {
 	h := w.Header()
 	if a.contentType != "" {
