Set a server's broken connections against those at the others

The debug lines recorded before show why: each reset takes 0.3 off its server's threshold (policy.go, learn), good answers add 0.05, so all thresholds fall to 0.8 to 3; two in a row eject (judge), so four of ten servers are out all the time, the most that may be; then the buckets' pace follows the want of room down to 0.3, and the buckets make 9,000 of 9,500 refusals.

blame: a broken connection counts by how far its server's part of them exceeds twice that at the others.

TestFaultsEverywhereBlameNobody doesn't build without the change; with blame fixed at 1 it fails.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -455,11 +455,11 @@
 
 // learn moves the threshold of s by one outcome. Steps shrink with a threshold under one, so that it
 // settles where thresholdGrow/(thresholdGrow+slowCut) of the answers are slow, at any size.
-func (b *Balancer) learn(s *server, c *class, code Code, latency time.Duration) {
+func (b *Balancer) learn(s *server, c *class, code Code, latency time.Duration, blame float64) {
 	step := 0.0
 	switch {
 	case code != OK:
-		step = -failureCut
+		step = -failureCut * blame
 	case latency > seconds(slowPart*c.Aim.Seconds()):
 		step = -slowCut
 	case float64(s.inflight+1) >= b.limit(s): // answered well, and the threshold was felt
@@ -473,7 +473,7 @@
 		track(&b.lost, badGain, code == TimedOut)
 	}
 	if b.measured() {
-		b.fault(s, code, latency)
+		b.fault(s, code, latency, blame)
 		return
 	}
 	if b.shared(s) && step > 0 {
@@ -608,7 +608,7 @@
 }
 
 // fault learns from an outcome what reports don't tell.
-func (b *Balancer) fault(s *server, code Code, latency time.Duration) {
+func (b *Balancer) fault(s *server, code Code, latency time.Duration, blame float64) {
 	switch code {
 	case OK:
 		return
@@ -616,7 +616,7 @@
 		s.busyTo = b.now + latency
 	}
 	s.felt = true
-	s.threshold = max(easeLeast, s.threshold*(1-failureCut))
+	s.threshold = max(easeLeast, s.threshold*(1-failureCut*blame))
 }
 
 // size takes over what s can serve, and what the warm ones of its kind can.
@@ -959,7 +959,8 @@
 	if e.Code != ConnectFailed && b.dropped(a, e.Code == TimedOut || e.Code == Reset) {
 		return
 	}
-	b.learn(s, c, e.Code, e.Latency)
+	blame := b.blame(s, e.Code)
+	b.learn(s, c, e.Code, e.Latency, blame)
 	if e.Code == OK || e.Code == TimedOut {
 		s.latency += latencyGain * (e.Latency.Seconds() - s.latency)
 	}
@@ -968,7 +969,7 @@
 		b.done, b.doneAt = b.doneRate()+1/doneSpan.Seconds(), b.now
 		c.observe(e.Latency)
 	}
-	b.judge(a, e.Code)
+	b.judge(a, e.Code, blame)
 }
 
 // observe follows the slow tail of the latency of a class.
@@ -992,14 +993,31 @@
 	silenceWeight = 0.15            // of an attempt out for long at a silent server: it may just be heavy
 	fullWeight    = 0.2             // of a full answer: a server that keeps giving those needs a rest
 	failLimit     = 0.5             // score that ejects
+	faultGain     = 0.1             // weight of one answer in the part of a server's that are faults
+	faultTimes    = 2.0             // times that part at the others, one says nothing of its server
 	ejectFirst    = time.Second     // first ejection, doubled each time
 	ejectMost     = 8 * time.Second // up to this
 	maxEjected    = 0.4             // part of the fleet; when more seems broken, the cause isn't the servers
 	trialsNeeded  = 3               // good trials in a row: half of them pass at a server that fails half
 )
 
+// blame is how far a failure is its server's own: connections that break at all servers alike, as where the
+// network resets them, would leave no server a threshold and eject as many as may be. Harm: the part of a
+// server that fails among many that do rises first, and that takes some answers.
+func (b *Balancer) blame(s *server, code Code) float64 {
+	fault := code == Reset || code == ConnectFailed // an error is a server's own
+	if track(&s.faults, faultGain, fault); !fault || len(b.order) < 2 {
+		return 1
+	}
+	others := -s.faults
+	for _, o := range b.order {
+		others += o.faults
+	}
+	return max(0, 1-faultTimes*max(0, others)/float64(len(b.order)-1)/s.faults)
+}
+
 // judge moves the breaker of an attempt's server by its outcome.
-func (b *Balancer) judge(a *attempt, code Code) {
+func (b *Balancer) judge(a *attempt, code Code, blame float64) {
 	s, h := a.server, &a.server.health
 	switch {
 	case h.out && a.trial && code == OK:
@@ -1016,7 +1034,7 @@
 			b.strike(s, fullWeight)
 		}
 	case code != TimedOut || s.lastDone < a.sent: // a server that answers others isn't hung
-		b.strike(s, failWeight)
+		b.strike(s, failWeight*blame)
 	}
 }
 
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -438,7 +438,7 @@
 	}
 	learn := func(code Code, n int) {
 		for range n {
-			b.learn(others[0], b.ranked[0], code, ms)
+			b.learn(others[0], b.ranked[0], code, ms, 1)
 		}
 	}
 	was := b.limit(others[1])
@@ -466,8 +466,8 @@
 	b := start(t, site(1), members(2))
 	s := b.order[0]
 	for range 40 {
-		b.learn(s, b.ranked[0], Full, ms)
-		b.judge(&attempt{server: s}, OK)
+		b.learn(s, b.ranked[0], Full, ms, 1)
+		b.judge(&attempt{server: s}, OK, 1)
 	}
 	if !b.shedEarly() {
 		t.Fatal("40 full answers and none late: not seen to shed early")
@@ -481,17 +481,17 @@
 		t.Errorf("rates at %v of the shares", b.pace)
 	}
 	for range 10 {
-		b.judge(&attempt{server: s}, Full)
+		b.judge(&attempt{server: s}, Full, 1)
 	}
 	if s.health.out {
 		t.Error("ejected for full answers")
 	}
 	for range 120 {
-		b.learn(s, b.ranked[0], TimedOut, ms)
+		b.learn(s, b.ranked[0], TimedOut, ms, 1)
 	}
 	s.health.score = 0.4
 	for range 40 {
-		b.learn(s, b.ranked[0], Full, ms) // of a hung server: they don't count
+		b.learn(s, b.ranked[0], Full, ms, 1) // of a hung server: they don't count
 	}
 	if b.shedEarly() {
 		t.Error("still held to shed early after many time-outs")
@@ -515,7 +515,7 @@
 		t.Errorf("with good answers the scale is %v, want %v", b.pace, paceMost)
 	}
 	for range 20 {
-		b.learn(b.order[0], b.ranked[0], TimedOut, ms)
+		b.learn(b.order[0], b.ranked[0], TimedOut, ms, 1)
 	}
 	grow()
 	if b.pace > paceShare*(1+paceGrow) {
@@ -602,10 +602,10 @@
 	s := b.order[0]
 	for range 30 {
 		for range 9 {
-			b.learn(s, b.ranked[0], Full, ms)
+			b.learn(s, b.ranked[0], Full, ms, 1)
 		}
-		b.learn(s, b.ranked[0], TimedOut, ms)
-		b.learn(s, b.ranked[0], OK, ms)
+		b.learn(s, b.ranked[0], TimedOut, ms, 1)
+		b.learn(s, b.ranked[0], OK, ms, 1)
 		s.health.score = 0
 	}
 	if b.shedEarly() {
@@ -692,7 +692,7 @@
 		b := start(t, site(1), members(2))
 		b.order[0].health.score = score
 		for range 40 {
-			b.learn(b.order[0], b.ranked[0], Full, ms)
+			b.learn(b.order[0], b.ranked[0], Full, ms, 1)
 		}
 		if b.shedEarly() != want {
 			t.Errorf("with a score of %v: sheds early %v, want %v", score, !want, want)
@@ -742,7 +742,7 @@
 		grow bool
 	}{{0.3, true}, {0.5, false}, {0.9, false}} {
 		s.threshold, s.inflight = 10, 10
-		b.learn(s, c, OK, seconds(v.part*c.Aim.Seconds()))
+		b.learn(s, c, OK, seconds(v.part*c.Aim.Seconds()), 1)
 		if grew := s.threshold > 10; grew != v.grow || s.threshold == 10 {
 			t.Errorf("an answer after %v of its aim moves the threshold from 10 to %v", v.part, s.threshold)
 		}
@@ -914,3 +914,56 @@
 		t.Error("the new class's timer sent a copy of what is over")
 	}
 }
+
+// Faults at all servers alike are not theirs: they cut no threshold and eject nobody. One that fails
+// alone, or far more often than the others, is out as soon as before.
+func TestFaultsEverywhereBlameNobody(t *testing.T) {
+	drive := func(part func(s *server) float64) *Balancer {
+		b := start(t, site(1), members(10))
+		for _, s := range b.order {
+			s.threshold = 10
+		}
+		for i := range 2000 {
+			s := b.order[i%len(b.order)]
+			b.now += ms
+			code := OK
+			if b.rng.Float64() < part(s) {
+				code = Reset
+			}
+			s.inflight = 9 // its threshold is felt
+			blame := b.blame(s, code)
+			b.learn(s, b.ranked[0], code, ms, blame)
+			b.judge(&attempt{server: s, sent: b.now}, code, blame)
+		}
+		return b
+	}
+	for name, part := range map[string]float64{"few": 0.05, "many": 0.15} {
+		b := drive(func(*server) float64 { return part })
+		if b.pool.ejected > 1 {
+			t.Errorf("%s resets everywhere: %d of 10 servers are ejected", name, b.pool.ejected)
+		}
+		for _, s := range b.order {
+			if s.threshold < 8 {
+				t.Errorf("%s resets everywhere: threshold %.1f of 10", name, s.threshold)
+			}
+		}
+	}
+	b := drive(func(s *server) float64 {
+		if s.Server == "s03" {
+			return 0.9
+		}
+		return 0.05
+	})
+	if !b.servers["s03"].health.out {
+		t.Error("a server that alone resets nearly all is not ejected")
+	}
+	for _, code := range []Code{Reset, ConnectFailed, ServerError} {
+		b := start(t, site(1), members(10))
+		if got := b.blame(b.order[0], code); got != 1 {
+			t.Errorf("a lone fault (%v) counts %v", code, got)
+		}
+	}
+	if b := start(t, site(1), members(1)); b.blame(b.order[0], Reset) != 1 {
+		t.Error("the only server is not blamed")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -108,6 +108,7 @@
 	lastDone  Time    // when it last answered anything
 	latency   float64 // mean latency of its answers, in seconds
 	health    health
+	faults    float64 // part of its answers lately that were broken connections
 	cold      coldBudget
 }
 
