Count a long answer as begun only once 4 KiB of it have come

An answer that says it is long was given to its client from the first byte, so that one that broke off at once could not be tried elsewhere.

TestSpoiltLengthIsNotPassedOn fails with answerStart at 0.

--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -14,6 +14,7 @@
 const (
 	maxTransfer = 32 << 20 // bytes of a request's body
 	firstPart   = 16 << 10 // of a body known to be over maxBody is read before a server is asked for
+	answerStart = 4 << 10  // of an answer that says it is over maxBody has to come before it counts as begun
 	blockSize   = 16 << 10 // of what passes on
 
 	// A request may take wholeTimeout from its first byte, or from the connect. Its body may take longer
--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -86,11 +86,11 @@
 func TestLongAnswerPassesAsItComes(t *testing.T) {
 	next := make(chan struct{})
 	server := httpServer(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", fmt.Sprint(maxBody+3))
-		_, _ = io.WriteString(w, "a")
+		w.Header().Set("Content-Length", fmt.Sprint(answerStart+maxBody))
+		_, _ = io.WriteString(w, strings.Repeat("a", answerStart))
 		w.(http.Flusher).Flush()
 		<-next
-		_, _ = io.WriteString(w, "bc"+strings.Repeat("x", maxBody))
+		_, _ = io.WriteString(w, strings.Repeat("b", maxBody))
 	})
 	node, _ := startNode(t, testConfig(t, knownList(server)))
 	const wait = 300 * time.Millisecond
@@ -99,17 +99,31 @@
 		t.Fatal(err)
 	}
 	defer resp.Body.Close()
-	first := make([]byte, 1)
+	first := make([]byte, answerStart)
 	if _, err := io.ReadFull(resp.Body, first); err != nil || first[0] != 'a' {
-		t.Fatalf("first byte %q, %v", first, err)
+		t.Fatalf("first bytes %q..., %v", first[:1], err)
 	}
 	time.AfterFunc(2*wait, func() { close(next) }) // beyond the time that the client would wait for a first byte
 	rest, err := io.ReadAll(resp.Body)
-	if err != nil || len(rest) != maxBody+2 || rest[0] != 'b' {
+	if err != nil || len(rest) != maxBody || rest[0] != 'b' {
 		t.Errorf("%d bytes more, %v", len(rest), err)
 	}
 }
 
+// An answer that says it is long and breaks off at once was never begun: another server is tried.
+func TestSpoiltLengthIsNotPassedOn(t *testing.T) {
+	spoilt := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		if swallow(r) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nshort", 2*maxBody)
+		}
+	})
+	good := httpServer(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "good") })
+	node, _ := startNode(t, testConfig(t, knownList(spoilt, good)))
+	if resp, body := do(t, clientRequest(t, node, "GET", "read", "r", "")); resp.StatusCode != http.StatusOK || body != "good" {
+		t.Errorf("status %d, %d bytes", resp.StatusCode, len(body))
+	}
+}
+
 // A client can tell that an answer broke off, whatever the framing and however old its HTTP.
 func TestClientCanTellABrokenAnswer(t *testing.T) {
 	part := strings.Repeat("x", maxBody+9)
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -365,7 +365,10 @@
 	c.raw.countSent()
 	a := answer{status: http.StatusOK, contentType: resp.Header.Get("Content-Type"), length: resp.ContentLength}
 	whole := false
-	if resp.StatusCode != http.StatusOK || resp.ContentLength <= maxBody {
+	if resp.StatusCode == http.StatusOK && resp.ContentLength > maxBody {
+		a.body = make([]byte, answerStart)
+		_, err = io.ReadFull(resp.Body, a.body)
+	} else {
 		a.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 		whole = len(a.body) <= maxBody
 	}
