End silent peers 0.4 s before they are owed it, for a busy node's sake

Head and body shared 2.8 s of the 3 that a peer is owed; a node at its CPU share, or a test on a busy machine, has little of the 0.2 s left.

--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -20,7 +20,7 @@
 	// A request may take wholeTimeout from its first byte, or from the connect. Its body may take longer
 	// while it comes at the pace of slowestBody, and bodySlack. Who sends half a request, or drips, is so
 	// ended within 3 s of the connect.
-	wholeTimeout = 2800 * time.Millisecond
+	wholeTimeout = 2600 * time.Millisecond
 	bodySlack    = 600 * time.Millisecond
 	slowestBody  = 51_200 // bytes a second: four fifths of what clients may be counted on to send
 
