Name what came in place of a listening socket, and time a request's path

Cause: a hand-over that brought no control message logged err="no listening socket came: %!w(<nil>)" (internal/node/handover.go, listenerFrom): two faults shared one wrap, and in one of them err is nil. Descriptors that came beside the one wanted stayed open. Change: each fault is named by itself, and what came unasked is closed. BenchmarkRequest plays whole requests through a node whose clients and servers are another process, so that CPU and allocations are the node's. Tests keep the log to themselves unless one fails.

--- /dev/null
+++ b/internal/node/bench_test.go
@@ -0,0 +1,264 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The path of one request through a whole node: accept, framing, parse, event, decision, attempt, answer.
+// Clients and servers are another process, so that what is counted (cpu-ns/op, allocs/op) is the node's.
+//
+//	go test -run '^$' -bench Request ./internal/node
+
+const (
+	benchPeer    = "WAYHOLD_BENCH_PEER" // set in the process that plays clients and servers
+	benchServers = 10
+	benchClients = 8
+	benchAnswer  = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Load: latency_ms=12.5,util=0.41,qps=33\r\n" +
+		"Content-Length: 64\r\n\r\n0123456789012345678901234567890123456789012345678901234567890123"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(benchPeer) != "" {
+		if err := playPeers(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, "bench peers:", err)
+			os.Exit(1)
+		}
+		return
+	}
+	var lines logKeeper
+	slog.SetDefault(slog.New(slog.NewTextHandler(&lines, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	status := m.Run()
+	if status != 0 {
+		lines.tell(os.Stderr)
+	}
+	os.Exit(status)
+}
+
+// logKeeper holds the newest lines of the log back; they are told where a test fails.
+type logKeeper struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+const keptLines = 2000
+
+func (k *logKeeper) Write(p []byte) (int, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.lines) == keptLines {
+		k.lines = append(k.lines[:0], k.lines[keptLines/2:]...)
+	}
+	k.lines = append(k.lines, string(p))
+	return len(p), nil
+}
+
+func (k *logKeeper) tell(w io.Writer) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, line := range k.lines {
+		_, _ = io.WriteString(w, line)
+	}
+}
+
+func BenchmarkRequest(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		kept bool
+	}{{"kept", true}, {"new", false}} {
+		b.Run(c.name, func(b *testing.B) { benchRequests(b, c.kept) })
+	}
+}
+
+func benchRequests(b *testing.B, kept bool) {
+	peers := exec.Command(os.Args[0])
+	peers.Env = append(os.Environ(), benchPeer+"=1")
+	peers.Stderr = os.Stderr
+	in, err := peers.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := peers.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := peers.Start(); err != nil {
+		b.Fatal(err)
+	}
+	defer func() {
+		in.Close()
+		if err := peers.Wait(); err != nil {
+			b.Error(err)
+		}
+	}()
+	said := bufio.NewScanner(out)
+	said.Scan()
+	c := testConfig(b, knownList(strings.Fields(said.Text())...))
+	for i := range c.Settings.Tenants {
+		c.Settings.Tenants[i].Quota = 1e6
+	}
+	addr, _ := startNode(b, c)
+	play := func(n int) {
+		fmt.Fprintln(in, addr, n, kept)
+		if !said.Scan() || said.Text() != "done" {
+			b.Fatalf("the peers said %q", said.Text())
+		}
+	}
+	play(200)
+	b.ReportAllocs()
+	b.ResetTimer()
+	before := cpuTime(b)
+	play(b.N)
+	b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N), "cpu-ns/op")
+}
+
+// cpuTime is the processor time that this process has used.
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// playPeers is the other process: it names its servers, and then plays what it is told a line at a time.
+func playPeers(in io.Reader, out io.Writer) error {
+	var addrs []string
+	for range benchServers {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer ln.Close()
+		addrs = append(addrs, ln.Addr().String())
+		go benchServe(ln)
+	}
+	fmt.Fprintln(out, strings.Join(addrs, " "))
+	for lines := bufio.NewScanner(in); lines.Scan(); {
+		var addr string
+		var n int
+		var kept bool
+		if _, err := fmt.Sscan(lines.Text(), &addr, &n, &kept); err != nil {
+			return err
+		}
+		if err := benchLoad(addr, n, kept); err != nil {
+			return err
+		}
+		fmt.Fprintln(out, "done")
+	}
+	return nil
+}
+
+func benchServe(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			for r := bufio.NewReader(c); swallow(r); {
+				if _, err := io.WriteString(c, benchAnswer); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// benchLoad plays n requests by a few clients, on connections that they keep or on new ones.
+func benchLoad(addr string, n int, kept bool) error {
+	var clients sync.WaitGroup
+	failed := make(chan error, benchClients)
+	for i := range benchClients {
+		clients.Go(func() {
+			var c *benchClient
+			for k := i; k < n; k += benchClients {
+				if c == nil || !kept {
+					conn, err := net.Dial("tcp", addr)
+					if err != nil {
+						failed <- err
+						return
+					}
+					c = &benchClient{Conn: conn, r: bufio.NewReader(conn)}
+				}
+				if err := c.ask(k, kept); err != nil {
+					failed <- err
+					return
+				}
+				if !kept {
+					c.Close()
+				}
+			}
+			if c != nil {
+				c.Close()
+			}
+		})
+	}
+	clients.Wait()
+	close(failed)
+	return <-failed
+}
+
+type benchClient struct {
+	net.Conn
+	r   *bufio.Reader
+	out bytes.Buffer
+}
+
+// ask plays one request: reads and keyed posts in turn.
+func (c *benchClient) ask(k int, kept bool) error {
+	c.out.Reset()
+	class, method, body := "read", "GET", ""
+	if k%2 == 1 {
+		class, method, body = "undo", "POST", strings.Repeat("x", 200)
+	}
+	fmt.Fprintf(&c.out, "%s /api/x?q=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %d-%d\r\nX-Class: %s\r\n"+
+		"X-Tenant: t\r\nX-Deadline-Ms: 8000\r\n", method, time.Now().UnixNano(), k, class)
+	if body != "" {
+		fmt.Fprintf(&c.out, "Idempotency-Key: key-%d\r\nContent-Length: %d\r\n", k, len(body))
+	}
+	if !kept {
+		c.out.WriteString("Connection: close\r\n")
+	}
+	fmt.Fprintf(&c.out, "\r\n%s", body)
+	if _, err := c.Write(c.out.Bytes()); err != nil {
+		return err
+	}
+	status, length := "", -1
+	for {
+		line, err := c.r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		text := string(bytes.TrimRight(line, "\r\n"))
+		if text == "" {
+			break
+		}
+		if status == "" {
+			status = text
+		}
+		if v, ok := strings.CutPrefix(text, "Content-Length: "); ok {
+			if length, err = strconv.Atoi(v); err != nil {
+				return err
+			}
+		}
+	}
+	if !strings.HasPrefix(status, "HTTP/1.1 200") || length != 64 {
+		return fmt.Errorf("answered %q, length %d", status, length)
+	}
+	_, err := c.r.Discard(length)
+	return err
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -180,12 +180,21 @@
 
 func listenerFrom(rights []byte) (net.Listener, error) {
 	messages, err := unix.ParseSocketControlMessage(rights)
-	if err != nil || len(messages) != 1 {
-		return nil, fmt.Errorf("no listening socket came: %w", err)
+	if err != nil {
+		return nil, fmt.Errorf("the listening socket: %w", err)
+	}
+	if len(messages) != 1 {
+		return nil, fmt.Errorf("the listening socket: want 1 control message, got %d", len(messages))
 	}
 	fds, err := unix.ParseUnixRights(&messages[0])
-	if err != nil || len(fds) != 1 {
-		return nil, fmt.Errorf("no listening socket came: %w", err)
+	if err != nil {
+		return nil, fmt.Errorf("the listening socket: %w", err)
+	}
+	if len(fds) != 1 {
+		for _, fd := range fds {
+			unix.Close(fd)
+		}
+		return nil, fmt.Errorf("the listening socket: want 1 descriptor, got %d", len(fds))
 	}
 	unix.CloseOnExec(fds[0])
 	f := os.NewFile(uintptr(fds[0]), "clients")
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -28,7 +28,7 @@
 		"retryAfter":true,"secondCopies":true},
 	"guarantees":{"drainGrace":500,"cold":1,"coldShare":0.5,"fallMultiple":3,"overloadFor":1000}}`
 
-func testConfig(t *testing.T, known string) Config {
+func testConfig(t testing.TB, known string) Config {
 	t.Helper()
 	raw := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1f",
 		"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":%s,"settings":%s}`, known, testSettings)
@@ -110,7 +110,7 @@
 
 // startNode runs a whole node, and returns its address and a function that stops it as SIGTERM does
 // and returns what Run did.
-func startNode(t *testing.T, c Config) (addr string, stop func() error) {
+func startNode(t testing.TB, c Config) (addr string, stop func() error) {
 	t.Helper()
 	return startNodeAt(t, c, Listeners{Clients: listen(t)}, nil)
 }
@@ -122,7 +122,7 @@
 	return s
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -132,7 +132,7 @@
 	return ln
 }
 
-func startNodeAt(t *testing.T, c Config, at Listeners, changes <-chan Change) (addr string, stop func() error) {
+func startNodeAt(t testing.TB, c Config, at Listeners, changes <-chan Change) (addr string, stop func() error) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -168,7 +168,7 @@
 	return addr, stop
 }
 
-func await(t *testing.T, what string, ok func() bool) {
+func await(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(long); !ok(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(end) {
