Read and write HTTP/1.1 on both sides without net/http's goroutines, maps and deadlines

Cause: with nodes restarted one by one the one that stays uses up its CPU (README, open list). Half of a request's CPU was what net/http does around it: a background read and two deadlines a request to see the client leave, two goroutines a connection to a server, a trace, a context and a field map an attempt. Ruled out: the module (loop.tell 4% of the profile) and GC (3%). Change: message.go reads heads strictly for both sides (framing.go goes: what it guarded is now the reader's own rule); front.go serves clients, one goroutine reading and one writing a connection; upstream.go writes and reads an attempt in its own goroutine, ended by the connection's deadline. Tests: a good request that comes together with a malformed one is served now, and the second refused; the test before wanted both dropped, which came of judging reads and not requests.

--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,6 +21,7 @@
 	open     atomic.Int64     // requests taken and not ended
 	listed   atomic.Int64     // servers in the list
 	avoided  atomic.Int64     // those of them that get no work now
+	classes  sync.Map         // *tally by the class's name
 }
 
 // tally counts how the requests of one class ended.
@@ -41,16 +43,21 @@
 	return f
 }
 
-// class returns the counters of a class, which stand from then on, also when the class is dropped.
-func (f *figures) class(name string) tally {
+// class returns the counters of a class, which stand from then on, also when the class is dropped. Only the
+// configuration names classes, so there are few.
+func (f *figures) class(name string) *tally {
+	if t, ok := f.classes.Load(name); ok {
+		return t.(*tally)
+	}
 	of := func(figure string) *metrics.Counter {
 		return f.set.GetOrCreateCounter(figure + "{priority=" + strconv.Quote(name) + "}")
 	}
-	return tally{of("app_fulfilled_total"), of("app_throttled_total"), of("app_faulted_total")}
+	t, _ := f.classes.LoadOrStore(name, &tally{of("app_fulfilled_total"), of("app_throttled_total"), of("app_faulted_total")})
+	return t.(*tally)
 }
 
 // count books the end of a request by the status that its client got.
-func (t tally) count(status int) {
+func (t *tally) count(status int) {
 	switch status {
 	case http.StatusOK:
 		t.fulfilled.Inc()
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -95,7 +95,7 @@
 
 // listenShared listens where another process of this node may listen too.
 func listenShared(addr string) (net.Listener, error) {
-	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+	lc := net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			err := unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
 			if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"runtime/debug"
@@ -37,7 +36,6 @@
 		return err
 	}
 	s := newServer(l)
-	s.http.ErrorLog = slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 
 	running, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
@@ -55,7 +53,7 @@
 	clients := newGate(at.Clients, held)
 	h := &handover{c: c, path: handoverPath(c), s: s, up: up, gate: clients, share: held}
 	h.resize(held)
-	parts.Go(func() { failed <- s.http.Serve(framingListener{clients}) })
+	parts.Go(func() { failed <- s.accept(clients) })
 	parts.Go(func() { h.start(running, at.heir) })
 	if at.Control != nil {
 		ctl := newControl(fig, s.taking)
@@ -89,12 +87,9 @@
 	s.draining.Store(true)
 	late := time.AfterFunc(time.Until(end), func() { s.loop.send(finish{}) })
 	defer late.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(lastAnswers))
-	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return err
-	}
-	return s.http.Close()
+	err := h.gate.Close()
+	s.shutdown(end.Add(lastAnswers))
+	return err
 }
 
 // lastAnswer is how long what comes last is given: what slow answers took lately, which nearly all
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -37,74 +37,86 @@
 	since time.Time
 	asked int       // requests that it has begun
 	begun time.Time // its request's first byte, or the connect if that is its first request
-	reads bool      // its handler reads the body
+	reads bool      // its body is waited for
 	over  bool      // came when the limit was reached and no other could give way
 	shed  bool
 }
 
-type peerKey struct{}
-
 func newPeers(most func() int, counted *atomic.Int64, yield func()) *peers {
 	return &peers{most: most, counted: counted, yield: yield, open: make(map[net.Conn]*peer)}
 }
 
-// overLimit tells whether the connection of a request is one too many.
-func overLimit(ctx context.Context) bool {
-	p, _ := ctx.Value(peerKey{}).(*peer)
-	return p != nil && p.over
+// enter takes in a new connection before anything is read from it.
+func (s *peers) enter(c net.Conn) *peer {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) >= s.most() {
+		s.yield()
+	}
+	p := &peer{conn: c, state: http.StateNew, since: now, begun: now, over: len(s.open) >= s.most() && !s.shed(now)}
+	s.open[c] = p
+	s.counted.Store(int64(len(s.open)))
+	return p
 }
 
-// connOf is the connection of a request; nil where it isn't known.
-func connOf(ctx context.Context) net.Conn {
-	if p, _ := ctx.Value(peerKey{}).(*peer); p != nil {
-		return p.conn
+// become notes what a connection does now, and tells whether it was to give way before.
+func (s *peers) become(p *peer, state http.ConnState) (shed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if state == http.StateActive {
+		p.asked++
+		if p.state != http.StateNew {
+			p.begun = now
+		}
 	}
-	return nil
+	shed = p.shed
+	p.state, p.since, p.shed = state, now, false
+	return shed
 }
 
-// begunAt tells when the request of a connection began.
-func (s *peers) begunAt(ctx context.Context) time.Time {
-	p, _ := ctx.Value(peerKey{}).(*peer)
-	if p == nil {
-		return time.Now()
-	}
+// expired tells whether a connection without a request is to end.
+func (s *peers) expired(p *peer, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return p.begun
+	return p.shed || p.state == http.StateIdle && now.Sub(p.since) >= clientIdle
 }
 
-// admit takes in a new connection before anything is read from it.
-func (s *peers) admit(ctx context.Context, c net.Conn) context.Context {
-	now := time.Now()
+// leave forgets a connection that is closed.
+func (s *peers) leave(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.open) >= s.most() {
-		s.yield()
-	}
-	p := &peer{conn: c, state: http.StateNew, since: now, begun: now, over: len(s.open) >= s.most() && !s.shed(now)}
-	s.open[c] = p
+	delete(s.open, c)
 	s.counted.Store(int64(len(s.open)))
-	return context.WithValue(ctx, peerKey{}, p)
 }
 
-// follow is told what each connection does.
+// admit and follow are enter, become and leave as net/http calls them.
+func (s *peers) admit(ctx context.Context, c net.Conn) context.Context {
+	s.enter(c)
+	return ctx
+}
+
 func (s *peers) follow(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
-		delete(s.open, c)
-		s.counted.Store(int64(len(s.open)))
-	} else if p := s.open[c]; p != nil {
-		if state == http.StateActive {
-			p.asked++
-		}
-		if state == http.StateActive && p.state != http.StateNew {
-			p.begun = time.Now()
-		}
-		p.state, p.since, p.shed = state, time.Now(), false
+		s.leave(c)
+		return
+	}
+	s.mu.Lock()
+	p := s.open[c]
+	s.mu.Unlock()
+	if p != nil {
+		s.become(p, state)
 	}
 }
 
+// begunAt tells when the request of a connection began.
+func (s *peers) begunAt(p *peer) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return p.begun
+}
+
 // count is how many connections there are.
 func (s *peers) count() int {
 	s.mu.Lock()
@@ -115,19 +127,37 @@
 // crowded tells whether a request's connection is to end with the answer: more than a part of the places
 // are taken, and one that stays idle has to be borne for some time. Who has come back for a second
 // request is a client that uses its connection, and keeps it.
-func (s *peers) crowded(ctx context.Context) bool {
-	p, _ := ctx.Value(peerKey{}).(*peer)
+func (s *peers) crowded(p *peer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return p != nil && p.asked < 2 && len(s.open) > s.most()/crowdedPart
+	return p.asked < 2 && len(s.open) > s.most()/crowdedPart
 }
 
-// reading notes that the handler of a request begins or ends to read its body.
-func (s *peers) reading(ctx context.Context, on bool) {
-	if p, _ := ctx.Value(peerKey{}).(*peer); p != nil {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		p.reads = on
+// reading notes that a request's body is waited for, or no more.
+func (s *peers) reading(p *peer, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.reads = on
+}
+
+// wake ends the waiting of all connections that have no request.
+func (s *peers) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, p := range s.open {
+		if p.state != http.StateActive {
+			_ = c.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// closeAll ends all connections.
+func (s *peers) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		_ = tcp(c).SetLinger(0)
+		c.Close()
 	}
 }
 
@@ -136,7 +166,7 @@
 func (p *peer) quiet(c net.Conn, now time.Time) (span time.Duration, enough bool) {
 	span = now.Sub(p.since)
 	owes := p.state == http.StateNew || p.state == http.StateActive && p.reads
-	if f, ok := c.(*framedConn); ok && owes {
+	if f, ok := c.(*client); ok && owes {
 		span = min(span, now.Sub(time.Unix(0, f.heard.Load())))
 	}
 	switch {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -50,10 +49,9 @@
 }
 
 // class is that of a request. Just after a change it may be in its class's former form.
-func (t *terms) class(r *http.Request) (c policy.Class, former, ok bool) {
-	name := r.Header.Get("X-Class")
+func (t *terms) class(name, method string, keyed bool) (c policy.Class, former, ok bool) {
 	if t.former != nil && time.Now().Before(t.until) {
-		if c, ok := t.former.classes[name]; ok && fits(c, r) {
+		if c, ok := t.former.classes[name]; ok && fits(c, method, keyed) {
 			return c, true, true
 		}
 	}
@@ -62,8 +60,8 @@
 }
 
 // fits tells whether a request has the form of a class: the method and the key follow from its effect.
-func fits(c policy.Class, r *http.Request) bool {
-	return r.Method == methodOf(c) && (c.Repeat == policy.Guarded) == (r.Header.Get("Idempotency-Key") != "")
+func fits(c policy.Class, method string, keyed bool) bool {
+	return method == methodOf(c) && (c.Repeat == policy.Guarded) == keyed
 }
 
 func methodOf(c policy.Class) string {
@@ -93,7 +91,7 @@
 }
 
 // retune goes on by another configuration, all of it at once. Open requests keep their class.
-func (l *loop) retune(ctx context.Context, c Config) {
+func (l *loop) retune(c Config) {
 	l.allowed, l.maxOpen = c.Settings.Allowed, c.MaxOpen
 	l.up.retune(c)
 	var names []string
@@ -106,7 +104,7 @@
 		l.target = to
 		l.disc.move(to)
 	}
-	l.tell(ctx, c.Settings)
+	l.tell(c.Settings)
 	l.fig.accepted.Inc()
 	slog.Info("configuration taken", "classes", names, "attempts", c.Settings.Allowed.MaxAttempts, "discovery", c.Discovery)
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -1,10 +1,9 @@
 package node
 
 import (
-	"errors"
 	"net/http"
-	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,15 +24,17 @@
 type exchange struct {
 	req         policy.Request
 	method      string
-	url         *url.URL
+	path        string // and query, as they came
 	host        string
-	header      http.Header
+	key         string // for the servers to drop repeats by
+	contentType string
 	body        []byte      // as much of it as is kept
 	rest        *upload     // what an attempt reads beyond; nil where that is all
 	length      int64       // of the whole body; -1 where it isn't told
 	came        policy.Time // when its last byte had been read, but for one with a rest
 	clientWaits time.Duration
 	terms       *terms      // that it was read by
+	tally       *tally      // of its class
 	reply       chan answer // holds one, so the loop never waits for the client
 }
 
@@ -45,6 +46,7 @@
 	length      int64     // of both; -1 where it isn't told
 	contentType string
 	retryAfter  time.Duration
+	allow       string // the methods that are, of one that isn't
 }
 
 // server takes requests from clients, hands them to the loop, and writes the loop's answers.
@@ -52,127 +54,13 @@
 	loop     *loop
 	stopping atomic.Bool // the front is told that the node isn't ready
 	draining atomic.Bool // and answers end their connections
+	closing  atomic.Bool // and connections end as soon as they have no request
 	peers    *peers
-	http     http.Server
+	open     sync.WaitGroup // connections
 }
 
 func newServer(l *loop) *server {
-	s := &server{loop: l, peers: newPeers(l.up.sockets.forClients, &l.up.sockets.clients, l.up.yield)}
-	s.http = http.Server{
-		Handler: s, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: clientIdle, DisableGeneralOptionsHandler: true,
-		ConnContext: s.peers.admit, ConnState: s.peers.follow,
-	}
-	return s
-}
-
-func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	// Over its part of the descriptors the node still answers, and gets the descriptor back.
-	full := overLimit(r.Context())
-	// What comes after chunks is not followed by framedConn, so it must not be read as a request.
-	// A node that stops gets no new connections, and its clients are best kept: the others have to bear
-	// whoever leaves.
-	crowded := !s.stopping.Load() && s.peers.crowded(r.Context())
-	if full || s.draining.Load() || crowded || len(r.TransferEncoding) > 0 {
-		w.Header().Set("Connection", "close")
-	}
-	giveWrite(w, writeTimeout) // the last answer on this connection had another deadline
-	if r.URL.Path == readyPath && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
-		s.health(w)
-		return
-	}
-	class, _, known := s.loop.terms.Load().class(r)
-	if status := s.serve(w, r, full); known && status != 0 {
-		s.loop.fig.class(class.Name).count(status)
-	}
-}
-
-// serve answers a client's request, and returns the status that it gave; 0 for one that never came whole.
-func (s *server) serve(w http.ResponseWriter, r *http.Request, full bool) int {
-	if full {
-		leaveBody(w)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return http.StatusServiceUnavailable
-	}
-	x, bad := s.read(w, r)
-	if bad != nil {
-		if !bad.cut { // else its time is up
-			leaveBody(w)
-		}
-		w.Header().Set("Connection", "close") // no client of ours sends such: its descriptor is wanted
-		http.Error(w, bad.text, bad.status)
-		if bad.cut {
-			return 0
-		}
-		return bad.status
-	}
-	s.loop.fig.open.Add(1)
-	defer s.loop.fig.open.Add(-1)
-	if x.rest != nil {
-		_ = http.NewResponseController(w).EnableFullDuplex() // the answer may come first
-		defer x.rest.stop()
-	}
-	s.loop.send(arrival{x})
-	for gone := r.Context().Done(); ; {
-		select {
-		case a := <-x.reply:
-			s.answer(w, r, x, a)
-			if a.status < http.StatusInternalServerError && x.rest != nil && !x.rest.whole.Load() {
-				return 0
-			}
-			return a.status
-		case <-gone:
-			if x.rest != nil && !x.rest.whole.Load() {
-				gone = nil // so net/http takes any read that fails, also by its deadline; the reply tells
-				continue
-			}
-			s.loop.send(departure{x})
-			panic(http.ErrAbortHandler) // to return would send 200 to a client that closed only its side
-		case <-s.loop.done:
-			w.WriteHeader(http.StatusBadGateway)
-			return http.StatusBadGateway
-		}
-	}
-}
-
-// answer writes the client's answer. One that breaks off ends the connection, so that the client can tell.
-func (s *server) answer(w http.ResponseWriter, r *http.Request, x *exchange, a answer) {
-	early := x.rest != nil && !x.rest.whole.Load()
-	if early {
-		x.rest.stop()
-		w.Header().Set("Connection", "close")
-	}
-	if a.rest == nil {
-		write(w, a)
-		if early {
-			_ = http.NewResponseController(w).Flush()
-			x.rest.linger()
-		}
-		return
-	}
-	conn := tcp(connOf(r.Context()))
-	if conn != nil {
-		_ = conn.SetWriteBuffer(clientBuffer)
-	}
-	head(w, a)
-	err := a.rest.pass(w, a.body)
-	if err == nil {
-		return
-	}
-	if !errors.Is(err, errClient) {
-		s.loop.fig.class(x.req.Class).count(http.StatusBadGateway)
-		if conn != nil && a.length < 0 && !r.ProtoAtLeast(1, 1) { // a plain close would mean the end
-			_ = conn.SetLinger(0)
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// health tells the front that the node may be taken in.
-func (s *server) health(w http.ResponseWriter) {
-	if !s.taking() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
+	return &server{loop: l, peers: newPeers(l.up.sockets.forClients, &l.up.sockets.clients, l.up.yield)}
 }
 
 // taking tells whether the node takes clients.
@@ -185,47 +73,38 @@
 	}
 }
 
-// leaveBody bounds what net/http does for a body that nobody read: it reads on, lest a close at once takes
-// the answer with it.
-func leaveBody(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(silentLeast))
-}
-
 // fault is what is wrong with a request.
 type fault struct {
 	status int
 	text   string
-	cut    bool // it never came whole, so it was not taken
+	allow  string // the method that is
+	cut    bool   // it never came whole, so it was not taken
 }
 
 // read takes in a whole request, or says what is wrong with it. What it lets through reaches servers.
-func (s *server) read(w http.ResponseWriter, r *http.Request) (x *exchange, bad *fault) {
-	h := r.Header
-	id := h.Get("X-Request-Id")
+func (s *server) read(c *client, r *message) (x *exchange, bad *fault) {
+	id := r.id
 	if !usableID(id) {
 		return nil, &fault{status: http.StatusBadRequest, text: "X-Request-Id: missing or malformed"}
 	}
 	terms := s.loop.terms.Load()
-	class, former, ok := terms.class(r)
+	class, former, ok := terms.class(r.class, r.method, r.key != "")
 	if !ok {
 		return nil, &fault{status: http.StatusBadRequest, text: "X-Class: unknown"}
 	}
-	waits, err := strconv.ParseUint(h.Get("X-Deadline-Ms"), 10, 64)
+	waits, err := strconv.ParseUint(r.deadline, 10, 64)
 	if err != nil || waits == 0 || waits > maxDeadlineMs {
 		return nil, &fault{status: http.StatusBadRequest, text: "X-Deadline-Ms: want whole milliseconds above 0"}
 	}
 	method := methodOf(class)
-	if r.Method != method {
-		w.Header().Set("Allow", method)
-		return nil, &fault{status: http.StatusMethodNotAllowed, text: "this class takes " + method}
+	if r.method != method {
+		return nil, &fault{status: http.StatusMethodNotAllowed, text: "this class takes " + method, allow: method}
 	}
 	// Servers drop the repeats of a key: without one, a second attempt could take effect twice.
-	if class.Repeat == policy.Guarded && h.Get("Idempotency-Key") == "" {
+	if class.Repeat == policy.Guarded && r.key == "" {
 		return nil, &fault{status: http.StatusBadRequest, text: "Idempotency-Key: missing"}
 	}
-	s.peers.reading(r.Context(), true)
-	body, rest, err := takeBody(w, r, s.peers.begunAt(r.Context()))
-	s.peers.reading(r.Context(), false)
+	body, rest, err := s.takeBody(c, r)
 	if err != nil {
 		status, text := uploadStatus(err)
 		return nil, &fault{status: status, text: text, cut: true}
@@ -233,14 +112,15 @@
 	if method == http.MethodGet && len(body) > 0 {
 		return nil, &fault{status: http.StatusBadRequest, text: "a GET has no body"}
 	}
-	hint, _ := strconv.ParseUint(h.Get("X-Cost-Hint"), 10, 32) // a guess; none is as good as a bad one
+	hint, _ := strconv.ParseUint(r.hint, 10, 32) // a guess; none is as good as a bad one
 	x = &exchange{
-		req: policy.Request{ID: id, Class: class.Name, Tenant: h.Get("X-Tenant"), Key: h.Get("X-Key"),
-			Hint: time.Duration(hint) * time.Microsecond, Retry: h.Get("X-Retry") == "1",
+		req: policy.Request{ID: id, Class: class.Name, Tenant: r.tenant, Key: r.warmKey,
+			Hint: time.Duration(hint) * time.Microsecond, Retry: r.retry == "1",
 			Partial: rest != nil, Former: former},
-		method: method, url: r.URL, host: r.Host, header: h, body: body, rest: rest,
-		length: r.ContentLength, came: s.loop.clock.now(),
-		clientWaits: time.Duration(waits) * time.Millisecond, terms: terms, reply: make(chan answer, 1),
+		method: method, path: r.path, host: r.host, key: r.key, contentType: r.contentType,
+		body: body, rest: rest, length: r.length, came: s.loop.clock.now(),
+		clientWaits: time.Duration(waits) * time.Millisecond, terms: terms,
+		tally: s.loop.fig.class(class.Name), reply: c.reply,
 	}
 	if rest != nil {
 		rest.ended = func(err error) { s.loop.send(uploaded{x, err}) }
@@ -249,19 +129,29 @@
 }
 
 // takeBody reads a body up to what is kept; the rest is an attempt's to read.
-func takeBody(w http.ResponseWriter, r *http.Request, began time.Time) (body []byte, rest *upload, err error) {
-	if r.ContentLength == 0 {
+func (s *server) takeBody(c *client, r *message) (body []byte, rest *upload, err error) {
+	if r.length == 0 {
 		return nil, nil, nil
 	}
-	if r.ContentLength > maxTransfer {
-		return nil, nil, &http.MaxBytesError{Limit: maxTransfer}
+	if r.length > maxTransfer {
+		return nil, nil, errTooLong
+	}
+	if r.length > 0 && r.length <= maxBody && int64(c.r.Buffered()) >= r.length { // came with the head
+		body = make([]byte, r.length)
+		_, err = c.r.Read(body)
+		return body, nil, err
 	}
+	if err := c.wantBody(r); err != nil {
+		return nil, nil, err
+	}
+	s.peers.reading(c.peer, true)
+	defer s.peers.reading(c.peer, false)
 	most := maxBody + 1
-	if r.ContentLength > maxBody {
+	if r.length > maxBody {
 		most = firstPart
 	}
-	u := newUpload(w, r, began)
-	body, whole, err := u.keep(most, r.ContentLength)
+	u := newUpload(c, r.body(c.r), s.peers.begunAt(c.peer))
+	body, whole, err := u.keep(most, r.length)
 	if whole || err != nil {
 		return body, nil, err
 	}
@@ -277,29 +167,3 @@
 	}
 	return id != "" && len(id) <= maxID
 }
-
-func write(w http.ResponseWriter, a answer) {
-	giveWrite(w, writeTimeout)
-	a.length = int64(len(a.body))
-	head(w, a)
-	_, _ = w.Write(a.body) // the client may have left; the request is over either way
-}
-
-// giveWrite bounds what is written next: a client that reads nothing must not hold the handler for ever.
-func giveWrite(w http.ResponseWriter, d time.Duration) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d))
-}
-
-func head(w http.ResponseWriter, a answer) {
-	h := w.Header()
-	if a.contentType != "" {
-		h.Set("Content-Type", a.contentType)
-	}
-	if a.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
-	}
-	if a.length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
-	}
-	w.WriteHeader(a.status)
-}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -1,21 +1,22 @@
 package node
 
 import (
-	"bytes"
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"math"
 	"net"
 	"net/http"
-	"net/http/httptrace"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sys/unix"
 
 	"cobaltward/policy"
 )
@@ -23,24 +24,26 @@
 // maxBody is the most that a request or an answer may hold.
 const maxBody = 64 << 10
 
-// defaultConnIdle is how long a connection is kept unused where the settings name no limit.
-const defaultConnIdle = 60 * time.Second
+const (
+	defaultConnIdle = 60 * time.Second // a connection is kept unused where the settings name no limit
+	lookEvery       = 5 * time.Second  // at an idle connection, for whether its server closed it
+	copiedBody      = 16 << 10         // bytes of a request's body that go into one write with its head
+)
 
 var (
 	errUnknown   = errors.New("not in the list")
 	errNoSockets = errors.New("no descriptor is left for another connection")
 )
 
-// upstream makes attempts at servers, over connections that it holds itself: http.Transport's own
-// pool sends a GET, or a request with an Idempotency-Key, again on its own when a reused connection
-// breaks, and each such copy would be an attempt that the module never decided on.
+// upstream makes attempts at servers, over connections that it holds itself: http.Transport sends a GET,
+// or a request with an Idempotency-Key, again on its own when a reused connection breaks, and each such
+// copy would be an attempt that the module never decided on.
 type upstream struct {
-	dialer    net.Dialer
-	transport *http.Transport // makes connections, and pools none
-	idleFor   time.Duration   // an idle connection is dropped after this
-	report    []string        // names of the figures of a load report, in order
-	relayed   *metrics.Counter
-	sockets   *sockets
+	dialer  net.Dialer
+	idleFor time.Duration // an idle connection is dropped after this
+	report  []string      // names of the figures of a load report, in order
+	relayed *metrics.Counter
+	sockets *sockets
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -55,48 +58,42 @@
 	idle    []*conn
 }
 
+// conn is a connection to a server. One attempt at a time has it.
 type conn struct {
-	*http.ClientConn
-	raw  *rawConn
-	pool *pool
-	used time.Time
-}
-
-// rawConn remembers whether a write failed. net/http says that a request was written before it
-// flushes the buffer that holds its end, so WroteRequest alone doesn't tell.
-type rawConn struct {
 	net.Conn
-	failed atomic.Bool
-	sent   atomic.Pointer[metrics.Counter] // of requests, for one whose end is in net/http's buffer
+	pool   *pool
+	used   time.Time
+	looked time.Time // when it was last known to be open
+	raw    syscall.RawConn
+	look   func(fd uintptr)
+	quiet  bool
 }
 
-func (c *rawConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.failed.Store(true)
-	} else {
-		c.countSent()
+func newConn(c net.Conn, p *pool) *conn {
+	made := &conn{Conn: c, pool: p}
+	if socket, ok := c.(syscall.Conn); ok {
+		made.raw, _ = socket.SyscallConn()
 	}
-	return n, err
+	made.look = func(fd uintptr) {
+		var b [1]byte
+		_, err := unix.Read(int(fd), b[:])
+		made.quiet = err == unix.EAGAIN
+	}
+	return made
 }
 
-// countSent books a request whose last byte is written, once.
-func (c *rawConn) countSent() {
-	if counter := c.sent.Swap(nil); counter != nil {
-		counter.Inc()
+// open tells whether a connection that is idle may be written to: the server has neither closed it nor said
+// anything unasked. It doesn't wait.
+func (c *conn) open() bool {
+	if c.raw == nil {
+		return true
 	}
+	c.quiet = false
+	return c.raw.Control(c.look) == nil && c.quiet
 }
 
-type rawConnKey struct{}
-
 func newUpstream(c Config, shared *sockets, fig *figures) *upstream {
-	u := &upstream{
-		relayed: fig.relayed, pools: make(map[string]*pool), sockets: shared,
-		transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
-			DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-				return ctx.Value(rawConnKey{}).(*rawConn), nil
-			}},
-	}
+	u := &upstream{relayed: fig.relayed, pools: make(map[string]*pool), sockets: shared}
 	u.retune(c)
 	return u
 }
@@ -121,11 +118,17 @@
 	return u.report
 }
 
-// dial opens a connection.
-func (u *upstream) dial(ctx context.Context, addr string) (net.Conn, error) {
+// dial opens a connection, until f ends.
+func (u *upstream) dial(f *flight, addr string) (net.Conn, error) {
 	u.mu.Lock()
 	dialer := u.dialer
 	u.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if due := f.dials(cancel); !due.IsZero() {
+		ctx, cancel = context.WithDeadline(ctx, due)
+		defer cancel()
+	}
 	return dialer.DialContext(ctx, "tcp", addr)
 }
 
@@ -188,7 +191,11 @@
 	for _, p := range u.pools {
 		var kept []*conn
 		for _, c := range p.idle {
-			if now.Sub(c.used) < u.idleFor && c.Available() > 0 {
+			keep := now.Sub(c.used) < u.idleFor
+			if keep && now.Sub(c.looked) >= lookEvery {
+				c.looked, keep = now, c.open()
+			}
+			if keep {
 				kept = append(kept, c)
 				continue
 			}
@@ -202,25 +209,25 @@
 // close drops all idle connections; those in use end with their attempts.
 func (u *upstream) close() { u.update(news{kind: policy.ListReplace}) }
 
-// acquire takes an idle connection to the server, or makes one.
-func (u *upstream) acquire(ctx context.Context, id string) (*conn, error) {
+// acquire takes an idle connection to the server, or makes one, for f.
+func (u *upstream) acquire(f *flight, id string) (*conn, error) {
 	p, c, err := u.reserve(id)
-	if c != nil || err != nil {
-		return c, err
-	}
-	tcp, err := u.dial(ctx, p.addr)
 	if err != nil {
-		u.unreserve()
 		return nil, err
 	}
-	raw := &rawConn{Conn: tcp}
-	cc, err := u.transport.NewClientConn(context.WithValue(ctx, rawConnKey{}, raw), "http", p.addr)
-	if err != nil {
-		tcp.Close()
-		u.unreserve()
+	if c == nil {
+		made, err := u.dial(f, p.addr)
+		if err != nil {
+			u.unreserve()
+			return nil, err
+		}
+		c = newConn(made, p)
+	}
+	if err := f.board(c.Conn); err != nil {
+		u.release(c, id, true) // nothing was written
 		return nil, err
 	}
-	return &conn{ClientConn: cc, raw: raw, pool: p}, nil
+	return c, nil
 }
 
 // reserve returns an idle connection, or counts one that the caller is to make.
@@ -234,7 +241,7 @@
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
 		p.idle[n-1], p.idle = nil, p.idle[:n-1]
-		if c.Available() > 0 && time.Since(c.used) < u.idleFor {
+		if time.Since(c.used) < u.idleFor && c.open() {
 			return p, c, nil
 		}
 		c.Close()
@@ -311,8 +318,9 @@
 func (u *upstream) release(c *conn, id string, reusable bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if reusable && c.Available() > 0 && u.pools[id] == c.pool {
+	if reusable && u.pools[id] == c.pool {
 		c.used = time.Now()
+		c.looked = c.used
 		c.pool.idle = append(c.pool.idle, c)
 		return
 	}
@@ -331,123 +339,389 @@
 type outgoing struct {
 	*exchange
 	waits  time.Duration // for the answer
-	cancel context.CancelCauseFunc
+	flight *flight
 	begin  func(answer) // takes an answer that is passed on as it comes
 }
 
-// attempt sends x to the server once, and waits for the whole answer until ctx ends. Ending ctx
-// closes the connection, which is how a server learns that nobody waits.
-func (u *upstream) attempt(ctx context.Context, id string, x outgoing) result {
-	c, err := u.acquire(ctx, id)
+// attempt sends x to the server once, and waits for the whole answer until its flight ends. That closes the
+// connection, which is how a server learns that nobody waits.
+func (u *upstream) attempt(id string, x outgoing) result {
+	c, err := u.acquire(x.flight, id)
 	if err != nil {
-		return result{code: broken(ctx, false)}
+		return result{code: x.flight.broken(err, false)}
 	}
-	var wrote atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if wrote.Store(info.Err == nil); info.Err == nil {
-				c.raw.sent.Store(u.relayed)
-			}
-		},
-	})
-	req, endRequest := u.request(ctx, c.pool.addr, x)
-	defer endRequest()
-	resp, err := c.RoundTrip(req)
-	if err != nil {
-		// RoundTrip returns only once nothing is being written any more, so failed is final.
-		mayRun := wrote.Load() && !c.raw.failed.Load()
-		if mayRun {
-			c.raw.countSent() // its end had left the buffer already
-		}
-		u.release(c, id, false)
-		return result{code: broken(ctx, mayRun)}
-	}
-	c.raw.countSent()
-	a := answer{status: http.StatusOK, contentType: resp.Header.Get("Content-Type"), length: resp.ContentLength}
-	whole := false
-	if resp.StatusCode == http.StatusOK && resp.ContentLength > maxBody {
-		a.body = make([]byte, answerStart)
-		_, err = io.ReadFull(resp.Body, a.body)
-	} else {
-		a.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-		whole = len(a.body) <= maxBody
+	r, reusable := u.exchange(c, x)
+	u.release(c, id, x.flight.land() && reusable)
+	return r
+}
+
+// exchange writes x to c and reads the answer. It tells whether c can serve another request then.
+func (u *upstream) exchange(c *conn, x outgoing) (result, bool) {
+	sent := &sending{relayed: u.relayed}
+	if err := sent.write(c, x); err != nil {
+		return result{code: x.flight.broken(err, false)}, false
 	}
-	if err == nil && !whole && resp.StatusCode == http.StatusOK {
-		err = pass(ctx, a, newDownload(resp.Body, x.cancel), x.begin)
-		whole = err == nil
+	if x.rest != nil {
+		defer sent.passOn(c, x)()
 	}
-	if err == nil {
-		resp.Body.Close()
+	r := readers.Get().(*reader)
+	defer r.put()
+	r.buf.Reset(c)
+	a, err := r.answer()
+	if err != nil {
+		return result{code: x.flight.broken(err, sent.whole())}, false
 	}
-	u.release(c, id, whole && err == nil && (x.rest == nil || x.rest.whole.Load()))
-	switch {
-	case errors.Is(err, errClient):
-		return result{code: policy.Cancelled}
-	case err != nil:
-		return result{code: broken(ctx, true)}
+	if a.rest != nil {
+		if err := x.pass(c, a); err != nil {
+			if errors.Is(err, errClient) {
+				return result{code: policy.Cancelled}, false
+			}
+			return result{code: x.flight.broken(err, true)}, false
+		}
 	}
-	r := result{code: policy.ServerError, report: loadReport(resp.Header.Get("X-Load"), u.reportNames())}
-	switch resp.StatusCode {
+	reusable := a.kept && r.buf.Buffered() == 0 && (x.rest == nil || x.rest.whole.Load())
+	res := result{code: policy.ServerError, report: loadReport(r.head.head.get("X-Load"), u.reportNames())}
+	switch a.status {
 	case http.StatusOK:
-		r.code, r.answer = policy.OK, a
+		res.code, res.answer = policy.OK, a.answer
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get("X-Not-Run") == "1" { // without it, it may have run
-			r.code = policy.Full
+		if r.head.head.get("X-Not-Run") == "1" { // without it, it may have run
+			res.code = policy.Full
 		}
 	}
-	return r
+	return res, reusable
 }
 
 // pass hands over an answer that is passed on as it comes, and waits until it is over.
-func pass(ctx context.Context, a answer, d *download, begin func(answer)) error {
-	a.rest = d
-	begin(a)
+func (x outgoing) pass(c *conn, a incoming) error {
+	d := newDownload(a.rest, x.flight.stop)
+	first := a.answer
+	first.rest = d
+	over := x.flight.ends()
+	x.begin(first)
 	select {
 	case err := <-d.done:
 		return err
-	case <-ctx.Done():
-		return ctx.Err()
+	case <-over:
+		c.Close()
+		if d.abandon() {
+			return errTimeUp // or called off; the flight knows
+		}
+		return <-d.done
 	}
 }
 
-// broken names the outcome of an attempt that brought no answer. One whose last byte was never
-// written can't have run, also where its time is up; when unsure, it may have run.
-func broken(ctx context.Context, mayRun bool) policy.Code {
+// sending is a request on its way to a server.
+type sending struct {
+	relayed *metrics.Counter
+	mu      sync.Mutex
+	done    bool // its last byte is written
+}
+
+// write writes x: all of it, or as much as is kept.
+func (s *sending) write(c *conn, x outgoing) error {
+	b := requests.Get().(*[]byte)
+	defer requests.Put(b)
+	*b = x.appendHead((*b)[:0])
+	body := x.body
+	if len(body) <= copiedBody && !x.unsized() {
+		*b, body = append(*b, body...), nil
+	}
+	_, err := c.Write(*b)
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled) && context.Cause(ctx) != errTimeUp:
-		return policy.Cancelled
-	case !mayRun:
-		return policy.ConnectFailed
-	case ctx.Err() != nil:
-		return policy.TimedOut
+	case err != nil || len(body) == 0:
+	case x.unsized():
+		_, err = chunkWriter{c}.Write(body)
+	default:
+		_, err = c.Write(body)
 	}
-	return policy.Reset
+	if err == nil && x.rest == nil {
+		s.finish()
+	}
+	return err
+}
+
+func (s *sending) finish() {
+	s.mu.Lock()
+	s.done = true
+	s.mu.Unlock()
+	s.relayed.Inc()
 }
 
-// request makes the copy of x that a server gets; end is to be called with the attempt's end.
-func (u *upstream) request(ctx context.Context, addr string, x outgoing) (req *http.Request, end func()) {
-	to := *x.url
-	to.Scheme, to.Host = "http", addr
-	req = (&http.Request{Method: x.method, URL: &to, Host: x.host, Proto: "HTTP/1.1", ProtoMajor: 1,
-		ProtoMinor: 1, Header: make(http.Header)}).WithContext(ctx)
-	req.Header["User-Agent"] = []string{""} // nothing is added in the client's name
-	req.Header.Set("X-Request-Id", x.req.ID)
-	for _, name := range []string{"Idempotency-Key", "Content-Type"} {
-		if v := x.header.Get(name); v != "" {
-			req.Header.Set(name, v)
+// whole tells whether the server may have begun the request.
+func (s *sending) whole() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.done
+}
+
+// unsized tells whether x goes on in chunks.
+func (x outgoing) unsized() bool { return x.rest != nil && x.length < 0 }
+
+// passOn writes the rest of x as it comes, while the answer is read. The returned function ends that: where
+// nothing of the rest was taken by then, nothing will be.
+func (s *sending) passOn(c *conn, x outgoing) (end func()) {
+	from := &rest{upload: x.rest, silence: time.AfterFunc(peerSilence, func() { x.flight.stop(errTimeUp) })}
+	go func() {
+		to := io.Writer(c.Conn)
+		if x.unsized() {
+			to = chunkWriter{c}
+		}
+		block := blocks.Get().(*[blockSize]byte)
+		defer blocks.Put(block)
+		_, err := io.CopyBuffer(struct{ io.Writer }{to}, from, block[:])
+		if err == nil && x.unsized() {
+			_, err = io.WriteString(c, "0\r\n\r\n")
 		}
+		switch {
+		case err == nil:
+			s.finish()
+		case from.failed: // where it is the server that takes no more, its answer may still come
+			x.flight.stop(errTimeUp)
+		}
+	}()
+	return from.revoke
+}
+
+// chunkWriter writes each piece as a chunk.
+type chunkWriter struct{ net.Conn }
+
+func (w chunkWriter) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	head := append(strconv.AppendInt(make([]byte, 0, 24), int64(len(p)), 16), "\r\n"...)
+	pieces := net.Buffers{head, p, []byte("\r\n")}
+	if _, err := pieces.WriteTo(w.Conn); err != nil {
+		return 0, err
 	}
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, x.waits.Milliseconds()), 10))
+	return len(p), nil
+}
+
+var requests = sync.Pool{New: func() any { b := make([]byte, 0, 1<<10); return &b }}
+
+// appendHead writes the head of the copy of x that a server gets; nothing is added in the client's name.
+func (x outgoing) appendHead(b []byte) []byte {
+	b = append(b, x.method...)
+	b = append(b, ' ')
+	b = append(b, x.path...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, x.host...)
+	b = appendField(b, "X-Request-Id", x.req.ID)
+	b = appendField(b, "Idempotency-Key", x.key)
+	b = appendField(b, "Content-Type", x.contentType)
+	b = append(b, "\r\nX-Deadline-Ms: "...)
+	b = strconv.AppendInt(b, max(1, x.waits.Milliseconds()), 10)
+	length := int64(len(x.body))
 	if x.rest != nil {
-		silence := time.AfterFunc(peerSilence, func() { x.cancel(errTimeUp) })
-		req.Body = io.NopCloser(io.MultiReader(bytes.NewReader(x.body), rest{x.rest, silence}))
-		req.ContentLength = x.length
-		return req, func() { silence.Stop() }
+		length = x.length
+	}
+	switch {
+	case length < 0:
+		b = append(b, "\r\nTransfer-Encoding: chunked"...)
+	case length > 0 || x.method != http.MethodGet:
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, length, 10)
+	}
+	b = append(b, "\r\n\r\n"...)
+	return b
+}
+
+func appendField(b []byte, name, value string) []byte {
+	if value == "" {
+		return b
+	}
+	b = append(b, "\r\n"...)
+	b = append(b, name...)
+	b = append(b, ": "...)
+	return append(b, value...)
+}
+
+// reader reads a server's answers. An idle connection has none.
+type reader struct {
+	buf  *bufio.Reader
+	head headReader
+}
+
+var readers = sync.Pool{New: func() any { return &reader{buf: bufio.NewReader(nil)} }}
+
+func (r *reader) put() {
+	r.buf.Reset(nil)
+	readers.Put(r)
+}
+
+// incoming is a server's answer.
+type incoming struct {
+	answer
+	rest io.Reader // what of the body is to be passed on as it comes; nil for nothing
+	kept bool      // its connection
+}
+
+// answer reads the head of the final answer, and its body unless that is long and good.
+func (r *reader) answer() (a incoming, err error) {
+	var h *head
+	for a.status < http.StatusOK { // interim answers come before it
+		if h, err = r.head.read(r.buf, maxHeader); err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return a, err
+		}
+		minor, status, err := statusLine(h.first)
+		if err != nil {
+			return a, err
+		}
+		a.status, a.kept = status, minor == 1
+		if status == http.StatusSwitchingProtocols { // nobody asked for that
+			return a, errHead
+		}
+	}
+	f, err := h.framing()
+	if err != nil {
+		return a, err
 	}
-	if len(x.body) > 0 {
-		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(x.body)), int64(len(x.body))
+	a.contentType, a.length = h.get("Content-Type"), f.length
+	a.kept = a.kept && !f.close || f.keep && !f.close
+	var body io.Reader
+	switch {
+	case a.status == http.StatusNoContent || a.status == http.StatusNotModified || f.length == 0:
+		return a, nil
+	case f.chunked:
+		body = newChunkedBody(r.buf)
+	case f.length > 0:
+		body = &sizedBody{r.buf, f.length}
+	default: // it ends with the connection
+		body, a.kept = r.buf, false
 	}
-	return req, func() {}
+	return a, a.read(body)
+}
+
+// read takes in a body up to what is kept of a good answer.
+func (a *incoming) read(body io.Reader) (err error) {
+	switch {
+	case a.length > maxBody && a.status == http.StatusOK:
+		a.body = make([]byte, answerStart)
+		_, err = io.ReadFull(body, a.body)
+	case a.length >= 0 && a.length <= maxBody:
+		a.body = make([]byte, a.length)
+		_, err = io.ReadFull(body, a.body)
+		return err
+	default:
+		if a.body, err = io.ReadAll(io.LimitReader(body, maxBody+1)); err == nil && len(a.body) <= maxBody {
+			return nil
+		}
+	}
+	if a.rest = body; a.status != http.StatusOK { // nobody wants it
+		a.rest, a.kept = nil, false
+	}
+	return err
+}
+
+// statusLine reads the first line of an answer.
+func statusLine(line string) (minor, status int, err error) {
+	version, line, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(line, " ")
+	minor, ok := proto(version)
+	status, err = strconv.Atoi(code)
+	if !ok || err != nil || len(code) != 3 || status < 100 {
+		return 0, 0, errHead
+	}
+	return minor, status, nil
+}
+
+// flight is the time of one attempt: it ends when that is due, or is called off. Its methods may be called
+// from any goroutine.
+type flight struct {
+	mu     sync.Mutex
+	due    time.Time // zero for none
+	cause  error     // why it was ended early
+	conn   net.Conn  // while the attempt has one
+	cancel func()    // of the dialling
+	over   chan struct{}
+}
+
+// bound sets when the attempt is to end; zero for never.
+func (f *flight) bound(due time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.due = due; f.conn != nil && f.cause == nil {
+		_ = f.conn.SetDeadline(due)
+	}
+}
+
+// stop ends the attempt. The first cause stands.
+func (f *flight) stop(cause error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cause != nil {
+		return
+	}
+	f.cause = cause
+	if f.cancel != nil {
+		f.cancel()
+	}
+	if f.conn != nil {
+		_ = f.conn.SetDeadline(time.Unix(1, 0))
+	}
+	if f.over != nil {
+		close(f.over)
+	}
+}
+
+// dials notes how to end the dialling, and returns when it is due to end.
+func (f *flight) dials(cancel func()) (due time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel = cancel; f.cause != nil {
+		cancel()
+	}
+	return f.due
+}
+
+// board takes the connection that the attempt goes over; one that has been stopped gets none.
+func (f *flight) board(c net.Conn) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel = nil
+	if f.cause != nil {
+		return f.cause
+	}
+	f.conn = c
+	return c.SetDeadline(f.due)
+}
+
+// land gives up the connection, and tells whether it may serve others: the flight was not stopped.
+func (f *flight) land() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conn = nil
+	return f.cause == nil
+}
+
+// ends returns what is closed once the attempt is stopped.
+func (f *flight) ends() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.over = make(chan struct{}); f.cause != nil {
+		close(f.over)
+	}
+	return f.over
+}
+
+// broken names the outcome of an attempt that brought no answer. One whose last byte was never
+// written can't have run, also where its time is up; when unsure, it may have run.
+func (f *flight) broken(err error, mayRun bool) policy.Code {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.cause != nil && f.cause != errTimeUp:
+		return policy.Cancelled
+	case !mayRun:
+		return policy.ConnectFailed
+	case f.cause != nil || errors.Is(err, os.ErrDeadlineExceeded):
+		return policy.TimedOut
+	}
+	return policy.Reset
 }
 
 // loadReport reads `name=value,name=value` into the order of names; nil where there is none.
