Run the node's tests in virtual time over a network in memory

Cause: TestStoppingNodeServesOn failed wherever answers came faster than the test's quota (429 after 99 to 139 ms: it asks in a loop, 1000 requests a second are its tenant's), and the package's tests took 90 s, each whole node a 1.5 s drain in real time; several asserted times that a busy machine doesn't keep. Change: tests of whole nodes run in testing/synctest bubbles over connections in memory (memnet_test.go); Config.dial, unexported, is where they come in. What needs the kernel (handing a socket over, resets, its buffers) stays on loopback, in parallel, and asserts no upper time. Half-closes go to whatever connection can do them.

--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -250,18 +250,22 @@
 	}
 }
 
-// tcp is the socket under a client's connection; nil where there is none.
-func tcp(c net.Conn) *net.TCPConn {
+// under is the connection that a client's is made of.
+func under(c net.Conn) net.Conn {
 	for {
 		switch v := c.(type) {
 		case *client:
 			c = v.Conn
 		case *gatedConn:
 			c = v.Conn
-		case *net.TCPConn:
-			return v
 		default:
-			return nil
+			return c
 		}
 	}
 }
+
+// tcp is the socket under a client's connection; nil where there is none.
+func tcp(c net.Conn) *net.TCPConn {
+	socket, _ := under(c).(*net.TCPConn)
+	return socket
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -34,7 +35,18 @@
 	MaxOpen        int           // unanswered requests; 0: no limit
 	ConnectTimeout time.Duration // for a new connection to a server
 
-	shape any // the keys of the file
+	shape any      // the keys of the file
+	dial  dialFunc // nil for the machine's network
+}
+
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// dialer opens connections that come up within a time. TCP's own keep-alive notices nothing here.
+func (c Config) dialer(timeout time.Duration) dialFunc {
+	if c.dial != nil {
+		return c.dial
+	}
+	return (&net.Dialer{Timeout: timeout, KeepAlive: -1}).DialContext
 }
 
 // leastSockets is what a node can work with at all: a few for itself, and some for each side.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
@@ -128,7 +127,7 @@
 		client: &http.Client{
 			// A Transport of its own, so neither a proxy nor the requests share its connection.
 			Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1,
-				DialContext: (&net.Dialer{Timeout: watchGrace}).DialContext},
+				DialContext: c.dialer(watchGrace)},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -61,52 +61,58 @@
 }
 
 func TestDeltasComeInOrder(t *testing.T) {
-	_, told, queries := watched(t, false, delta(8, entry("s1", "up")), delta(9), delta(10, entry("s1", "draining")),
-		`{"revision":11,"complete":true,"members":[`+entry("s2", "up")+`]}`)
-	for i, want := range []struct {
-		kind   policy.ListKind
-		server string
-		phase  policy.Availability
-	}{{policy.ListUpdate, "s1", policy.Running}, {policy.ListUpdate, "s1", policy.Draining},
-		{policy.ListReplace, "s2", policy.Running}} {
-		n := receive(t, "news", told)
-		if n.kind != want.kind || len(n.members) != 1 || n.members[0].Server != want.server ||
-			n.members[0].Availability != want.phase {
-			t.Errorf("news %d: %+v", i, n)
+	bubble(t, func(t *testing.T) {
+		_, told, queries := watched(t, false, delta(8, entry("s1", "up")), delta(9), delta(10, entry("s1", "draining")),
+			`{"revision":11,"complete":true,"members":[`+entry("s2", "up")+`]}`)
+		for i, want := range []struct {
+			kind   policy.ListKind
+			server string
+			phase  policy.Availability
+		}{{policy.ListUpdate, "s1", policy.Running}, {policy.ListUpdate, "s1", policy.Draining},
+			{policy.ListReplace, "s2", policy.Running}} {
+			n := receive(t, "news", told)
+			if n.kind != want.kind || len(n.members) != 1 || n.members[0].Server != want.server ||
+				n.members[0].Availability != want.phase {
+				t.Errorf("news %d: %+v", i, n)
+			}
 		}
-	}
-	indexes(t, queries, "7", "8", "9", "10", "11")
+		indexes(t, queries, "7", "8", "9", "10", "11")
+	})
 }
 
 // A pushed list that can't be had, or read, leaves the last one in force, and says nothing.
 func TestFailuresKeepTheLastList(t *testing.T) {
-	_, told, queries := watched(t, false, "down", `{"revision":`, delta(9, entry("s1", "odd")), `{"members":[]}`,
-		delta(8, entry("s1", "up")))
-	if n := receive(t, "news", told); n.kind != policy.ListUpdate || n.members[0].Server != "s1" {
-		t.Errorf("news %+v", n)
-	}
-	indexes(t, queries, "7", "7", "7", "7", "7", "8")
-	if len(told) != 0 {
-		t.Errorf("told also %+v", <-told)
-	}
+	bubble(t, func(t *testing.T) {
+		_, told, queries := watched(t, false, "down", `{"revision":`, delta(9, entry("s1", "odd")), `{"members":[]}`,
+			delta(8, entry("s1", "up")))
+		if n := receive(t, "news", told); n.kind != policy.ListUpdate || n.members[0].Server != "s1" {
+			t.Errorf("news %+v", n)
+		}
+		indexes(t, queries, "7", "7", "7", "7", "7", "8")
+		if len(told) != 0 {
+			t.Errorf("told also %+v", <-told)
+		}
+	})
 }
 
 // Where lists are asked for, the module says when, and hears of each failure once.
 func TestAskedListsTellFailures(t *testing.T) {
-	d, told, queries := watched(t, true, "down", delta(8, entry("s1", "up")), delta(8))
-	d.ask(true)
-	if n := receive(t, "the failure", told); n.kind != policy.ListUnavailable {
-		t.Errorf("news %+v", n)
-	}
-	indexes(t, queries, "7")
-	if len(queries) != 0 {
-		t.Error("called again before the module asked")
-	}
-	d.ask(true)
-	if n := receive(t, "the change", told); n.kind != policy.ListUpdate || len(n.members) != 1 {
-		t.Errorf("news %+v", n)
-	}
-	indexes(t, queries, "7", "8", "8")
+	bubble(t, func(t *testing.T) {
+		d, told, queries := watched(t, true, "down", delta(8, entry("s1", "up")), delta(8))
+		d.ask(true)
+		if n := receive(t, "the failure", told); n.kind != policy.ListUnavailable {
+			t.Errorf("news %+v", n)
+		}
+		indexes(t, queries, "7")
+		if len(queries) != 0 {
+			t.Error("called again before the module asked")
+		}
+		d.ask(true)
+		if n := receive(t, "the change", told); n.kind != policy.ListUpdate || len(n.members) != 1 {
+			t.Errorf("news %+v", n)
+		}
+		indexes(t, queries, "7", "8", "8")
+	})
 }
 
 // The agent of a pushed list may hold a drain as soon as it is back; a node that pauses past the
@@ -142,49 +148,53 @@
 // When discovery moves, the node hangs up on the old address, takes the whole list from the new one,
 // whose revisions may be others, and watches there.
 func TestDiscoveryMoves(t *testing.T) {
-	for _, subscribe := range []bool{false, true} {
-		d, told, queries := watched(t, subscribe)
-		if subscribe {
-			d.ask(true)
-		}
-		indexes(t, queries, "7")
-		moved := make(chan string, 100)
-		d.move(target{httpServer(t, func(w http.ResponseWriter, r *http.Request) {
-			moved <- r.URL.RawQuery
-			if r.URL.RawQuery == "" {
-				_, _ = io.WriteString(w, `{"revision":3,"complete":true,"members":[`+entry("s9", "draining")+`]}`)
-				return
+	bubble(t, func(t *testing.T) {
+		for _, subscribe := range []bool{false, true} {
+			d, told, queries := watched(t, subscribe)
+			if subscribe {
+				d.ask(true)
 			}
-			<-r.Context().Done()
-		}), subscribe})
-		if n := receive(t, "the list", told); n.kind != policy.ListReplace || n.members[0].Server != "s9" {
-			t.Errorf("subscribe %v: news %+v", subscribe, n)
-		}
-		for _, want := range []string{"", "index=3&wait=5000"} {
-			if got := receive(t, "a call to the new address", moved); got != want {
-				t.Errorf("subscribe %v: asked for %q, want %q", subscribe, got, want)
+			indexes(t, queries, "7")
+			moved := make(chan string, 100)
+			d.move(target{httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+				moved <- r.URL.RawQuery
+				if r.URL.RawQuery == "" {
+					_, _ = io.WriteString(w, `{"revision":3,"complete":true,"members":[`+entry("s9", "draining")+`]}`)
+					return
+				}
+				<-r.Context().Done()
+			}), subscribe})
+			if n := receive(t, "the list", told); n.kind != policy.ListReplace || n.members[0].Server != "s9" {
+				t.Errorf("subscribe %v: news %+v", subscribe, n)
+			}
+			for _, want := range []string{"", "index=3&wait=5000"} {
+				if got := receive(t, "a call to the new address", moved); got != want {
+					t.Errorf("subscribe %v: asked for %q, want %q", subscribe, got, want)
+				}
+			}
+			if len(queries) != 0 || len(told) != 0 {
+				t.Errorf("subscribe %v: the old address was asked again, or a failure told", subscribe)
 			}
 		}
-		if len(queries) != 0 || len(told) != 0 {
-			t.Errorf("subscribe %v: the old address was asked again, or a failure told", subscribe)
-		}
-	}
+	})
 }
 
 // A move is followed at once also while the module waits before it asks a failed discovery again.
 func TestDiscoveryMovesAfterAFailure(t *testing.T) {
-	d, told, _ := watched(t, true, "down")
-	d.ask(true)
-	if n := receive(t, "the failure", told); n.kind != policy.ListUnavailable {
-		t.Fatalf("news %+v", n)
-	}
-	d.move(target{httpServer(t, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.RawQuery != "" {
-			<-r.Context().Done()
+	bubble(t, func(t *testing.T) {
+		d, told, _ := watched(t, true, "down")
+		d.ask(true)
+		if n := receive(t, "the failure", told); n.kind != policy.ListUnavailable {
+			t.Fatalf("news %+v", n)
 		}
-		_, _ = io.WriteString(w, `{"revision":3,"complete":true,"members":[`+entry("s9", "up")+`]}`)
-	}), true})
-	if n := receive(t, "the list", told); n.kind != policy.ListReplace {
-		t.Errorf("news %+v", n)
-	}
+		d.move(target{httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.RawQuery != "" {
+				<-r.Context().Done()
+			}
+			_, _ = io.WriteString(w, `{"revision":3,"complete":true,"members":[`+entry("s9", "up")+`]}`)
+		}), true})
+		if n := receive(t, "the list", told); n.kind != policy.ListReplace {
+			t.Errorf("news %+v", n)
+		}
+	})
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -541,8 +541,8 @@
 // linger reads for a while what a client still sends after its last answer: a close at once would reset the
 // connection, and the answer with it.
 func (c *client) linger(d time.Duration) {
-	conn := tcp(c)
-	if conn == nil || conn.CloseWrite() != nil {
+	half, ok := under(c).(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
 		return
 	}
 	c.readUntil(time.Now().Add(d))
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -48,6 +48,7 @@
 // Under load a node is replaced, and replaced again at once: each request gets its answer, on new
 // connections and on those that clients keep.
 func TestReplacementTurnsNobodyBack(t *testing.T) {
+	t.Parallel()
 	var runs sync.Map
 	server := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
 		if _, again := runs.LoadOrStore(r.Header.Get("X-Request-Id"), true); again {
@@ -109,6 +110,7 @@
 
 // What a tenant has used up at the old process it can't have again at the new one.
 func TestReplacementKeepsBuckets(t *testing.T) {
+	t.Parallel()
 	server := httpServer(t, func(http.ResponseWriter, *http.Request) {})
 	c := replaceable(t, knownList(server))
 	startProcess(t, c)
@@ -129,6 +131,7 @@
 
 // A successor that goes away leaves the node to the process before it, at whatever point it does.
 func TestPredecessorServesOn(t *testing.T) {
+	t.Parallel()
 	server := httpServer(t, func(http.ResponseWriter, *http.Request) {})
 	c := replaceable(t, knownList(server))
 	startProcess(t, c)
@@ -155,6 +158,7 @@
 
 // The two processes together hold no more descriptors than one may.
 func TestReplacementSharesDescriptors(t *testing.T) {
+	t.Parallel()
 	c := replaceable(t, knownList("127.0.0.1:9"))
 	startProcess(t, c)
 	at, err := Listen(c)
@@ -169,6 +173,7 @@
 
 // Without a usable hand-over a process starts as an ordinary one, beside another or not.
 func TestUnusableHandoverIsAnOrdinaryStart(t *testing.T) {
+	t.Parallel()
 	speak := func(say string) func(t *testing.T, c Config) {
 		return func(t *testing.T, c Config) {
 			l, err := net.Listen("unix", handoverPath(c))
@@ -229,6 +234,7 @@
 
 // The folder's path may be longer than a Unix socket's address.
 func TestHandoverInADeepFolder(t *testing.T) {
+	t.Parallel()
 	c := replaceable(t, knownList("127.0.0.1:9"))
 	c.Scratch = filepath.Join(c.Scratch, strings.Repeat("d", 120))
 	if err := os.Mkdir(c.Scratch, 0o700); err != nil {
@@ -244,6 +250,7 @@
 
 // What comes in place of the listening socket is named, and no descriptor of it stays open.
 func TestWrongRightsAreNamed(t *testing.T) {
+	t.Parallel()
 	var pipe [2]int
 	if err := unix.Pipe2(pipe[:], unix.O_NONBLOCK|unix.O_CLOEXEC); err != nil {
 		t.Fatal(err)
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -102,144 +102,158 @@
 
 // The restored list comes first, and the one outcome of a served request says that it has ended.
 func TestOrderOfEvents(t *testing.T) {
-	addr := httpServer(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "yes") })
-	l, s := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
-		switch e := ev.(type) {
-		case policy.Request:
-			return sends(e.ID, 1)
-		case policy.Outcome:
-			return []policy.Action{{Kind: policy.SetTimer, Token: 77, Wait: time.Millisecond}}
+	bubble(t, func(t *testing.T) {
+		addr := httpServer(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "yes") })
+		l, s := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
+			switch e := ev.(type) {
+			case policy.Request:
+				return sends(e.ID, 1)
+			case policy.Outcome:
+				return []policy.Action{{Kind: policy.SetTimer, Token: 77, Wait: time.Millisecond}}
+			}
+			return nil
+		})
+		x := l.arriveNow("r1", long)
+		if a := receive(t, "the answer", x.reply); a.status != 200 || string(a.body) != "yes" {
+			t.Errorf("answer %d %q", a.status, a.body)
 		}
-		return nil
+		s.has(t, "list 2", "request r1", "outcome r1 0 code 0 ended true", "timer 77")
 	})
-	x := l.arriveNow("r1", long)
-	if a := receive(t, "the answer", x.reply); a.status != 200 || string(a.body) != "yes" {
-		t.Errorf("answer %d %q", a.status, a.body)
-	}
-	s.has(t, "list 2", "request r1", "outcome r1 0 code 0 ended true", "timer 77")
 }
 
 // Attempts beyond the limit are not made, keep their numbers, and are told as skipped.
 func TestAttemptsBeyondTheLimitAreSkipped(t *testing.T) {
-	var served sync.WaitGroup
-	served.Add(3)
-	addr := httpServer(t, func(w http.ResponseWriter, _ *http.Request) {
-		served.Done()
-		served.Wait() // all that are allowed reach the server before one is answered
-		w.WriteHeader(http.StatusInternalServerError)
-	})
-	moot := make(chan policy.Outcome, 2)
-	l, s := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
-		switch e := ev.(type) {
-		case policy.Request:
-			return sends(e.ID, 4)
-		case policy.Outcome:
-			if e.Code == policy.Moot {
-				moot <- e
+	bubble(t, func(t *testing.T) {
+		var served sync.WaitGroup
+		served.Add(3)
+		addr := httpServer(t, func(w http.ResponseWriter, _ *http.Request) {
+			served.Done()
+			served.Wait() // all that are allowed reach the server before one is answered
+			w.WriteHeader(http.StatusInternalServerError)
+		})
+		moot := make(chan policy.Outcome, 2)
+		l, s := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
+			switch e := ev.(type) {
+			case policy.Request:
+				return sends(e.ID, 4)
+			case policy.Outcome:
+				if e.Code == policy.Moot {
+					moot <- e
+				}
 			}
+			return nil
+		})
+		l.arriveNow("r1", long)
+		if o := receive(t, "the skipped attempt", moot); o.Attempt != 3 || o.Ended {
+			t.Errorf("got %+v", o)
 		}
-		return nil
+		await(t, "the other outcomes", func() bool { return len(s.events()) == 6 })
 	})
-	l.arriveNow("r1", long)
-	if o := receive(t, "the skipped attempt", moot); o.Attempt != 3 || o.Ended {
-		t.Errorf("got %+v", o)
-	}
-	await(t, "the other outcomes", func() bool { return len(s.events()) == 6 })
 }
 
 // After the final answer nothing goes out, and what was out still gets its outcome.
 func TestNothingGoesOutAfterTheAnswer(t *testing.T) {
-	arrived := make(chan string, 4)
-	addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
-		arrived <- r.Header.Get("X-Request-Id")
-		<-r.Context().Done()
-	})
-	l, s := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
-		switch e := ev.(type) {
-		case policy.Request:
-			return append(sends(e.ID, 1), policy.Action{Kind: policy.SetTimer, Token: 1, Wait: time.Nanosecond})
-		case policy.Timer:
-			<-arrived // the attempt is out for certain
-			return []policy.Action{{Kind: policy.Fail, ID: "r1"}, {Kind: policy.Refuse, ID: "r1"},
-				{Kind: policy.Send, ID: "r1", Server: "s0"}, {Kind: policy.Cancel, ID: "r1", Attempt: 0}}
+	bubble(t, func(t *testing.T) {
+		arrived := make(chan string, 4)
+		addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+			arrived <- r.Header.Get("X-Request-Id")
+			<-r.Context().Done()
+		})
+		l, s := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
+			switch e := ev.(type) {
+			case policy.Request:
+				return append(sends(e.ID, 1), policy.Action{Kind: policy.SetTimer, Token: 1, Wait: time.Nanosecond})
+			case policy.Timer:
+				<-arrived // the attempt is out for certain
+				return []policy.Action{{Kind: policy.Fail, ID: "r1"}, {Kind: policy.Refuse, ID: "r1"},
+					{Kind: policy.Send, ID: "r1", Server: "s0"}, {Kind: policy.Cancel, ID: "r1", Attempt: 0}}
+			}
+			return nil
+		})
+		x := l.arriveNow("r1", long)
+		if a := receive(t, "the answer", x.reply); a.status != http.StatusBadGateway {
+			t.Errorf("status %d, want the first answer", a.status)
+		}
+		s.has(t, "list 2", "request r1", "timer 1", fmt.Sprintf("outcome r1 1 code %d ended true", policy.Moot),
+			fmt.Sprintf("outcome r1 0 code %d ended true", policy.Cancelled))
+		if len(arrived) != 0 || len(x.reply) != 0 {
+			t.Errorf("%d more attempts, %d more answers", len(arrived), len(x.reply))
 		}
-		return nil
 	})
-	x := l.arriveNow("r1", long)
-	if a := receive(t, "the answer", x.reply); a.status != http.StatusBadGateway {
-		t.Errorf("status %d, want the first answer", a.status)
-	}
-	s.has(t, "list 2", "request r1", "timer 1", fmt.Sprintf("outcome r1 1 code %d ended true", policy.Moot),
-		fmt.Sprintf("outcome r1 0 code %d ended true", policy.Cancelled))
-	if len(arrived) != 0 || len(x.reply) != 0 {
-		t.Errorf("%d more attempts, %d more answers", len(arrived), len(x.reply))
-	}
 }
 
 func TestBackstopAnswersForASilentModule(t *testing.T) {
-	l, s := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
-	x := l.arriveNow("r1", 200*time.Millisecond)
-	if a := receive(t, "the answer", x.reply); a.status != http.StatusGatewayTimeout {
-		t.Errorf("status %d", a.status)
-	}
-	if end := x.came + x.clientWaits; l.clock.now() > end+long/2 {
-		t.Errorf("answered %v after the client's time", l.clock.now()-end)
-	}
-	s.has(t, "list 2", "request r1", "lapsed r1")
+	bubble(t, func(t *testing.T) {
+		l, s := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
+		x := l.arriveNow("r1", 200*time.Millisecond)
+		if a := receive(t, "the answer", x.reply); a.status != http.StatusGatewayTimeout {
+			t.Errorf("status %d", a.status)
+		}
+		if end := x.came + x.clientWaits; l.clock.now() > end+long/2 {
+			t.Errorf("answered %v after the client's time", l.clock.now()-end)
+		}
+		s.has(t, "list 2", "request r1", "lapsed r1")
+	})
 }
 
 // An attempt ends within the client's time, whatever the module asked for; the server is told so.
 func TestTimeOutIsClippedToTheDeadline(t *testing.T) {
-	told := make(chan string, 1)
-	addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
-		told <- r.Header.Get("X-Deadline-Ms")
-		<-r.Context().Done()
-	})
-	l, _ := startLoop(t, addr, func(now policy.Time, ev policy.Event) []policy.Action {
-		switch e := ev.(type) {
-		case policy.Request:
-			return []policy.Action{{Kind: policy.Send, ID: e.ID, Server: "s0", Until: now + time.Hour}}
-		case policy.Outcome:
-			return []policy.Action{{Kind: policy.Fail, ID: e.ID}}
+	bubble(t, func(t *testing.T) {
+		told := make(chan string, 1)
+		addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+			told <- r.Header.Get("X-Deadline-Ms")
+			<-r.Context().Done()
+		})
+		l, _ := startLoop(t, addr, func(now policy.Time, ev policy.Event) []policy.Action {
+			switch e := ev.(type) {
+			case policy.Request:
+				return []policy.Action{{Kind: policy.Send, ID: e.ID, Server: "s0", Until: now + time.Hour}}
+			case policy.Outcome:
+				return []policy.Action{{Kind: policy.Fail, ID: e.ID}}
+			}
+			return nil
+		})
+		x := l.arriveNow("r1", 2*time.Second)
+		if ms, err := strconv.Atoi(receive(t, "the attempt", told)); err != nil || ms > 2000 {
+			t.Errorf("the server is told of %d ms (%v), though the client waits for 2000", ms, err)
+		}
+		if a := receive(t, "the answer", x.reply); a.status < 500 {
+			t.Errorf("status %d", a.status)
 		}
-		return nil
 	})
-	x := l.arriveNow("r1", 2*time.Second)
-	if ms, err := strconv.Atoi(receive(t, "the attempt", told)); err != nil || ms > 2000 {
-		t.Errorf("the server is told of %d ms (%v), though the client waits for 2000", ms, err)
-	}
-	if a := receive(t, "the answer", x.reply); a.status < 500 {
-		t.Errorf("status %d", a.status)
-	}
 }
 
 func TestDuplicateAndSurplusRequestsAreAnsweredByTheNode(t *testing.T) {
-	l, s := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
-	l.arriveNow("r1", long)
-	if a := receive(t, "the answer", l.arriveNow("r1", long).reply); a.status != http.StatusConflict {
-		t.Errorf("duplicate: status %d", a.status)
-	}
-	for i := 2; i <= l.maxOpen; i++ {
-		l.arriveNow(fmt.Sprint("r", i), long)
-	}
-	if a := receive(t, "the answer", l.arriveNow("more", long).reply); a.status != http.StatusServiceUnavailable {
-		t.Errorf("surplus: status %d", a.status)
-	}
-	if n := len(s.events()); n != 1+l.maxOpen {
-		t.Errorf("the module was told of %d events, want the list and %d requests", n, l.maxOpen)
-	}
+	bubble(t, func(t *testing.T) {
+		l, s := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
+		l.arriveNow("r1", long)
+		if a := receive(t, "the answer", l.arriveNow("r1", long).reply); a.status != http.StatusConflict {
+			t.Errorf("duplicate: status %d", a.status)
+		}
+		for i := 2; i <= l.maxOpen; i++ {
+			l.arriveNow(fmt.Sprint("r", i), long)
+		}
+		if a := receive(t, "the answer", l.arriveNow("more", long).reply); a.status != http.StatusServiceUnavailable {
+			t.Errorf("surplus: status %d", a.status)
+		}
+		if n := len(s.events()); n != 1+l.maxOpen {
+			t.Errorf("the module was told of %d events, want the list and %d requests", n, l.maxOpen)
+		}
+	})
 }
 
 func TestFinishFailsWhatIsOpen(t *testing.T) {
-	l, s := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
-	x := l.arriveNow("r1", long)
-	l.send(finish{})
-	if a := receive(t, "the answer", x.reply); a.status != http.StatusBadGateway {
-		t.Errorf("status %d", a.status)
-	}
-	s.has(t, "list 2", "request r1", "lapsed r1")
-	l.arriveNow("r1", long) // the id is free again
-	s.has(t, "list 2", "request r1", "lapsed r1", "request r1")
+	bubble(t, func(t *testing.T) {
+		l, s := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
+		x := l.arriveNow("r1", long)
+		l.send(finish{})
+		if a := receive(t, "the answer", x.reply); a.status != http.StatusBadGateway {
+			t.Errorf("status %d", a.status)
+		}
+		s.has(t, "list 2", "request r1", "lapsed r1")
+		l.arriveNow("r1", long) // the id is free again
+		s.has(t, "list 2", "request r1", "lapsed r1", "request r1")
+	})
 }
 
 // A request that is over leaves nothing behind, however far off its deadline was.
--- /dev/null
+++ b/internal/node/memnet_test.go
@@ -0,0 +1,250 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// bubble runs a test in virtual time, over a network in memory: waits cost nothing, and how busy the machine
+// is makes no difference.
+func bubble(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := &memNet{listeners: make(map[string]*memListener), port: 10_000}
+		memNets.Store(t, n)
+		defer memNets.Delete(t)
+		test(t)
+	})
+}
+
+var memNets sync.Map // *memNet by the test in its bubble
+
+// dialer is that of the test's network.
+func dialer(t testing.TB) dialFunc {
+	if n, ok := memNets.Load(t); ok {
+		return n.(*memNet).dial
+	}
+	return nil
+}
+
+// dial connects to addr on the test's network.
+func dial(t testing.TB, addr string) memOrTCP {
+	t.Helper()
+	connect := dialer(t)
+	if connect == nil {
+		connect = (&net.Dialer{}).DialContext
+	}
+	c, err := connect(context.Background(), "tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c.(memOrTCP)
+}
+
+type memOrTCP interface {
+	net.Conn
+	CloseWrite() error
+}
+
+type memNet struct {
+	mu        sync.Mutex
+	listeners map[string]*memListener
+	port      int
+}
+
+func (n *memNet) listen() *memListener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.port++
+	l := &memListener{net: n, addr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: n.port},
+		queue: make(chan net.Conn, 4096), closed: make(chan struct{})}
+	n.listeners[l.addr.String()] = l
+	return l
+}
+
+func (n *memNet) dial(_ context.Context, _, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	n.port++
+	from := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: n.port}
+	n.mu.Unlock()
+	if l != nil {
+		there, back := newStream(), newStream()
+		ours := &memConn{in: back, out: there, local: from, remote: l.addr}
+		select {
+		case l.queue <- &memConn{in: there, out: back, local: l.addr, remote: from}:
+			return ours, nil
+		case <-l.closed:
+		default:
+		}
+	}
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+}
+
+type memListener struct {
+	net    *memNet
+	addr   net.Addr
+	queue  chan net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (l *memListener) Addr() net.Addr { return l.addr }
+
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	default:
+	}
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memListener) Close() error {
+	l.once.Do(func() {
+		l.net.mu.Lock()
+		delete(l.net.listeners, l.addr.String())
+		l.net.mu.Unlock()
+		close(l.closed)
+		for len(l.queue) > 0 {
+			(<-l.queue).Close()
+		}
+	})
+	return nil
+}
+
+// streamSize is what a stream holds that is written and not yet read.
+const streamSize = 256 << 10
+
+// stream is one direction of a connection.
+type stream struct {
+	mu            sync.Mutex
+	change        *sync.Cond
+	held          []byte
+	ended         bool // nothing more is written
+	broken        bool // nothing more is read
+	readTo, write deadline
+}
+
+type deadline struct {
+	at    time.Time
+	timer *time.Timer
+}
+
+func (d deadline) passed() bool { return !d.at.IsZero() && !time.Now().Before(d.at) }
+
+func newStream() *stream {
+	s := new(stream)
+	s.change = sync.NewCond(&s.mu)
+	return s
+}
+
+func (s *stream) read(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		switch {
+		case s.broken:
+			return 0, net.ErrClosed
+		case s.readTo.passed():
+			return 0, os.ErrDeadlineExceeded
+		case len(s.held) > 0:
+			n := copy(p, s.held)
+			s.held = s.held[n:]
+			s.change.Broadcast()
+			return n, nil
+		case s.ended:
+			return 0, io.EOF
+		}
+		s.change.Wait()
+	}
+}
+
+func (s *stream) put(p []byte) (n int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		switch {
+		case s.ended:
+			return n, net.ErrClosed
+		case s.broken:
+			return n, syscall.ECONNRESET
+		case s.write.passed():
+			return n, os.ErrDeadlineExceeded
+		}
+		part := p[n:min(len(p), n+streamSize-len(s.held))]
+		s.held = append(s.held, part...)
+		s.change.Broadcast()
+		if n += len(part); n == len(p) {
+			return n, nil
+		}
+		s.change.Wait()
+	}
+}
+
+func (s *stream) set(flag *bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*flag = true
+	s.change.Broadcast()
+}
+
+func (s *stream) due(d *deadline, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if d.timer != nil {
+		d.timer.Stop()
+		d.timer = nil
+	}
+	if d.at = at; !at.IsZero() && time.Until(at) > 0 {
+		d.timer = time.AfterFunc(time.Until(at), s.change.Broadcast)
+	}
+	s.change.Broadcast()
+}
+
+type memConn struct {
+	in, out       *stream
+	local, remote net.Addr
+}
+
+func (c *memConn) Read(p []byte) (int, error)  { return c.in.read(p) }
+func (c *memConn) Write(p []byte) (int, error) { return c.out.put(p) }
+func (c *memConn) LocalAddr() net.Addr         { return c.local }
+func (c *memConn) RemoteAddr() net.Addr        { return c.remote }
+
+func (c *memConn) CloseWrite() error {
+	c.out.set(&c.out.ended)
+	return nil
+}
+
+func (c *memConn) Close() error {
+	c.in.set(&c.in.broken)
+	return errors.Join(c.SetDeadline(time.Time{}), c.CloseWrite())
+}
+
+func (c *memConn) SetReadDeadline(at time.Time) error {
+	c.in.due(&c.in.readTo, at)
+	return nil
+}
+
+func (c *memConn) SetWriteDeadline(at time.Time) error {
+	c.out.due(&c.out.write, at)
+	return nil
+}
+
+func (c *memConn) SetDeadline(at time.Time) error {
+	return errors.Join(c.SetReadDeadline(at), c.SetWriteDeadline(at))
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -156,7 +156,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		_ = tcp(c).SetLinger(0)
 		c.Close()
 	}
 }
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -127,6 +127,7 @@
 			return Config{}, errors.New("configuration: settings.services: one has no name")
 		}
 	}
+	c.dial = before.dial
 	return c, nil
 }
 
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -28,6 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	c.dial = dialer(t)
 	return c, func(text string) (Config, error) {
 		write(text)
 		return Reload(getenv, c)
@@ -94,67 +95,69 @@
 // New settings bind as a whole: a class comes, one goes, another's effect and the attempts change. What a
 // tenant has used up stays so, and a bad file in between changes nothing.
 func TestNewSettingsBindAtOnce(t *testing.T) {
-	var full atomic.Int32
-	server := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.Header.Get("X-Request-Id"), "full") {
-			full.Add(1)
-			w.Header().Set("X-Not-Run", "1")
-			w.WriteHeader(http.StatusServiceUnavailable)
+	bubble(t, func(t *testing.T) {
+		var full atomic.Int32
+		server := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.Header.Get("X-Request-Id"), "full") {
+				full.Add(1)
+				w.Header().Set("X-Not-Run", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		})
+		known := knownList(server, server, server)
+		c, reload := loadFile(t, fileText(known, testSettings))
+		changes := make(chan Change)
+		at := Listeners{Clients: listen(t), Control: listen(t)}
+		ctl := at.Control.Addr().String()
+		node, _ := startNodeAt(t, c, at, changes)
+		change := func(text string) {
+			t.Helper()
+			next, err := reload(text)
+			changes <- Change{next, err}
 		}
-	})
-	known := knownList(server, server, server)
-	c, reload := loadFile(t, fileText(known, testSettings))
-	changes := make(chan Change)
-	at := Listeners{Clients: listen(t), Control: listen(t)}
-	ctl := at.Control.Addr().String()
-	node, _ := startNodeAt(t, c, at, changes)
-	change := func(text string) {
-		t.Helper()
-		next, err := reload(text)
-		changes <- Change{next, err}
-	}
-	ask := func(method, class, id string, headers ...string) int {
-		t.Helper()
-		resp, _ := do(t, clientRequest(t, node, method, class, id, "", headers...))
-		return resp.StatusCode
-	}
-	wants := func(want int, got int, what string) {
-		t.Helper()
-		if got != want {
-			t.Errorf("%s: status %d, want %d", what, got, want)
+		ask := func(method, class, id string, headers ...string) int {
+			t.Helper()
+			resp, _ := do(t, clientRequest(t, node, method, class, id, "", headers...))
+			return resp.StatusCode
 		}
-	}
-	for i := range 3 {
-		wants(200, ask("GET", "read", fmt.Sprint("tiny", i), "X-Tenant", "tiny"), "within the burst")
-	}
-	ask("GET", "read", "full-before")
-	if n := full.Swap(0); n != 3 {
-		t.Errorf("%d attempts before, want 3", n)
-	}
-	wants(400, ask("GET", "order", "o1"), "a class to come")
-	change(fileText(known, strings.Replace(laterSettings, `"maxAttempts":1,`, "", 1)))
-	awaitStats(t, ctl, map[string]float64{"app_cfg_invalid_total": 1, "app_cfg_accepted_total": 0})
-	wants(400, ask("GET", "order", "o2"), "a class of a broken file")
+		wants := func(want int, got int, what string) {
+			t.Helper()
+			if got != want {
+				t.Errorf("%s: status %d, want %d", what, got, want)
+			}
+		}
+		for i := range 3 {
+			wants(200, ask("GET", "read", fmt.Sprint("tiny", i), "X-Tenant", "tiny"), "within the burst")
+		}
+		ask("GET", "read", "full-before")
+		if n := full.Swap(0); n != 3 {
+			t.Errorf("%d attempts before, want 3", n)
+		}
+		wants(400, ask("GET", "order", "o1"), "a class to come")
+		change(fileText(known, strings.Replace(laterSettings, `"maxAttempts":1,`, "", 1)))
+		awaitStats(t, ctl, map[string]float64{"app_cfg_invalid_total": 1, "app_cfg_accepted_total": 0})
+		wants(400, ask("GET", "order", "o2"), "a class of a broken file")
 
-	began := time.Now()
-	change(fileText(known, laterSettings))
-	awaitStats(t, ctl, map[string]float64{"app_cfg_invalid_total": 1, "app_cfg_accepted_total": 1,
-		`app_fulfilled_total{priority="order"}`: 0, `app_fulfilled_total{priority="read"}`: 3})
-	wants(200, ask("GET", "order", "o3"), "the new class")
-	wants(200, ask("POST", "read", "r1"), "the class with a new effect")
-	await(t, "the dropped class's end", func() bool { return ask("POST", "pay", fmt.Sprint("p", time.Now().UnixNano())) == 400 })
-	if took := time.Since(began); took > formerFor+time.Second/2 {
-		t.Errorf("the dropped class was served for %v", took)
-	}
-	wants(405, ask("GET", "read", "r2"), "the former form of a class")
-	ask("GET", "order", "full-after")
-	if n := full.Load(); n != 1 {
-		t.Errorf("%d attempts after, want 1", n)
-	}
-	wants(429, ask("GET", "order", "tiny-after", "X-Tenant", "tiny"), "an empty bucket")
-	if _, ok := stats(t, ctl)[`app_fulfilled_total{priority="pay"}`]; !ok {
-		t.Error("the counts of the dropped class are gone")
-	}
+		began := time.Now()
+		change(fileText(known, laterSettings))
+		awaitStats(t, ctl, map[string]float64{"app_cfg_invalid_total": 1, "app_cfg_accepted_total": 1,
+			`app_fulfilled_total{priority="order"}`: 0, `app_fulfilled_total{priority="read"}`: 3})
+		wants(200, ask("GET", "order", "o3"), "the new class")
+		wants(200, ask("POST", "read", "r1"), "the class with a new effect")
+		await(t, "the dropped class's end", func() bool { return ask("POST", "pay", fmt.Sprint("p", time.Now().UnixNano())) == 400 })
+		if took := time.Since(began); took > formerFor+time.Second/2 {
+			t.Errorf("the dropped class was served for %v", took)
+		}
+		wants(405, ask("GET", "read", "r2"), "the former form of a class")
+		ask("GET", "order", "full-after")
+		if n := full.Load(); n != 1 {
+			t.Errorf("%d attempts after, want 1", n)
+		}
+		wants(429, ask("GET", "order", "tiny-after", "X-Tenant", "tiny"), "an empty bucket")
+		if _, ok := stats(t, ctl)[`app_fulfilled_total{priority="pay"}`]; !ok {
+			t.Error("the counts of the dropped class are gone")
+		}
+	})
 }
 
 // Just after a change a request in its class's former form is taken by the former rules.
@@ -184,25 +187,27 @@
 
 // Signals in a row, good files and bad, and one while the node stops, do no harm.
 func TestManyChangesInARow(t *testing.T) {
-	server := httpServer(t, func(http.ResponseWriter, *http.Request) {})
-	known := knownList(server)
-	c, reload := loadFile(t, fileText(known, testSettings))
-	changes := make(chan Change)
-	node, stop := startNodeAt(t, c, Listeners{Clients: listen(t)}, changes)
-	for i := range 50 {
-		text := fileText(known, []string{testSettings, laterSettings, ""}[i%3])
-		next, err := reload(text)
-		changes <- Change{next, err}
-	}
-	next, err := reload(fileText(known, laterSettings))
-	if err != nil {
-		t.Fatal(err)
-	}
-	changes <- Change{Config: next}
-	if resp, _ := do(t, clientRequest(t, node, "GET", "order", "r", "")); resp.StatusCode != http.StatusOK {
-		t.Errorf("status %d", resp.StatusCode)
-	}
-	if err := stop(); err != nil {
-		t.Error(err)
-	}
+	bubble(t, func(t *testing.T) {
+		server := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+		known := knownList(server)
+		c, reload := loadFile(t, fileText(known, testSettings))
+		changes := make(chan Change)
+		node, stop := startNodeAt(t, c, Listeners{Clients: listen(t)}, changes)
+		for i := range 50 {
+			text := fileText(known, []string{testSettings, laterSettings, ""}[i%3])
+			next, err := reload(text)
+			changes <- Change{next, err}
+		}
+		next, err := reload(fileText(known, laterSettings))
+		if err != nil {
+			t.Fatal(err)
+		}
+		changes <- Change{Config: next}
+		if resp, _ := do(t, clientRequest(t, node, "GET", "order", "r", "")); resp.StatusCode != http.StatusOK {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	})
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -39,7 +39,7 @@
 // or a request with an Idempotency-Key, again on its own when a reused connection breaks, and each such
 // copy would be an attempt that the module never decided on.
 type upstream struct {
-	dialer  net.Dialer
+	dialer  dialFunc
 	idleFor time.Duration // an idle connection is dropped after this
 	report  []string      // names of the figures of a load report, in order
 	relayed *metrics.Counter
@@ -106,7 +106,7 @@
 	if idle == 0 {
 		idle = defaultConnIdle
 	}
-	u.dialer = net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1}
+	u.dialer = c.dialer(c.ConnectTimeout)
 	u.idleFor = idle / 2 // what is written just as the server closes would end as a reset
 	u.report = c.Settings.Report
 }
@@ -129,7 +129,7 @@
 		ctx, cancel = context.WithDeadline(ctx, due)
 		defer cancel()
 	}
-	return dialer.DialContext(ctx, "tcp", addr)
+	return dialer(ctx, "tcp", addr)
 }
 
 // update follows the list. A server that moved or started anew gets a new pool: what was open to its
