--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -24,6 +24,7 @@
 	closeLinger = 500 * time.Millisecond // after a last answer that the client may not expect, to read it
 	acceptPause = 5 * time.Millisecond   // after a failed accept, doubled up to acceptMost
 	acceptMost  = 250 * time.Millisecond
+	fitsAlways  = 4 << 10 // bytes that the kernel takes for a client who reads nothing
 )
 
 // message is a client's request as it came: the head, and how its body is framed.
@@ -59,6 +60,7 @@
 	owed  atomic.Bool
 	out   []byte
 	outTo time.Time // the deadline for writing
+	sent  int64     // bytes of answers, over the connection
 }
 
 var inBuffers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
@@ -315,8 +317,7 @@
 		a.status = http.StatusServiceUnavailable
 	}
 	c.last = c.last || m.length != 0 // nobody reads that body
-	c.writeBy(writeTimeout)
-	if _, err := c.Write(c.head(a)); err != nil || c.last {
+	if err := c.send(a); err != nil || c.last {
 		return false
 	}
 	c.s.peers.become(c.peer, http.StateIdle)
@@ -407,7 +408,7 @@
 	} else if a.length < 0 {
 		to = chunkWriter{c}
 	}
-	c.outTo = time.Time{}
+	c.outTo, c.sent = time.Time{}, fitsAlways+1
 	c.writeBy(writeTimeout)
 	_, err := c.Write(c.head(a))
 	if err != nil {
@@ -437,8 +438,11 @@
 func (f failing) Write([]byte) (int, error) { return 0, f.err }
 
 // writeBy bounds what is written next: a client that reads nothing must not hold the writer for ever. A
-// deadline that ends at most twice as late is as good.
+// deadline that ends at most twice as late is as good, and the first few bytes of a connection need none.
 func (c *client) writeBy(d time.Duration) {
+	if c.sent <= fitsAlways {
+		return
+	}
 	now := time.Now()
 	if c.outTo.Before(now.Add(d)) {
 		c.outTo = now.Add(2 * d)
@@ -448,8 +452,9 @@
 
 // send writes a whole answer.
 func (c *client) send(a answer) error {
-	c.writeBy(writeTimeout)
 	b := c.head(a)
+	c.sent += int64(len(b) + len(a.body))
+	c.writeBy(writeTimeout)
 	if len(a.body) > copiedBody {
 		if _, err := c.Write(b); err != nil {
 			return err
@@ -533,8 +538,10 @@
 	if !m.expects || m.minor == 0 || c.r.Buffered() > 0 {
 		return nil
 	}
+	const text = "HTTP/1.1 100 Continue\r\n\r\n"
+	c.sent += int64(len(text))
 	c.writeBy(writeTimeout)
-	_, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+	_, err := io.WriteString(c, text)
 	return err
 }
 
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,7 +35,7 @@
 		}
 		c, err := g.Listener.Accept()
 		if err == nil {
-			return &gatedConn{Conn: c, leave: sync.OnceFunc(g.leave)}, nil
+			return &gatedConn{Conn: c, gate: g}, nil
 		}
 		g.leave()
 		if !errors.Is(err, os.ErrDeadlineExceeded) { // that is how setShut wakes it
@@ -98,11 +99,14 @@
 
 type gatedConn struct {
 	net.Conn
-	leave func()
+	gate *gate
+	left atomic.Bool
 }
 
 func (c *gatedConn) Close() error {
 	err := c.Conn.Close()
-	c.leave()
+	if c.left.CompareAndSwap(false, true) {
+		c.gate.leave()
+	}
 	return err
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -164,16 +164,18 @@
 	defer sweep.Stop()
 	wake := time.NewTimer(0)
 	defer wake.Stop()
+	armed := policy.Time(0) // what wake is set to
 	for {
-		if len(l.timers) > 0 {
-			wake.Reset(l.timers[0].due - l.clock.now())
-		} else {
-			wake.Stop()
+		if len(l.timers) > 0 && l.timers[0].due != armed {
+			armed = l.timers[0].due
+			wake.Reset(armed - l.clock.now())
 		}
 		select {
 		case ev := <-l.events:
 			l.handle(ev)
+			l.handleMore()
 		case <-wake.C:
+			armed = 0
 		case now := <-sweep.C:
 			l.up.sweep(now)
 		case <-ctx.Done():
@@ -183,8 +185,26 @@
 	}
 }
 
+// eventsAtOnce are handled before timers and all else get their turn.
+const eventsAtOnce = 64
+
+// handleMore handles what else has come already: to wait for several things at once costs more.
+func (l *loop) handleMore() {
+	for range eventsAtOnce {
+		select {
+		case ev := <-l.events:
+			l.handle(ev)
+		default:
+			return
+		}
+	}
+}
+
 // fire handles the timers that are due.
 func (l *loop) fire() {
+	if len(l.timers) == 0 {
+		return
+	}
 	for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].due <= now; {
 		t := heap.Pop(&l.timers).(*timer)
 		if r := t.backstop; r == nil {
