--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -15,9 +15,8 @@
 	silentLeast = 500 * time.Millisecond
 	// idleLeast is the same for one that was answered, and the least that clients are owed.
 	idleLeast = 2 * time.Second
-	// crowdedPart of the places may be held by connections that asked once and are idle, before others end with
-	// their first answer: each that stays is owed idleLeast. Clients who come back are so let through to keep
-	// their connections, as fast as those who don't make room.
+	// crowdedPart of the places may be taken before connections end with their first answer. Those that stay
+	// then are owed idleLeast each, and new clients come meanwhile.
 	crowdedPart = 4
 )
 
@@ -28,9 +27,8 @@
 	counted *atomic.Int64 // how many there are
 	yield   func()        // asks for descriptors that others can do without
 
-	mu     sync.Mutex
-	open   map[net.Conn]*peer
-	untold int // idle after one request
+	mu   sync.Mutex
+	open map[net.Conn]*peer
 }
 
 type peer struct {
@@ -67,7 +65,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.untold -= p.untold()
 	if state == http.StateActive {
 		p.asked++
 		if p.state != http.StateNew {
@@ -76,18 +73,9 @@
 	}
 	shed = p.shed
 	p.state, p.since, p.shed = state, now, false
-	s.untold += p.untold()
 	return shed
 }
 
-// untold is 1 for a connection that asked once and may or may not come back, else 0.
-func (p *peer) untold() int {
-	if p.state == http.StateIdle && p.asked < 2 {
-		return 1
-	}
-	return 0
-}
-
 // expired tells whether a connection without a request is to end.
 func (s *peers) expired(p *peer, now time.Time) bool {
 	s.mu.Lock()
@@ -99,9 +87,6 @@
 func (s *peers) leave(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := s.open[c]; p != nil {
-		s.untold -= p.untold()
-	}
 	delete(s.open, c)
 	s.counted.Store(int64(len(s.open)))
 }
@@ -139,12 +124,13 @@
 	return len(s.open)
 }
 
-// crowded tells whether a request's connection is to end with the answer: as many others as may wait for
-// whether their clients come back. Who has come back for a second request keeps its connection.
+// crowded tells whether a request's connection is to end with the answer: more than a part of the places
+// are taken, and one that stays idle has to be borne for some time. Who has come back for a second
+// request is a client that uses its connection, and keeps it.
 func (s *peers) crowded(p *peer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return p.asked < 2 && s.untold*crowdedPart >= s.most()
+	return p.asked < 2 && len(s.open) > s.most()/crowdedPart
 }
 
 // reading notes that a request's body is waited for, or no more.
