Trust servers with more at first, and fill the least busy further for dear classes

Change (policy.go): startFew 6 to 10, crowdLimit 1.5 to 2. What nodes with load reports trust at first keeps its 6 attempts under a name of its own, startTold.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -258,7 +258,7 @@
 
 const (
 	manyNodes         = 3             // nodes; more would jam the first server, so each walks from elsewhere
-	startFew          = 6.0           // attempts first trusted to a server by all nodes where they are few,
+	startFew          = 10.0          // attempts first trusted to a server by all nodes where they are few,
 	startOwn          = 2.0           // attempts first trusted to servers where the own walk starts,
 	startOthers       = 1.0           // to any other, by all nodes together,
 	startShared       = 3.0           // and to one that all nodes of a zone share by key
@@ -272,7 +272,7 @@
 	fullEnough        = 0.2           // part of full answers among bad ones from which servers shed early
 	lostMost          = 0.1           // part of the other answers that may time out there
 	fullGain, badGain = 0.02, 0.01    // weight of one answer in these parts, and in that of bad answers
-	crowdLimit        = 1.5           // times its limit, the least busy is filled by the dearest class,
+	crowdLimit        = 2.0           // times its limit, the least busy is filled by the dearest class,
 	crowdLeast        = 0.8           // and down to this by one that is worth next to nothing
 	slowPart          = 0.4           // part of the aim from which an answer waited about as long as it ran
 	keyHomes          = 3             // servers that keep a key warm in each zone
@@ -503,7 +503,8 @@
 	utilAim    = 0.8             // busy part that all nodes together aim at
 	trustSpan  = 3 * time.Second // in which the trust follows the busy part: reports come a second or two late
 	trustFall  = 3.0             // how much faster it falls than it rises
-	trustFirst = 1.0             // of every node
+	trustFirst = 1.0             // of every node,
+	startTold  = 6.0             // in attempts at a server by all nodes together
 	trustLow   = 0.2             // least trust
 	spread     = 1.25            // times an even part of its window that a node may hold at a server at least
 	partLeast  = 0.7             // attempts that a node may hold at the usual server, whatever the nodes
@@ -535,7 +536,7 @@
 // window is how many attempts this node may have out: its part of what servers are first trusted with,
 // scaled by the trust.
 func (b *Balancer) window() float64 {
-	return max(1, b.trust*startFew*b.warmth()/float64(b.set.Nodes))
+	return max(1, b.trust*startTold*b.warmth()/float64(b.set.Nodes))
 }
 
 // capacity is how many attempts a second s can serve: by its own reports, or as others of its kind.
