Hold thresholds over both processes while one replaces the other

Change: attempts in flight come with the inheritance and again each 50 ms, about half an answer's time; thresholds, crowding and the window count both (policy/state.go, Out and Beside). An old process without them is one that has none out. TestThresholdsHoldOverBothProcesses fails without it.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -24,14 +24,14 @@
 
 const (
 	handoverVersion = 1
-	handoverTimeout = time.Second            // for each step of a hand-over
-	handoverWait    = 10 * time.Second       // for the new process to serve; after that it counts as gone
-	handoverTell    = 200 * time.Millisecond // between looks at what the old process still holds
-	maxInheritance  = 16 << 20               // bytes
-	serving         = 'S'                    // what a new process writes once it takes clients
-	spareConns      = 8                      // that the old process may open on either side meanwhile
-	spareServers    = 32                     // connections to servers that it may want for clients it has
-	heapPart        = 0.75                   // of the memory limit: stacks and sockets take the rest
+	handoverTimeout = time.Second           // for each step of a hand-over
+	handoverWait    = 10 * time.Second      // for the new process to serve; after that it counts as gone
+	handoverTell    = 50 * time.Millisecond // between looks at what the old process still holds: half an answer's time
+	maxInheritance  = 16 << 20              // bytes
+	serving         = 'S'                   // what a new process writes once it takes clients
+	spareConns      = 8                     // that the old process may open on either side meanwhile
+	spareServers    = 32                    // connections to servers that it may want for clients it has
+	heapPart        = 0.75                  // of the memory limit: stacks and sockets take the rest
 )
 
 // inheritance is what a process leaves to the one that takes over. Descriptors of the clients' listener
@@ -42,7 +42,8 @@
 	Listen    string
 	Members   []member
 	Knowledge policy.Knowledge
-	Sockets   int // that the new process may hold for now; told again as the old one ends its connections
+	Sockets   int            // that the new process may hold for now; told again as the old one ends its connections
+	Out       map[string]int // the old process's attempts at each server; told again too
 }
 
 // Listeners are where a node is reached, and what it was left by the process before it.
@@ -204,7 +205,7 @@
 
 // serve tells the old process that this one takes clients, and follows what the old one still holds.
 // Once that is gone, all is this one's.
-func (h *heir) serve(share func(sockets int, whole bool)) {
+func (h *heir) serve(share func(left inheritance, whole bool)) {
 	defer h.conn.Close()
 	if _, err := h.conn.Write([]byte{serving}); err != nil {
 		slog.Warn("the old process left early", "err", err)
@@ -213,10 +214,10 @@
 		var tell inheritance
 		if err := h.tells.Decode(&tell); err != nil {
 			slog.Info("the old process has ended")
-			share(0, true)
+			share(inheritance{}, true)
 			return
 		}
-		share(tell.Sockets, false)
+		share(tell, false)
 	}
 }
 
@@ -336,7 +337,7 @@
 	h.s.loop.send(ceded{reply})
 	select {
 	case l := <-reply:
-		left.Members, left.Knowledge = l.members, l.knowledge
+		left.Members, left.Knowledge, left.Out = l.members, l.knowledge, l.out
 	case <-h.s.loop.done:
 		return errors.New("the node has ended")
 	}
@@ -391,7 +392,7 @@
 		case err := <-gone:
 			return true, err
 		case <-tick.C:
-			if err := tells.Encode(inheritance{Sockets: h.release()}); err != nil {
+			if err := tells.Encode(inheritance{Sockets: h.release(), Out: h.s.loop.out()}); err != nil {
 				return true, err
 			}
 		}
@@ -425,7 +426,9 @@
 }
 
 // grant takes what the process before this one has let go of.
-func (h *handover) grant(sockets int, whole bool) {
+func (h *handover) grant(left inheritance, whole bool) {
+	h.s.loop.send(outBeside{left.Out})
+	sockets := left.Sockets
 	if whole {
 		sockets = h.c.Sockets
 		limitMemory(h.c, 1)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -54,6 +54,8 @@
 	Tail() time.Duration
 	Knowledge(now policy.Time) policy.Knowledge
 	Learn(now policy.Time, k policy.Knowledge)
+	Out() map[string]int
+	Beside(out map[string]int)
 }
 
 // loop owns the module, the open requests and the timers, in one goroutine. All else sends it events;
@@ -109,7 +111,9 @@
 	ceded     struct{ reply chan<- legacy } // another process takes over
 	takenBack struct{ served bool }         // and is gone again
 	tailAsked struct{ reply chan<- time.Duration }
-	begun     struct { // an answer that is passed on as it comes
+	outAsked  struct{ reply chan<- map[string]int } // this process's attempts, by server
+	outBeside struct{ out map[string]int }          // and the other's
+	begun     struct {                              // an answer that is passed on as it comes
 		r *request
 		n int
 		answer
@@ -125,6 +129,7 @@
 type legacy struct {
 	members   []member
 	knowledge policy.Knowledge
+	out       map[string]int
 }
 
 func newLoop(c Config, ck clock, up *upstream, fig *figures) (*loop, error) {
@@ -141,6 +146,18 @@
 	return l, nil
 }
 
+// out asks for this process's attempts, by server; nil once the loop has ended.
+func (l *loop) out() map[string]int {
+	reply := make(chan map[string]int, 1)
+	l.send(outAsked{reply})
+	select {
+	case out := <-reply:
+		return out
+	case <-l.done:
+		return nil
+	}
+}
+
 // send hands the loop an event. After the loop's end there is nobody to tell.
 func (l *loop) send(ev any) {
 	select {
@@ -151,13 +168,14 @@
 
 // run handles events until ctx ends; then it calls off what is out and waits for it. The list as last
 // held comes before all else, as the module expects, and then what another process left.
-func (l *loop) run(ctx context.Context, known []member, left *policy.Knowledge) {
+func (l *loop) run(ctx context.Context, known []member, left *inheritance) {
 	defer l.attempts.Wait()
 	defer l.callOff()
 	defer close(l.done)
 	l.handle(news{policy.ListRestored, known})
 	if left != nil {
-		l.module.Learn(l.clock.now(), *left)
+		l.module.Learn(l.clock.now(), left.Knowledge)
+		l.module.Beside(left.Out)
 	}
 	close(l.ready)
 	sweep := time.NewTicker(sweepEvery)
@@ -237,8 +255,12 @@
 	case retuned:
 		l.retune(e.Config)
 	case ceded:
-		e.reply <- legacy{slices.Collect(maps.Values(l.members)), l.module.Knowledge(l.clock.now())}
+		e.reply <- legacy{slices.Collect(maps.Values(l.members)), l.module.Knowledge(l.clock.now()), l.module.Out()}
 		l.tell(policy.Ceded{On: true})
+	case outAsked:
+		e.reply <- l.module.Out()
+	case outBeside:
+		l.module.Beside(e.out)
 	case tailAsked:
 		e.reply <- l.module.Tail()
 	case takenBack:
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -32,6 +32,8 @@
 func (s *script) Tail() time.Duration                        { return 0 }
 func (s *script) Knowledge(policy.Time) (k policy.Knowledge) { return k }
 func (s *script) Learn(now policy.Time, _ policy.Knowledge)  {}
+func (s *script) Out() map[string]int                        { return nil }
+func (s *script) Beside(map[string]int)                      {}
 
 // events lists what the module was told, in short words.
 func (s *script) events() []string {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,9 +41,9 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer stop()
-	var left *policy.Knowledge
+	var left *inheritance
 	if at.heir != nil {
-		left = &at.heir.Knowledge
+		left = &at.heir.inheritance
 		limitMemory(c, 0.5)
 	}
 	parts.Go(func() { l.run(running, c.Known.Members, left) })
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -358,10 +358,10 @@
 // A threshold under one is kept in time, and so is crowding then.
 func (b *Balancer) crowding(s *server) float64 {
 	limit := b.limit(s)
-	if limit < 1 && s.inflight == 0 && b.measured() {
+	if limit < 1 && s.out() == 0 && b.measured() {
 		return s.latency / limit / (s.latency + (b.now - s.lastSend).Seconds())
 	}
-	return float64(s.inflight+1) / limit
+	return float64(s.out()+1) / limit
 }
 
 // limit is the threshold of s, for a shared server scaled by the trust in all such: a node sees too
@@ -389,9 +389,9 @@
 	}
 	limit := b.limit(s)
 	if limit >= 1 {
-		return float64(s.inflight) < limit
+		return float64(s.out()) < limit
 	}
-	return s.inflight == 0 && b.now-s.lastSend >= seconds(s.latency*(1/limit-1))
+	return s.out() == 0 && b.now-s.lastSend >= seconds(s.latency*(1/limit-1))
 }
 
 // usable tells whether r may go to s now: s is in service, the rules allow it, and, if cold, it has room.
@@ -462,7 +462,7 @@
 		step = -failureCut * blame
 	case latency > seconds(slowPart*c.Aim.Seconds()):
 		step = -slowCut
-	case float64(s.inflight+1) >= b.limit(s): // answered well, and the threshold was felt
+	case float64(s.out()+1) >= b.limit(s): // answered well, and the threshold was felt
 		step = thresholdGrow
 	}
 	if step < 0 && (code != Full || s.health.score < silenceWeight) { // a hung server fills up too
@@ -560,7 +560,7 @@
 	if !b.measured() {
 		return 0
 	}
-	return float64(b.inflight) / b.window()
+	return float64(b.inflight+b.beside) / b.window()
 }
 
 // hear learns from the report in a good answer of s: rate over busy part is what it can serve, and the
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -967,3 +967,25 @@
 		t.Error("the only server is not blamed")
 	}
 }
+
+// While one process replaces another, a server's threshold holds for what both have out there.
+func TestThresholdsHoldOverBothProcesses(t *testing.T) {
+	old, heir := start(t, site(1), members(2)), start(t, site(1), members(2))
+	full := int(old.servers["s00"].threshold)
+	for i := range full {
+		sentTo(t, old.Handle(ms, ask(fmt.Sprint("o", i), "free")))
+	}
+	out := old.Out()
+	if out["s00"] != full || len(out) != 1 {
+		t.Fatalf("%v are out, want %d at the first server", out, full)
+	}
+	out["gone"] = 5 // and a server that this process has not heard of
+	heir.Beside(out)
+	if first := sentTo(t, heir.Handle(ms, ask("a", "free"))); first == "s00" {
+		t.Error("the first server is filled again")
+	}
+	heir.Beside(nil)
+	if next := sentTo(t, heir.Handle(ms, ask("b", "free"))); next != "s00" {
+		t.Errorf("sent to %s, though the other process has nothing out any more", next)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -28,6 +28,7 @@
 	kinds     map[string]*load // what the warm servers of a kind report on average
 	usual     load             // and all warm servers
 	inflight  int              // attempts out at warm servers
+	beside    int              // and those of the node's other process
 	reports   [3]int           // where latency, busy part and rate stand in a report; -1 where they don't
 	busy      float64          // how busy warm servers are by their last reports
 	heardAt   Time             // when the last of those came
@@ -95,7 +96,8 @@
 	Member
 	hash      uint64
 	safest    Repeat  // of the classes that it is open to: those give the trials
-	inflight  int     // this node's attempts out
+	inflight  int     // this process's attempts out
+	beside    int     // and those of the node's other process
 	threshold float64 // packing threshold, in attempts in flight
 	own       bool    // at the start of this node's own walk
 	felt      bool    // the threshold was cut at least once
@@ -188,6 +190,31 @@
 	}
 }
 
+// out is how many attempts this node has out at s.
+func (s *server) out() int { return s.inflight + s.beside }
+
+// Out tells how many attempts this process has out at each server.
+func (b *Balancer) Out() map[string]int {
+	all := make(map[string]int)
+	for id, s := range b.servers {
+		if s.inflight > 0 {
+			all[id] = s.inflight
+		}
+	}
+	return all
+}
+
+// Beside takes over how many attempts the node's other process has out at each server: thresholds hold for
+// both together, or a server would be filled twice while one process replaces the other.
+func (b *Balancer) Beside(out map[string]int) {
+	b.beside = 0
+	for id, s := range b.servers {
+		if s.beside = max(0, out[id]); b.ramp(s) >= 1 {
+			b.beside += s.beside
+		}
+	}
+}
+
 // use notes that s has as many connections in use as attempts in flight.
 func (s *server) use(now Time) {
 	for len(s.used) < s.inflight {
