Share what both sides of the node do with messages, and ask the loop in one way

Cause: on reading the change again: the framing fields, the write of head and small body together, the last chunk and the blank line stood twice, once a side; three places sent the loop an event with a reply and waited for it or the loop's end; the class of each request was looked up twice, though handle needs it only where a request is refused; a mutex guarded one flag; legacy was a copy of inheritance; Beside had its own form of paced; peer.conn, a guard in fire and a client that fails writes had no use of their own. Change: appendLength, writeWhole, lastChunk, blank (message.go), ask (loop.go), paced; the rest goes. No assertion changed.

--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"os"
 	"os/exec"
@@ -30,49 +29,6 @@
 		"Content-Length: 64\r\n\r\n0123456789012345678901234567890123456789012345678901234567890123"
 )
 
-func TestMain(m *testing.M) {
-	if os.Getenv(benchPeer) != "" {
-		if err := playPeers(os.Stdin, os.Stdout); err != nil {
-			fmt.Fprintln(os.Stderr, "bench peers:", err)
-			os.Exit(1)
-		}
-		return
-	}
-	var lines logKeeper
-	slog.SetDefault(slog.New(slog.NewTextHandler(&lines, &slog.HandlerOptions{Level: slog.LevelDebug})))
-	status := m.Run()
-	if status != 0 {
-		lines.tell(os.Stderr)
-	}
-	os.Exit(status)
-}
-
-// logKeeper holds the newest lines of the log back; they are told where a test fails.
-type logKeeper struct {
-	mu    sync.Mutex
-	lines []string
-}
-
-const keptLines = 2000
-
-func (k *logKeeper) Write(p []byte) (int, error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if len(k.lines) == keptLines {
-		k.lines = append(k.lines[:0], k.lines[keptLines/2:]...)
-	}
-	k.lines = append(k.lines, string(p))
-	return len(p), nil
-}
-
-func (k *logKeeper) tell(w io.Writer) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, line := range k.lines {
-		_, _ = io.WriteString(w, line)
-	}
-}
-
 func BenchmarkRequest(b *testing.B) {
 	for _, c := range []struct {
 		name string
@@ -147,7 +103,13 @@
 		}
 		defer ln.Close()
 		addrs = append(addrs, ln.Addr().String())
-		go benchServe(ln)
+		go acceptRaw(ln, func(c net.Conn, r *bufio.Reader) {
+			for swallow(r) {
+				if _, err := io.WriteString(c, benchAnswer); err != nil {
+					return
+				}
+			}
+		})
 	}
 	fmt.Fprintln(out, strings.Join(addrs, " "))
 	for lines := bufio.NewScanner(in); lines.Scan(); {
@@ -165,23 +127,6 @@
 	return nil
 }
 
-func benchServe(ln net.Listener) {
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer c.Close()
-			for r := bufio.NewReader(c); swallow(r); {
-				if _, err := io.WriteString(c, benchAnswer); err != nil {
-					return
-				}
-			}
-		}()
-	}
-}
-
 // benchLoad plays n requests by a few clients, on connections that they keep or on new ones.
 func benchLoad(addr string, n int, kept bool) error {
 	var clients sync.WaitGroup
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -153,9 +153,10 @@
 		if first {
 			writer.Go(c.write)
 		}
-		if !c.handle(m) || !c.more() {
+		if !c.handle(m) {
 			return
 		}
+		c.boundHead()
 	}
 }
 
@@ -174,12 +175,11 @@
 	_ = c.SetReadDeadline(to)
 }
 
-// more makes ready to read a further head, the first of which is there.
-func (c *client) more() bool {
+// boundHead bounds the reading of a further head, the first of which is there.
+func (c *client) boundHead() {
 	if b, _ := c.r.Peek(c.r.Buffered()); !bytes.Contains(b, headEnd) { // it nearly always is there whole
 		c.readUntil(time.Now().Add(headerTimeout))
 	}
-	return true
 }
 
 var headEnd = []byte("\r\n\r\n")
@@ -282,13 +282,13 @@
 		(m.method == http.MethodGet || m.method == http.MethodHead) {
 		return c.health(m)
 	}
-	class, _, known := s.loop.terms.Load().class(m.class, m.method, m.key != "")
 	bad := &fault{status: http.StatusServiceUnavailable, text: "too many connections"}
 	var x *exchange
 	if !full {
 		x, bad = s.read(c, &m)
 	}
 	if bad != nil {
+		class, _, known := s.loop.terms.Load().class(m.class, m.method, m.key != "")
 		if known && !bad.cut {
 			s.loop.fig.class(class.Name).count(bad.status)
 		}
@@ -412,14 +412,12 @@
 	}
 	c.outTo, c.sent = time.Time{}, fitsAlways+1
 	c.writeBy(writeTimeout)
-	_, err := c.Write(c.head(a))
-	if err != nil {
-		a.rest.pass(failing{err}, c, nil)
-		c.x.tally.count(a.status)
-		return false
+	if _, err := c.Write(c.head(a)); err != nil {
+		c.Close() // so that nothing is passed on behind half a head
 	}
-	if err = a.rest.pass(to, c, a.body); err == nil && a.length < 0 && !c.old {
-		_, err = io.WriteString(c, "0\r\n\r\n")
+	err := a.rest.pass(to, c, a.body)
+	if err == nil && a.length < 0 && !c.old {
+		_, err = io.WriteString(c, lastChunk)
 	}
 	c.outTo = time.Time{}
 	switch {
@@ -434,11 +432,6 @@
 	return err == nil
 }
 
-// failing is a client that takes nothing more.
-type failing struct{ err error }
-
-func (f failing) Write([]byte) (int, error) { return 0, f.err }
-
 // writeBy bounds what is written next: a client that reads nothing must not hold the writer for ever. A
 // deadline that ends at most twice as late is as good, and the first few bytes of a connection need none.
 func (c *client) writeBy(d time.Duration) {
@@ -457,16 +450,8 @@
 	b := c.head(a)
 	c.sent += int64(len(b) + len(a.body))
 	c.writeBy(writeTimeout)
-	if len(a.body) > copiedBody {
-		if _, err := c.Write(b); err != nil {
-			return err
-		}
-		_, err := c.Write(a.body)
-		return err
-	}
-	b = append(b, a.body...)
-	c.out = b[:0]
-	_, err := c.Write(b)
+	var err error
+	c.out, err = writeWhole(c, b, a.body)
 	return err
 }
 
@@ -489,12 +474,8 @@
 	if a.retryAfter > 0 {
 		b = appendField(b, "Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
 	}
-	switch {
-	case a.length >= 0:
-		b = append(b, "\r\nContent-Length: "...)
-		b = strconv.AppendInt(b, a.length, 10)
-	case !c.old:
-		b = append(b, "\r\nTransfer-Encoding: chunked"...)
+	if a.length >= 0 || !c.old {
+		b = appendLength(b, a.length)
 	}
 	switch {
 	case c.last:
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -332,15 +332,11 @@
 	if err != nil {
 		return err
 	}
-	left := inheritance{Version: handoverVersion, Name: h.c.Name, Listen: h.c.Listen}
-	reply := make(chan legacy, 1)
-	h.s.loop.send(ceded{reply})
-	select {
-	case l := <-reply:
-		left.Members, left.Knowledge, left.Out = l.members, l.knowledge, l.out
-	case <-h.s.loop.done:
+	left, ok := ask(h.s.loop, func(reply chan<- inheritance) any { return ceded{reply} })
+	if !ok {
 		return errors.New("the node has ended")
 	}
+	left.Version, left.Name, left.Listen = handoverVersion, h.c.Name, h.c.Listen
 	limitMemory(h.c, 0.5)
 	left.Sockets = h.release()
 	text, err := json.Marshal(left)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -108,8 +108,8 @@
 		n int
 		result
 	}
-	ceded     struct{ reply chan<- legacy } // another process takes over
-	takenBack struct{ served bool }         // and is gone again
+	ceded     struct{ reply chan<- inheritance } // another process takes over
+	takenBack struct{ served bool }              // and is gone again
 	tailAsked struct{ reply chan<- time.Duration }
 	outAsked  struct{ reply chan<- map[string]int } // this process's attempts, by server
 	outBeside struct{ out map[string]int }          // and the other's
@@ -125,13 +125,6 @@
 	finish struct{} // fail what is still open, for the node stops
 )
 
-// legacy is what the loop leaves to another process.
-type legacy struct {
-	members   []member
-	knowledge policy.Knowledge
-	out       map[string]int
-}
-
 func newLoop(c Config, ck clock, up *upstream, fig *figures) (*loop, error) {
 	balancer, err := policy.New(c.Settings, ck.now(), c.Seed)
 	if err != nil {
@@ -146,18 +139,24 @@
 	return l, nil
 }
 
-// out asks for this process's attempts, by server; nil once the loop has ended.
-func (l *loop) out() map[string]int {
-	reply := make(chan map[string]int, 1)
-	l.send(outAsked{reply})
+// ask has the loop answer an event that is made for the reply; not ok once it has ended.
+func ask[T any](l *loop, event func(reply chan<- T) any) (v T, ok bool) {
+	reply := make(chan T, 1)
+	l.send(event(reply))
 	select {
-	case out := <-reply:
-		return out
+	case v = <-reply:
+		return v, true
 	case <-l.done:
-		return nil
+		return v, false
 	}
 }
 
+// out is this process's attempts, by server; nil once the loop has ended.
+func (l *loop) out() map[string]int {
+	out, _ := ask(l, func(reply chan<- map[string]int) any { return outAsked{reply} })
+	return out
+}
+
 // send hands the loop an event. After the loop's end there is nobody to tell.
 func (l *loop) send(ev any) {
 	select {
@@ -220,9 +219,6 @@
 
 // fire handles the timers that are due.
 func (l *loop) fire() {
-	if len(l.timers) == 0 {
-		return
-	}
 	for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].due <= now; {
 		t := heap.Pop(&l.timers).(*timer)
 		if r := t.backstop; r == nil {
@@ -255,7 +251,8 @@
 	case retuned:
 		l.retune(e.Config)
 	case ceded:
-		e.reply <- legacy{slices.Collect(maps.Values(l.members)), l.module.Knowledge(l.clock.now()), l.module.Out()}
+		e.reply <- inheritance{Members: slices.Collect(maps.Values(l.members)),
+			Knowledge: l.module.Knowledge(l.clock.now()), Out: l.module.Out()}
 		l.tell(policy.Ceded{On: true})
 	case outAsked:
 		e.reply <- l.module.Out()
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
 	"net/http/httputil"
 	"strconv"
 	"strings"
@@ -53,7 +54,7 @@
 			}
 			return nil, err
 		}
-		if line := h.text[start:]; len(line) == 1 || len(line) == 2 && line[0] == '\r' {
+		if line := h.text[start:]; blank(line) {
 			if start > 0 {
 				return h.parse(string(h.text[:start]))
 			}
@@ -83,6 +84,9 @@
 	return &h.head, nil
 }
 
+// blank tells whether a line, its end included, has nothing in it.
+func blank(line []byte) bool { return len(line) == 1 || len(line) == 2 && line[0] == '\r' }
+
 func cutLine(text string) (line, rest string) {
 	line, rest, _ = strings.Cut(text, "\n")
 	return strings.TrimSuffix(line, "\r"), rest
@@ -157,7 +161,57 @@
 	return false
 }
 
-const maxTrailer = 4 << 10 // bytes after the last chunk
+const (
+	maxTrailer = 4 << 10  // bytes after the last chunk
+	copiedBody = 16 << 10 // bytes of a body that go into one write with its head
+	lastChunk  = "0\r\n\r\n"
+)
+
+func appendField(b []byte, name, value string) []byte {
+	if value == "" {
+		return b
+	}
+	b = append(b, "\r\n"...)
+	b = append(b, name...)
+	b = append(b, ": "...)
+	return append(b, value...)
+}
+
+// appendLength tells how a body is framed: by its length, or by chunks where that is below 0.
+func appendLength(b []byte, length int64) []byte {
+	if length < 0 {
+		return append(b, "\r\nTransfer-Encoding: chunked"...)
+	}
+	return strconv.AppendInt(append(b, "\r\nContent-Length: "...), length, 10)
+}
+
+// writeWhole writes a message; a small body goes into one write with its head. It returns the head's buffer,
+// which may have grown.
+func writeWhole(w io.Writer, head, body []byte) ([]byte, error) {
+	if len(body) <= copiedBody {
+		head, body = append(head, body...), nil
+	}
+	_, err := w.Write(head)
+	if err == nil && len(body) > 0 {
+		_, err = w.Write(body)
+	}
+	return head, err
+}
+
+// chunkWriter writes each piece as a chunk.
+type chunkWriter struct{ net.Conn }
+
+func (w chunkWriter) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	head := append(strconv.AppendInt(make([]byte, 0, 24), int64(len(p)), 16), "\r\n"...)
+	pieces := net.Buffers{head, p, []byte("\r\n")}
+	if _, err := pieces.WriteTo(w.Conn); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
 
 // chunkedBody reads a body in chunks, and what follows the last of them.
 type chunkedBody struct {
@@ -197,7 +251,7 @@
 			return io.ErrUnexpectedEOF
 		case err != nil:
 			return err
-		case start && (len(line) == 1 || len(line) == 2 && line[0] == '\r'):
+		case start && blank(line):
 			return io.EOF
 		}
 		start = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,14 +97,10 @@
 // or finds none.
 func (s *server) lastAnswer(terms *terms) time.Duration {
 	longest := terms.longestOf(longestAnswer)
-	reply := make(chan time.Duration, 1)
-	s.loop.send(tailAsked{reply})
-	select {
-	case tail := <-reply:
+	if tail, ok := ask(s.loop, func(reply chan<- time.Duration) any { return tailAsked{reply} }); ok {
 		return min(longest, tail)
-	case <-s.loop.done:
-		return longest
 	}
+	return longest
 }
 
 // limitMemory sets the part of the memory limit that this process may use.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -32,7 +32,6 @@
 }
 
 type peer struct {
-	conn  net.Conn
 	state http.ConnState
 	since time.Time
 	asked int       // requests that it has begun
@@ -54,7 +53,7 @@
 	if len(s.open) >= s.most() {
 		s.yield()
 	}
-	p := &peer{conn: c, state: http.StateNew, since: now, begun: now, over: len(s.open) >= s.most() && !s.shed(now)}
+	p := &peer{state: http.StateNew, since: now, begun: now, over: len(s.open) >= s.most() && !s.shed(now)}
 	s.open[c] = p
 	s.counted.Store(int64(len(s.open)))
 	return p
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -306,15 +306,20 @@
 	})
 }
 
+// brief configures a node whose clients wait 1.5 s at most.
+func brief(t *testing.T) Config {
+	c := testConfig(t, knownList(httpServer(t, func(http.ResponseWriter, *http.Request) {})))
+	for i := range c.Settings.Classes {
+		c.Settings.Classes[i].Aim, c.Settings.Classes[i].Deadline = 200*time.Millisecond, 1500*time.Millisecond
+	}
+	return c
+}
+
 // A node that is told to stop serves its clients on the connections they have until what comes could
 // no longer be answered in time; meanwhile the front is told that it isn't ready.
 func TestStoppingNodeServesOn(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		c := testConfig(t, knownList(httpServer(t, func(http.ResponseWriter, *http.Request) {})))
-		for i := range c.Settings.Classes {
-			c.Settings.Classes[i].Aim, c.Settings.Classes[i].Deadline = 200*time.Millisecond, 1500*time.Millisecond
-		}
-		node, stop := startNode(t, c)
+		node, stop := startNode(t, brief(t))
 		client := keptClient(t)
 		get := func(req *http.Request) (*http.Response, error) {
 			resp, err := client.Do(req)
@@ -382,11 +387,7 @@
 // A connection that came just before a stopping node takes no more of them is still heard.
 func TestConnectionOfTheLastMomentIsServed(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		c := testConfig(t, knownList(httpServer(t, func(http.ResponseWriter, *http.Request) {})))
-		for i := range c.Settings.Classes {
-			c.Settings.Classes[i].Aim, c.Settings.Classes[i].Deadline = 200*time.Millisecond, 1500*time.Millisecond
-		}
-		node, stop := startNode(t, c)
+		node, stop := startNode(t, brief(t))
 		ended := make(chan error, 1)
 		go func() { ended <- stop() }()
 		end := acceptFor + 1500*time.Millisecond
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -8,7 +8,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +20,49 @@
 // long is more than any step of a test takes; nothing waits for it unless the test fails.
 const long = 30 * time.Second
 
+func TestMain(m *testing.M) {
+	if os.Getenv(benchPeer) != "" {
+		if err := playPeers(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, "bench peers:", err)
+			os.Exit(1)
+		}
+		return
+	}
+	var lines logKeeper
+	slog.SetDefault(slog.New(slog.NewTextHandler(&lines, &slog.HandlerOptions{Level: slog.LevelDebug})))
+	status := m.Run()
+	if status != 0 {
+		lines.tell(os.Stderr)
+	}
+	os.Exit(status)
+}
+
+// logKeeper holds the newest lines of the log back; they are told where a test fails.
+type logKeeper struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+const keptLines = 2000
+
+func (k *logKeeper) Write(p []byte) (int, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.lines) == keptLines {
+		k.lines = append(k.lines[:0], k.lines[keptLines/2:]...)
+	}
+	k.lines = append(k.lines, string(p))
+	return len(p), nil
+}
+
+func (k *logKeeper) tell(w io.Writer) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, line := range k.lines {
+		_, _ = io.WriteString(w, line)
+	}
+}
+
 const testSettings = `{"position":0,"groupSize":1,"zone":"a",
 	"services":[{"name":"read","aim":4000,"deadline":9000,"repeat":"free"},
 		{"name":"pay","aim":4000,"deadline":9000,"repeat":"single_shot"},
@@ -62,21 +107,24 @@
 func rawServer(t *testing.T, serve func(net.Conn, *bufio.Reader)) string {
 	t.Helper()
 	ln := listen(t)
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c, bufio.NewReader(c))
-			}()
-		}
-	}()
+	go acceptRaw(ln, serve)
 	return ln.Addr().String()
 }
 
+// acceptRaw serves each connection that comes, until ln is closed.
+func acceptRaw(ln net.Listener, serve func(net.Conn, *bufio.Reader)) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			serve(c, bufio.NewReader(c))
+		}()
+	}
+}
+
 // swallow reads a request to its last byte.
 func swallow(r *bufio.Reader) bool {
 	req, err := http.ReadRequest(r)
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,7 +28,6 @@
 const (
 	defaultConnIdle = 60 * time.Second // a connection is kept unused where the settings name no limit
 	lookEvery       = 5 * time.Second  // at an idle connection, for whether its server closed it
-	copiedBody      = 16 << 10         // bytes of a request's body that go into one write with its head
 )
 
 var (
@@ -369,7 +369,7 @@
 	r.buf.Reset(c)
 	a, err := r.answer()
 	if err != nil {
-		return result{code: x.flight.broken(err, sent.whole())}, false
+		return result{code: x.flight.broken(err, sent.whole.Load())}, false
 	}
 	if a.rest != nil {
 		if err := x.pass(c, a); err != nil {
@@ -414,8 +414,7 @@
 // sending is a request on its way to a server.
 type sending struct {
 	relayed *metrics.Counter
-	mu      sync.Mutex
-	done    bool // its last byte is written
+	whole   atomic.Bool // its last byte is written: the server may have begun it
 }
 
 // write writes x: all of it, or as much as is kept.
@@ -423,17 +422,13 @@
 	b := requests.Get().(*[]byte)
 	defer requests.Put(b)
 	*b = x.appendHead((*b)[:0])
-	body := x.body
-	if len(body) <= copiedBody && !x.unsized() {
-		*b, body = append(*b, body...), nil
-	}
-	_, err := c.Write(*b)
-	switch {
-	case err != nil || len(body) == 0:
-	case x.unsized():
-		_, err = chunkWriter{c}.Write(body)
-	default:
-		_, err = c.Write(body)
+	var err error
+	if x.unsized() {
+		if _, err = c.Write(*b); err == nil {
+			_, err = chunkWriter{c}.Write(x.body)
+		}
+	} else {
+		*b, err = writeWhole(c, *b, x.body)
 	}
 	if err == nil && x.rest == nil {
 		s.finish()
@@ -442,19 +437,10 @@
 }
 
 func (s *sending) finish() {
-	s.mu.Lock()
-	s.done = true
-	s.mu.Unlock()
+	s.whole.Store(true)
 	s.relayed.Inc()
 }
 
-// whole tells whether the server may have begun the request.
-func (s *sending) whole() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.done
-}
-
 // unsized tells whether x goes on in chunks.
 func (x outgoing) unsized() bool { return x.rest != nil && x.length < 0 }
 
@@ -471,7 +457,7 @@
 		defer blocks.Put(block)
 		_, err := io.CopyBuffer(struct{ io.Writer }{to}, from, block[:])
 		if err == nil && x.unsized() {
-			_, err = io.WriteString(c, "0\r\n\r\n")
+			_, err = io.WriteString(c, lastChunk)
 		}
 		switch {
 		case err == nil:
@@ -483,21 +469,6 @@
 	return from.revoke
 }
 
-// chunkWriter writes each piece as a chunk.
-type chunkWriter struct{ net.Conn }
-
-func (w chunkWriter) Write(p []byte) (int, error) {
-	if len(p) == 0 {
-		return 0, nil
-	}
-	head := append(strconv.AppendInt(make([]byte, 0, 24), int64(len(p)), 16), "\r\n"...)
-	pieces := net.Buffers{head, p, []byte("\r\n")}
-	if _, err := pieces.WriteTo(w.Conn); err != nil {
-		return 0, err
-	}
-	return len(p), nil
-}
-
 var requests = sync.Pool{New: func() any { b := make([]byte, 0, 1<<10); return &b }}
 
 // appendHead writes the head of the copy of x that a server gets; nothing is added in the client's name.
@@ -516,27 +487,13 @@
 	if x.rest != nil {
 		length = x.length
 	}
-	switch {
-	case length < 0:
-		b = append(b, "\r\nTransfer-Encoding: chunked"...)
-	case length > 0 || x.method != http.MethodGet:
-		b = append(b, "\r\nContent-Length: "...)
-		b = strconv.AppendInt(b, length, 10)
+	if length != 0 || x.method != http.MethodGet {
+		b = appendLength(b, length)
 	}
 	b = append(b, "\r\n\r\n"...)
 	return b
 }
 
-func appendField(b []byte, name, value string) []byte {
-	if value == "" {
-		return b
-	}
-	b = append(b, "\r\n"...)
-	b = append(b, name...)
-	b = append(b, ": "...)
-	return append(b, value...)
-}
-
 // reader reads a server's answers. An idle connection has none.
 type reader struct {
 	buf  *bufio.Reader
@@ -581,7 +538,7 @@
 		return a, err
 	}
 	a.contentType, a.length = h.get("Content-Type"), f.length
-	a.kept = a.kept && !f.close || f.keep && !f.close
+	a.kept = (a.kept || f.keep) && !f.close
 	var body io.Reader
 	switch {
 	case a.status == http.StatusNoContent || a.status == http.StatusNotModified || f.length == 0:
--- a/policy/state.go
+++ b/policy/state.go
@@ -209,7 +209,7 @@
 func (b *Balancer) Beside(out map[string]int) {
 	b.beside = 0
 	for id, s := range b.servers {
-		if s.beside = max(0, out[id]); b.ramp(s) >= 1 {
+		if s.beside = max(0, out[id]); !b.paced(s) {
 			b.beside += s.beside
 		}
 	}
