Let a body's deadlines and the connection's be one thing, so that idle ones end

Cause: a connection remembers what it reads until (front.go, readTo) so as not to set it each time, and the upload took the deadline off beside that (bulk.go, end). After a body that came in pieces the connection believed in a deadline that was gone, and an idle one stayed for ever, unless places ran short. Change: the upload takes it off through readUntil. The special case after long bodies goes.

--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -92,7 +92,7 @@
 	u.err = err
 	if err == io.EOF {
 		u.whole.Store(true)
-		_ = u.conn.SetReadDeadline(time.Time{}) // the connection is read on, to see the client leave
+		u.conn.readUntil(time.Time{}) // the connection is read on, to see the client leave
 	}
 	close(u.over)
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -301,7 +301,6 @@
 	s.loop.send(arrival{x})
 	if x.rest != nil {
 		<-x.rest.over
-		c.readTo = time.Time{}
 		if !x.rest.whole.Load() { // the loop knows why, and answers
 			if <-c.done {
 				c.linger(lingerFor)
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -127,3 +127,21 @@
 		}
 	}
 }
+
+// An idle connection ends in time, also after a body that came in pieces and set deadlines of its own.
+func TestIdleConnectionsEnd(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		node, _ := startNode(t, testConfig(t, knownList(httpServer(t, func(http.ResponseWriter, *http.Request) {}))))
+		c := dial(t, node)
+		defer c.Close()
+		head := "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Class: pay\r\nX-Tenant: t\r\nX-Deadline-Ms: 8000\r\n"
+		for _, piece := range []string{head + "Content-Length: 3\r\n\r\n", "su", "m"} {
+			_, _ = io.WriteString(c, piece)
+			time.Sleep(100 * time.Millisecond)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(2 * clientIdle))
+		if got, err := io.ReadAll(c); err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 200 ") {
+			t.Errorf("got %q, %v; want an answer and then the end", got, err)
+		}
+	})
+}
