--- /dev/null
+++ b/internal/rig/node.go
@@ -0,0 +1,211 @@
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	clientPort   = 9000
+	controlPort  = 9100 // and those after it: each process of a node has a second address of its own
+	gossipPort   = 7946
+	callTime     = time.Second // for a call at the second address
+	nodeProgram  = "cmd/wayhold"
+	defaultLimit = 256 // descriptors
+)
+
+// NodeSpec says how a node is configured. Zero values are replaced by what suits a test.
+type NodeSpec struct {
+	Name      string
+	Discovery string         // the address of the list service, as this node reaches it
+	Known     any            // the list that it starts with, in discovery's form
+	Settings  map[string]any // as a node finds them in its file
+	Cores     float64
+	MemoryMB  int
+	Sockets   int
+	Fleet     map[string]any // the section of that name; nil for none
+	Env       []string
+}
+
+// Node is one node: the processes that follow each other under its name and addresses.
+type Node struct {
+	Spec   NodeSpec
+	Host   string
+	Listen string // where clients reach it
+	rig    *Rig
+	dir    string
+
+	mu    sync.Mutex
+	procs []*Process // newest last
+	calls []string   // their second addresses
+	died  time.Time  // when Kill last ended it
+}
+
+// Node makes a node, which Start starts.
+func (r *Rig) Node(spec NodeSpec) (*Node, error) {
+	if spec.Cores == 0 {
+		spec.Cores = 1
+	}
+	if spec.MemoryMB == 0 {
+		spec.MemoryMB = 128
+	}
+	if spec.Sockets == 0 {
+		spec.Sockets = defaultLimit
+	}
+	if spec.Known == nil {
+		spec.Known = map[string]any{"revision": 0, "complete": true, "members": []any{}}
+	}
+	dir, err := r.Dir(spec.Name)
+	if err != nil {
+		return nil, err
+	}
+	host := r.Host()
+	return &Node{Spec: spec, Host: host, rig: r, dir: dir, Listen: fmt.Sprintf("%s:%d", host, clientPort)}, nil
+}
+
+// Gossip is where the node's processes are bound for gossip.
+func (n *Node) Gossip() string { return net.JoinHostPort(n.Host, fmt.Sprint(gossipPort)) }
+
+// configure writes the node's file as Spec has it now.
+func (n *Node) configure() (path string, err error) {
+	s := n.Spec
+	file := map[string]any{
+		"name": s.Name, "listen": n.Listen, "discovery": s.Discovery, "seed": "1f",
+		"limits": map[string]any{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
+		"known":  s.Known, "settings": s.Settings,
+	}
+	if s.Fleet != nil {
+		file["fleet"] = s.Fleet
+	}
+	raw, err := json.Marshal(file)
+	if err != nil {
+		return "", err
+	}
+	path = filepath.Join(n.dir, "config.json")
+	return path, os.WriteFile(path, raw, 0o600)
+}
+
+// Start starts a process of the node, beside the one that serves if there is one: then it is to take over.
+func (n *Node) Start() (*Process, error) {
+	path, err := n.configure()
+	if err != nil {
+		return nil, err
+	}
+	program, err := Build(nodeProgram)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	control := fmt.Sprintf("%s:%d", n.Host, controlPort+len(n.calls))
+	env := append([]string{"ROUTER_CONFIG=" + path, "TMPDIR=" + n.dir, "ROUTER_CONTROL=" + control}, n.Spec.Env...)
+	p, err := n.rig.Start(n.Spec.Name, program, nil, env)
+	if err != nil {
+		return nil, err
+	}
+	n.procs, n.calls = append(n.procs, p), append(n.calls, control)
+	return p, nil
+}
+
+// Kill ends the node's newest process at once.
+func (n *Node) Kill() {
+	p := n.Process()
+	n.mu.Lock()
+	n.died = time.Now()
+	n.mu.Unlock()
+	p.Kill()
+}
+
+// killedSince tells whether Kill ended the node after a time.
+func (n *Node) killedSince(t time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.died.After(t)
+}
+
+// Descriptors is how many the node's processes hold together now.
+func (n *Node) Descriptors() (sum int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.procs {
+		if p.Ended() {
+			continue
+		}
+		held, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
+		if err == nil { // else it has just ended
+			sum += len(held)
+		}
+	}
+	return sum
+}
+
+// Process is the newest process of the node, and Control its second address.
+func (n *Node) Process() *Process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.procs[len(n.procs)-1]
+}
+
+// Control is the second address of the node's newest process.
+func (n *Node) Control() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.calls[len(n.calls)-1]
+}
+
+// Ready waits until the newest process takes clients.
+func (n *Node) Ready(ctx context.Context) error {
+	p, at := n.Process(), n.Control()
+	err := Await(ctx, n.Spec.Name+" to take clients", func() bool {
+		return p.Ended() || Get(ctx, at, "/healthcheck", nil) == nil
+	})
+	if err == nil && p.Ended() {
+		err = fmt.Errorf("%s ended at its start:\n%s", n.Spec.Name, p.Log())
+	}
+	return err
+}
+
+// Replace starts another process of the node and tells the old one to stop once the new one takes clients.
+func (n *Node) Replace(ctx context.Context) (old *Process, err error) {
+	old = n.Process()
+	if _, err := n.Start(); err != nil {
+		return old, err
+	}
+	if err := n.Ready(ctx); err != nil {
+		return old, err
+	}
+	old.Signal(syscall.SIGTERM)
+	return old, nil
+}
+
+// Get calls a node's second address. A JSON answer is read into to, unless that is nil.
+func Get(ctx context.Context, at, path string, to any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := caller.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%s%s answered %s", at, path, resp.Status)
+	}
+	if to == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(to)
+}
+
+var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,163 @@
+package rig
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"cobaltward/internal/emulator"
+)
+
+var (
+	replacements = flag.Int("replacements", 30, "how often TestReplacementWhileShortOfCPU replaces its node")
+	starve       = flag.Float64("starve", 0, "part of the time that each process gets, in slices of 100 ms; 0 for all of it")
+	seed         = flag.Uint64("seed", 1, "of the faults that are drawn")
+)
+
+// long is more than any step takes, on a loaded machine too.
+const long = 60 * time.Second
+
+func TestMain(m *testing.M) {
+	status := m.Run()
+	Clean()
+	os.Exit(status)
+}
+
+func newRig(t *testing.T) (*Rig, context.Context) {
+	t.Helper()
+	r, err := New(t.TempDir(), *seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.Close()
+		if t.Failed() {
+			for _, p := range r.procs {
+				t.Logf("log of %s (%d):\n%s", p.Name, p.PID(), p.Log())
+			}
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return r, ctx
+}
+
+func within(t *testing.T, ctx context.Context) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(ctx, long)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// quick are classes whose time is short, so that a process is soon through with its clients.
+func quick() []emulator.Class {
+	const ms = time.Millisecond
+	return []emulator.Class{
+		{Name: "read", Share: 2, Least: 4 * ms, Most: 12 * ms, Aim: 1500 * ms, Deadline: 1500 * ms, Worth: 1,
+			Repeat: emulator.Free},
+		{Name: "order", Share: 1, Least: 4 * ms, Most: 12 * ms, Aim: 1500 * ms, Deadline: 1500 * ms, Worth: 2,
+			Repeat: emulator.Guarded, Window: 12 * time.Second},
+		{Name: "charge", Share: 1, Least: 4 * ms, Most: 12 * ms, Aim: 1500 * ms, Deadline: 1500 * ms, Worth: 5,
+			Repeat: emulator.Never},
+	}
+}
+
+var tenants = []emulator.Tenant{{Name: "east", Share: 0.6}, {Name: "west", Share: 0.4}}
+
+func boxes(n int, zones ...string) (all []emulator.BoxSpec) {
+	for i := range n {
+		all = append(all, emulator.DefaultBox(fmt.Sprintf("s-%02d", i), zones[i%len(zones)]))
+	}
+	return all
+}
+
+// clean fails the test where a rule was broken or a request turned back.
+func (w *World) clean(t *testing.T) {
+	t.Helper()
+	w.Look(func() {
+		if all, n := w.Judge.Breaches(); n > 0 {
+			t.Errorf("%d rules broken: %q", n, all)
+		}
+		if len(w.Judge.TurnedWhy) > 0 {
+			t.Errorf("%d requests turned back: %q", w.Judge.Turned, w.Judge.TurnedWhy)
+		}
+		if w.skipped > 0 {
+			t.Errorf("the clients could not send %d tries", w.skipped)
+		}
+	})
+}
+
+// A node is replaced again and again under load while its processes get no CPU for a while, at any point
+// between bind, accept, its first yes and its end. No request is turned back, refused for want of a
+// descriptor, or lost.
+func TestReplacementWhileShortOfCPU(t *testing.T) {
+	r, ctx := newRig(t)
+	w := r.NewWorld(*seed, boxes(3, "a")...)
+	n, err := w.AddNode(NodeSpec{Name: "n0", Sockets: 384, MemoryMB: 64,
+		Settings: Settings(0, 1, "a", quick(), tenants, 2000)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Ready(within(t, ctx)); err != nil {
+		t.Fatal(err)
+	}
+	load := w.Clients("c", emulator.ClientSpec{Rate: 150, Classes: quick(), Tenants: tenants, Open: 1,
+		Until: time.Hour}, n)
+	held := make(chan int, 1)
+	watched, over := context.WithCancel(ctx)
+	go func() {
+		most := 0
+		for wait(watched, 2*time.Millisecond) == nil {
+			most = max(most, n.Descriptors())
+		}
+		held <- most
+	}()
+	rng := rand.New(rand.NewPCG(*seed, 1))
+	for i := range *replacements {
+		old := n.Process()
+		if _, err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+		if *starve > 0 {
+			defer n.Process().Starve(*starve, 100*time.Millisecond)()
+		}
+		// Stops of the new process land anywhere in its start; those of the old one anywhere in its end.
+		stutter := func(p *Process, times int) {
+			for range times {
+				_ = wait(ctx, time.Duration(rng.IntN(12))*time.Millisecond)
+				p.Pause(ctx, time.Duration(10+rng.IntN(60))*time.Millisecond)
+			}
+		}
+		stutter(n.Process(), rng.IntN(4))
+		if err := n.Ready(within(t, ctx)); err != nil {
+			t.Fatalf("replacement %d: %v", i, err)
+		}
+		old.Signal(syscall.SIGTERM)
+		stutter(old, rng.IntN(3))
+		if err := old.Wait(within(t, ctx)); err != nil {
+			t.Fatalf("replacement %d: the old process: %v", i, err)
+		}
+	}
+	w.Look(func() { load.clients.Stop() })
+	if err := load.Wait(within(t, ctx)); err != nil {
+		t.Fatal(err)
+	}
+	w.clean(t)
+	over()
+	sums, most := load.Sums(), <-held
+	t.Logf("%d replacements, %+v, at most %d descriptors", *replacements, sums, most)
+	if most > n.Spec.Sockets {
+		t.Errorf("the processes held %d descriptors of %d", most, n.Spec.Sockets)
+	}
+	if sums.Refusals > 0 || sums.Unserved > 0 || sums.InTime == 0 {
+		t.Errorf("requests that a place was free for were not served: %+v", sums)
+	}
+}
