--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -200,6 +200,15 @@
 	return ownSockets
 }
 
+// ownBeside is the same for each of two processes that share the node's descriptors for a while. What is set
+// aside for moments when counts are off, and for many callers at the second address, is set aside once.
+func (c Config) ownBeside() int {
+	if c.Control != "" {
+		return leanSockets + controlSockets/2
+	}
+	return leanSockets
+}
+
 func checkAddress(addr string) error {
 	host, port, err := net.SplitHostPort(addr)
 	if err != nil {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,7 +28,8 @@
 	handoverTell    = 50 * time.Millisecond // between looks at what the old process still holds: half an answer's time
 	maxInheritance  = 16 << 20              // bytes
 	serving         = 'S'                   // what a new process writes once it takes clients
-	spareConns      = 8                     // that the old process may open on either side meanwhile
+	spareConns      = 8                     // that the old process may open on either side meanwhile, at most,
+	sparePart       = 12                    // and as a part of those that the node may have
 	spareServers    = 32                    // connections to servers that it may want for clients it has
 	heapPart        = 0.75                  // of the memory limit: stacks and sockets take the rest
 )
@@ -203,13 +203,20 @@
 	return net.FileListener(f)
 }
 
-// serve tells the old process that this one takes clients, and follows what the old one still holds.
-// Once that is gone, all is this one's.
-func (h *heir) serve(share func(left inheritance, whole bool)) {
+// serve tells the old process that this one takes clients, and follows what the old one still holds. heard
+// is called once the old one leaves new clients to this one, or takes too long to say so. Once it is gone,
+// all is this one's.
+func (h *heir) serve(heard func(), share func(left inheritance, whole bool)) {
 	defer h.conn.Close()
+	defer heard()
 	if _, err := h.conn.Write([]byte{serving}); err != nil {
 		slog.Warn("the old process left early", "err", err)
 	}
+	late := time.AfterFunc(handoverTimeout, func() {
+		slog.Warn("the old process doesn't say that it leaves clients to this one", "for", handoverTimeout)
+		heard()
+	})
+	defer late.Stop()
 	for {
 		var tell inheritance
 		if err := h.tells.Decode(&tell); err != nil {
@@ -217,21 +224,24 @@
 			share(inheritance{}, true)
 			return
 		}
+		if late.Stop() {
+			heard()
+		}
 		share(tell, false)
 	}
 }
 
 // handover is a serving process's end: it waits for a successor.
 type handover struct {
-	c          Config
-	path       string
-	s          *server
-	up         *upstream
-	gate       *gate
-	superseded atomic.Bool // a successor serves
+	c    Config
+	path string
+	s    *server
+	up   *upstream
+	gate *gate
 
 	mu    sync.Mutex
-	share int // descriptors that this process may hold
+	share int  // descriptors that this process may hold
+	whole bool // those are all of the node's
 }
 
 // listen makes the place where a successor calls. It takes the former one's place only once it is there.
@@ -273,7 +283,11 @@
 	if from != nil {
 		stop := context.AfterFunc(ctx, func() { from.conn.Close() })
 		defer stop()
-		old.Go(func() { from.serve(h.grant) })
+		// Its first yes ends the old process: were that told to stop before it knows of this one, it would
+		// turn the front away in the node's name.
+		old.Go(func() { from.serve(sync.OnceFunc(func() { close(h.s.first) }), h.grant) })
+	} else {
+		close(h.s.first)
 	}
 	if h.path != "" {
 		h.run(ctx)
@@ -313,12 +327,12 @@
 		return
 	}
 	slog.Warn("the successor is gone: this process serves on", "err", err, "it had served", served)
-	h.superseded.Store(false)
+	h.s.superseded.Store(false)
 	h.s.draining.Store(h.s.stopping.Load())
 	if err := h.gate.setShut(false); err != nil {
 		slog.Error("the clients' listener", "err", err)
 	}
-	h.resize(h.total())
+	h.resize()
 	limitMemory(h.c, 1)
 	h.s.loop.send(takenBack{served})
 }
@@ -367,7 +381,7 @@
 		return false, err
 	}
 	slog.Info("a successor serves: its clients come to it from now on")
-	h.superseded.Store(true)
+	h.s.superseded.Store(true)
 	h.s.draining.Store(true) // clients come again, to the successor
 	if err := h.gate.setShut(true); err != nil {
 		return true, err
@@ -395,7 +409,7 @@
 	}
 }
 
-// total is how many descriptors this process may hold where it is the only one.
+// total is how many descriptors this process may hold where it has no successor.
 func (h *handover) total() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -405,16 +419,23 @@
 // release cuts this process down to what it holds, and returns what is left for its successor.
 func (h *handover) release() int {
 	clients := h.s.peers.count()
-	servers := h.up.shrink(min(clients, spareServers), spareConns)
-	h.gate.resize(clients + spareConns)
-	held := h.c.ownSockets() + clients + spareConns + servers
+	spare := max(1, min(spareConns, (h.c.Sockets-h.c.ownSockets())/sparePart))
+	servers := h.up.shrink(min(clients, spareServers), spare)
+	h.gate.resize(clients + spare)
+	held := h.c.ownBeside() + clients + spare + servers
 	total := h.total()
 	return max(total/4, total-held)
 }
 
-// resize shares sockets out between the clients' and the servers' side.
-func (h *handover) resize(sockets int) {
-	h.up.sockets.total.Store(int64(max(leastPart, sockets-h.c.ownSockets())))
+// resize shares the descriptors that this process may hold out between the clients' and the servers' side.
+func (h *handover) resize() {
+	h.mu.Lock()
+	sockets, own := h.share, h.c.ownBeside()
+	if h.whole {
+		own = h.c.ownSockets()
+	}
+	h.mu.Unlock()
+	h.up.sockets.total.Store(int64(max(leastPart, sockets-own)))
 	h.up.unbound()
 	// The server refuses requests on connections over its side; the gate makes sure that even clients
 	// who connect and say nothing leave the servers' side its descriptors.
@@ -430,9 +451,9 @@
 		limitMemory(h.c, 1)
 	}
 	h.mu.Lock()
-	h.share = sockets
+	h.share, h.whole = sockets, whole
 	h.mu.Unlock()
-	if !h.superseded.Load() {
-		h.resize(sockets)
+	if !h.s.superseded.Load() {
+		h.resize()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 
 const (
 	ownSockets   = 32                     // descriptors for the log, discovery, the runtime and the like
+	leanSockets  = 18                     // the same while two processes share the node's: 14 are in use
 	acceptFor    = 500 * time.Millisecond // after the signal to stop, while clients still come
 	longestDrain = 3 * time.Second        // no client waits longer once a node is told to stop
 	stopPoll     = 20 * time.Millisecond  // between looks at whether a replaced process has clients left
@@ -51,8 +52,8 @@
 
 	failed := make(chan error, 1)
 	clients := newGate(at.Clients, held)
-	h := &handover{c: c, path: handoverPath(c), s: s, up: up, gate: clients, share: held}
-	h.resize(held)
+	h := &handover{c: c, path: handoverPath(c), s: s, up: up, gate: clients, share: held, whole: at.heir == nil}
+	h.resize()
 	parts.Go(func() { failed <- s.accept(clients) })
 	parts.Go(func() { h.start(running, at.heir) })
 	if at.Control != nil {
@@ -81,7 +82,7 @@
 	end := time.Now().Add(acceptFor + terms.longestOf(longestWait))
 	last := time.Now().Add(max(acceptFor, time.Until(end)-s.lastAnswer(terms)))
 	slog.Info("stopping", "serves", time.Until(last).Round(time.Millisecond), "ends", time.Until(end).Round(time.Millisecond))
-	for time.Now().Before(last) && !(h.superseded.Load() && s.peers.count() == 0) {
+	for time.Now().Before(last) && !(s.superseded.Load() && s.peers.count() == 0) {
 		time.Sleep(min(stopPoll, time.Until(last)))
 	}
 	s.draining.Store(true)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -51,22 +51,24 @@
 
 // server takes requests from clients, hands them to the loop, and writes the loop's answers.
 type server struct {
-	loop     *loop
-	stopping atomic.Bool // the front is told that the node isn't ready
-	draining atomic.Bool // and answers end their connections
-	closing  atomic.Bool // and connections end as soon as they have no request
-	peers    *peers
-	open     sync.WaitGroup // connections
+	loop       *loop
+	first      chan struct{} // closed once new clients come to this process alone
+	stopping   atomic.Bool   // the front is told that the node isn't ready
+	draining   atomic.Bool   // and answers end their connections
+	closing    atomic.Bool   // and connections end as soon as they have no request
+	superseded atomic.Bool   // another process of this node serves
+	peers      *peers
+	open       sync.WaitGroup // connections
 }
 
 func newServer(l *loop) *server {
-	return &server{loop: l, peers: newPeers(l.up.sockets.forClients, &l.up.sockets.clients, l.up.yield)}
+	return &server{loop: l, first: make(chan struct{}), peers: newPeers(l.up.sockets.forClients, &l.up.sockets.clients, l.up.yield)}
 }
 
-// taking tells whether the node takes clients.
+// taking tells whether this process takes clients.
 func (s *server) taking() bool {
 	select {
-	case <-s.loop.ready:
+	case <-s.first: // and so the list is in
 		return !s.stopping.Load()
 	default:
 		return false
