--- a/policy/api.go
+++ b/policy/api.go
@@ -208,6 +208,10 @@
 // then tells whether it had begun to serve.
 type Ceded struct{ On, Served bool }
 
+// Fleet says how many nodes of the fleet this one hears, itself included. Without it the number of nodes is
+// that of the settings.
+type Fleet struct{ Heard int }
+
 // Timer is a timer that came due.
 type Timer struct{ Token uint64 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
 // Every decision of cobaltward, in the order in which a request lives: admission, choice, attempts,
 // outcomes, health, cold start, list. The interface (settings, events, actions) is in api.go, the
-// state that is kept in state.go.
+// state that is kept in state.go; how many nodes share a quota is decided in fleet.go.
 
 package policy
 
@@ -8,53 +8,10 @@
 	"maps"
 	"math"
 	"math/bits"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
 
-// New returns a node's decisions for the given settings. The seed drives its random choices.
-func New(set Settings, now Time, seed uint64) (*Balancer, error) {
-	if err := validate(set); err != nil {
-		return nil, err
-	}
-	b := &Balancer{
-		now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))), lanes: make(map[string]*lane),
-		buckets: make(map[bucketKey]*bucket), pace: 1, trust: trustFirst,
-		servers: make(map[string]*server), reqs: make(map[string]*request), kinds: make(map[string]*load),
-	}
-	b.configure(set)
-	return b, nil
-}
-
-// Handle takes one event and returns the actions it calls for. The next call reuses the slice.
-func (b *Balancer) Handle(now Time, ev Event) []Action {
-	b.now, b.out = max(now, b.now), b.out[:0]
-	switch e := ev.(type) {
-	case Request:
-		b.onRequest(e)
-	case Outcome:
-		b.onOutcome(e)
-	case FirstByte:
-		b.onFirstByte(e)
-	case Complete:
-		b.onComplete(e)
-	case Lapsed:
-		if r := b.reqs[e.ID]; r != nil {
-			b.end(r)
-		}
-	case Timer:
-		b.onTimer(e.Token)
-	case MemberList:
-		b.onList(e)
-	case Settings:
-		b.onSettings(e)
-	case Ceded:
-		b.onCeded(e)
-	}
-	return b.out
-}
-
 // onSettings goes on by other settings with all that was learned. Open requests keep their class.
 func (b *Balancer) onSettings(set Settings) {
 	asks := set.Subscribe && !b.set.Subscribe
@@ -65,11 +22,6 @@
 	}
 }
 
-// seconds turns a number of seconds into a Duration.
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
-
 // ---- Admission: a token bucket for each tenant, and class where told ----
 
 const (
@@ -90,14 +42,6 @@
 	}
 }
 
-// perSecond is the refill rate of a limit.
-func (l Limit) perSecond() float64 {
-	if l.Window <= 0 {
-		return 0
-	}
-	return l.PerWindow / l.Window.Seconds()
-}
-
 // retryAfter is the wait, in whole seconds, that a refused client is told.
 func (l Limit) retryAfter() time.Duration {
 	rate := l.perSecond()
@@ -249,7 +193,7 @@
 	case b.pace > paceShare && b.bad > paceBad:
 		b.pace *= 1 - paceCut
 	case b.refused && (b.pace < paceShare || b.bad < paceBad): // only a rate that was felt is raised
-		b.pace = min(paceMost, b.pace*(1+paceGrow))
+		b.pace = min(b.paceTop(), b.pace*(1+paceGrow))
 	}
 	b.refused = false
 }
@@ -642,14 +586,6 @@
 	s.rate += loadGain * (now.rate - s.rate)
 }
 
-// add follows the average over servers, plainly at first.
-func (l *load) add(now load) {
-	l.n++
-	gain := max(kindGain, 1/l.n)
-	l.rate += gain * (now.rate - l.rate)
-	l.latency += gain * (now.latency - l.latency)
-}
-
 // ---- Attempts: sending, retries, hedges, holding ----
 
 const (
@@ -661,7 +597,7 @@
 	latencyGain = 0.2                   // weight of one answer in the mean latency of a server
 	doneSpan    = 3 * time.Second       // memory of the rate of answers: holds a few at a quiet node
 
-	holdToken, listToken, watchToken = 1, 2, 8 // of timers; the classes' count on from the last
+	holdToken, listToken, fleetToken, watchToken = 1, 2, 3, 8 // of timers; the classes' count on from the last
 )
 
 var defaultBudget = Budget{Least: 20, Share: 0.2, Span: 10 * time.Second} // where the site states none
@@ -823,6 +759,8 @@
 		b.release()
 	case token == listToken:
 		b.askList()
+	case token == fleetToken:
+		b.settleFleet()
 	case token >= watchToken && token < watchToken+uint64(len(b.watches)):
 		b.sweep(b.watches[token-watchToken])
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -52,10 +52,60 @@
 	extra     []Time     // attempts beyond a request's first in it
 	done      float64    // answers a second, as of doneAt
 	doneAt    Time
-	ceded     bool       // another process of this node has taken over
+	ceded     bool // another process of this node has taken over
+	fleet     presence
 	silent    [6]float64 // part of sends unanswered, by how long the connection was idle, in octaves
 }
 
+// New returns a node's decisions for the given settings. The seed drives its random choices.
+func New(set Settings, now Time, seed uint64) (*Balancer, error) {
+	if err := validate(set); err != nil {
+		return nil, err
+	}
+	b := &Balancer{
+		now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))), lanes: make(map[string]*lane),
+		buckets: make(map[bucketKey]*bucket), pace: 1, trust: trustFirst,
+		servers: make(map[string]*server), reqs: make(map[string]*request), kinds: make(map[string]*load),
+	}
+	b.configure(set)
+	return b, nil
+}
+
+// Handle takes one event and returns the actions it calls for. The next call reuses the slice.
+func (b *Balancer) Handle(now Time, ev Event) []Action {
+	b.now, b.out = max(now, b.now), b.out[:0]
+	switch e := ev.(type) {
+	case Request:
+		b.onRequest(e)
+	case Outcome:
+		b.onOutcome(e)
+	case FirstByte:
+		b.onFirstByte(e)
+	case Complete:
+		b.onComplete(e)
+	case Lapsed:
+		if r := b.reqs[e.ID]; r != nil {
+			b.end(r)
+		}
+	case Timer:
+		b.onTimer(e.Token)
+	case MemberList:
+		b.onList(e)
+	case Settings:
+		b.onSettings(e)
+	case Ceded:
+		b.onCeded(e)
+	case Fleet:
+		b.onFleet(e)
+	}
+	return b.out
+}
+
+// seconds turns a number of seconds into a Duration.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+
 // Servers counts those in the list, and of them those that get no work now: they drain, or are ejected
 // and at most tried out.
 func (b *Balancer) Servers() (listed, avoided int) { return len(b.servers), b.avoided }
@@ -68,6 +118,23 @@
 	return longest
 }
 
+// presence is what is known of how many nodes there are.
+type presence struct {
+	told   int  // by the settings
+	known  bool // there is a membership
+	agreed int  // that quotas are divided by
+	heard  int  // that this node hears, itself included
+	below  Time // since when more than half of the agreed are heard and not all; 0 for not
+	most   int  // that were heard since
+}
+
+// Fleet tells how many nodes quotas are divided by, how many of them this node hears, and whether it takes
+// itself as cut off from the others.
+func (b *Balancer) Fleet() (agreed, heard int, cutOff bool) {
+	f := b.fleet
+	return b.set.Nodes, f.heard, f.known && 2*f.heard <= f.agreed
+}
+
 // pool is a set of servers in packing order.
 type pool struct {
 	order   []*server // own zone first, each part in id order
@@ -153,6 +220,22 @@
 	last   Time
 }
 
+// perSecond is the refill rate of a limit.
+func (l Limit) perSecond() float64 {
+	if l.Window <= 0 {
+		return 0
+	}
+	return l.PerWindow / l.Window.Seconds()
+}
+
+// add follows the average over servers, plainly at first.
+func (l *load) add(now load) {
+	l.n++
+	gain := max(kindGain, 1/l.n)
+	l.rate += gain * (now.rate - l.rate)
+	l.latency += gain * (now.latency - l.latency)
+}
+
 // watch is one attempt to look at when it has been out for long.
 type watch struct {
 	req     *request
@@ -400,6 +483,7 @@
 // configure takes over settings. What was learned stays.
 func (b *Balancer) configure(set Settings) {
 	b.set, b.budget = set, defaultBudget
+	b.set.Nodes = b.fleet.configured(set.Nodes)
 	if set.Rules.Attempts != nil {
 		b.budget = *set.Rules.Attempts
 	}
@@ -415,6 +499,12 @@
 		b.classes[c.Name] = b.ranked[len(b.ranked)-1]
 		b.dearest = max(b.dearest, c.Worth)
 	}
+	b.divide()
+}
+
+// divide works out this node's part of each quota.
+func (b *Balancer) divide() {
+	set := b.set
 	b.tenants, b.other = make(map[string]Limit), set.Limits.Default
 	for _, t := range set.Tenants { // a tenant that nobody agreed a share with counts as the smallest
 		l := b.shareOf(t.Quota)
