--- /dev/null
+++ b/internal/member/delegate.go
@@ -0,0 +1,158 @@
+package member
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/memberlist"
+)
+
+// about is what a member says of itself, beside its name and address. Its first byte is the version; fields
+// are only ever added.
+type about struct {
+	Zone        string `cbor:"1,keyasint,omitempty"`
+	Version     string `cbor:"2,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"3,keyasint"`
+	Leaving     bool   `cbor:"4,keyasint,omitempty"`
+}
+
+const aboutVersion = 1
+
+func (a about) encode() []byte {
+	raw, err := cbor.Marshal(a)
+	if err != nil { // plain fields always can be written
+		panic(err)
+	}
+	return append([]byte{aboutVersion}, raw...)
+}
+
+func readAbout(meta []byte) (a about, err error) {
+	switch {
+	case len(meta) == 0:
+		return a, errors.New("nothing is said")
+	case meta[0] != aboutVersion:
+		return a, fmt.Errorf("version %d, and this node reads %d", meta[0], aboutVersion)
+	}
+	return a, cbor.Unmarshal(meta[1:], &a)
+}
+
+// delegate is what memberlist calls, mostly with its own lock held: nothing here waits or calls back.
+type delegate struct{ f *Fleet }
+
+const levelWarn = slog.LevelWarn
+
+// NodeMeta tells what this node says of itself.
+func (d delegate) NodeMeta(limit int) []byte {
+	d.f.mu.Lock()
+	defer d.f.mu.Unlock()
+	a := about{Zone: d.f.c.Zone, Version: d.f.c.Version, Incarnation: d.f.incarnation, Leaving: d.f.leaving}
+	if b := a.encode(); len(b) <= limit {
+		return b
+	}
+	a.Zone, a.Version = "", ""
+	return a.encode()
+}
+
+func (d delegate) NotifyJoin(n *memberlist.Node)   { d.f.book(n, Alive) }
+func (d delegate) NotifyUpdate(n *memberlist.Node) { d.f.book(n, Alive) }
+func (d delegate) NotifyLeave(n *memberlist.Node)  { d.f.book(n, Dead) }
+
+// NotifyPingComplete hears that a member answers a probe.
+func (d delegate) NotifyPingComplete(n *memberlist.Node, _ time.Duration, _ []byte) {
+	d.f.mark(n.Name, Suspect, Alive)
+}
+
+func (d delegate) AckPayload() []byte                { return nil }
+func (d delegate) GetBroadcasts(_, _ int) [][]byte   { return nil }
+func (d delegate) LocalState(bool) []byte            { return nil }
+func (d delegate) MergeRemoteState(_ []byte, _ bool) {}
+
+// NotifyAlive hears each word on a member that is there. One on this node's name with a later process, at
+// this node's address, is what is left of a process whose clock was ahead: this one goes beyond it.
+func (d delegate) NotifyAlive(n *memberlist.Node) error {
+	f := d.f
+	if n.Name != f.c.Name {
+		return nil
+	}
+	a, err := readAbout(n.Meta)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil || f.list == nil || a.Incarnation <= f.incarnation {
+		return nil
+	}
+	if me := f.members[n.Name]; me == nil || me.Address != n.Address() {
+		return nil
+	}
+	f.incarnation = a.Incarnation + 1
+	list := f.list
+	go func() { _ = list.UpdateNode(0) }()
+	return nil
+}
+
+// NotifyConflict hears of two processes under one name. The later incarnation is the member: where this
+// node's own name is meant and the other is later, this process is silent from then on; where it is others',
+// the earlier is told.
+func (d delegate) NotifyConflict(existing, other *memberlist.Node) {
+	f := d.f
+	ours, err1 := readAbout(existing.Meta)
+	theirs, err2 := readAbout(other.Meta)
+	if err1 != nil || err2 != nil || theirs.Incarnation <= ours.Incarnation {
+		return
+	}
+	if existing.Name == f.c.Name {
+		f.supersede(theirs.Incarnation)
+		return
+	}
+	f.mu.Lock()
+	list := f.list
+	f.mu.Unlock()
+	if list == nil || !f.log.allow("superseded/"+existing.Name) {
+		return
+	}
+	to := *existing
+	go func() { _ = list.SendBestEffort(&to, supersededMessage(theirs.Incarnation)) }()
+}
+
+var supersededMark = []byte{aboutVersion, 'S'}
+
+func supersededMessage(incarnation uint64) []byte {
+	return binary.BigEndian.AppendUint64(bytes.Clone(supersededMark), incarnation)
+}
+
+// NotifyMsg hears that this process is superseded. Anything else is of a version to come.
+func (d delegate) NotifyMsg(b []byte) {
+	if len(b) != len(supersededMark)+8 || !bytes.HasPrefix(b, supersededMark) {
+		return
+	}
+	d.f.supersede(binary.BigEndian.Uint64(b[len(supersededMark):]))
+}
+
+// supersede makes way for a later process of this name.
+func (f *Fleet) supersede(incarnation uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.superseded || f.list == nil || incarnation <= f.incarnation {
+		return
+	}
+	f.superseded = true
+	f.stats.conflicts.Add(1)
+	f.changed()
+	slog.Error("fleet: another process bears this node's name and is later: this one is no member any more",
+		"name", f.c.Name, "incarnation", f.incarnation, "later", incarnation)
+	f.wish(false)
+}
+
+// heard takes in what memberlist tells in its log alone.
+func (f *Fleet) heard(line string) {
+	if name, ok := between(line, "Suspect ", " has failed, no acks received"); ok {
+		f.mark(name, Alive, Suspect)
+	}
+	if _, ok := between(line, "Refuting a suspect message", ""); ok {
+		f.stats.refuted.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,368 @@
+// Package member knows which nodes of a fleet are present, which have gone, and how. It gossips by memberlist
+// (SWIM with Lifeguard's suspicion), which nobody outside of this package sees; what a view is worth to a
+// request is decided in policy.
+package member
+
+import (
+	"cmp"
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// What a fleet's figures of time follow from: a probe has to bear a round trip, a pause of a third of a second
+// and lost datagrams, and a death is to be known within two seconds.
+const (
+	defaultProbe = 200 * time.Millisecond // between probes by one node; half of it for a direct answer
+	gossipEvery  = 100 * time.Millisecond // while there is something to tell
+	gossipTo     = 3                      // members at a time
+	suspicion    = 4                      // times log10 of the members, in probes: 0.95 s at 15 members
+	suspicionTop = 5                      // times that, while nobody confirms
+	retransmit   = 4                      // times log10 of the members, each word is passed on
+	pushPull     = 30 * time.Second       // between whole states, stretched where members are many
+	streamTime   = time.Second            // for a stream between two members
+	gossipToDead = time.Minute            // that the dead are told what is said of them
+
+	rejoinEvery = time.Second            // a call to one member that was lost, or to a seed; spread by half
+	bindAgain   = 50 * time.Millisecond  // another process of this node may still be bound
+	goodbyeTime = 500 * time.Millisecond // for each of two last words
+
+	forgetLeft  = 5 * time.Minute // members that said they go
+	forgetDead  = time.Hour       // and those that fell silent
+	mostMembers = 4096            // in a view; more are not taken in
+	logSpan     = 10 * time.Second
+)
+
+// Config says who a node is in the fleet and how it is reached.
+type Config struct {
+	Name, Zone, Version string
+
+	Bind      string        // host:port for datagrams and streams
+	Advertise string        // where others reach that; empty for Bind
+	Join      []string      // host:port of some members; others are learned
+	Label     string        // of the fleet; members of another are not heard
+	KeyFile   string        // base64 keys of 16, 24 or 32 bytes, a line each, the first to write with; empty: in clear
+	Allow     []string      // CIDRs that members may have; empty for any
+	Probe     time.Duration // between probes; 0 for the default
+
+	transport func(logger *slog.Logger) (memberlist.NodeAwareTransport, error) // nil for sockets
+	now       func() time.Time                                                 // nil for the machine's
+}
+
+// Equal tells whether two configurations ask for the same.
+func (c Config) Equal(o Config) bool {
+	return c.Name == o.Name && c.Zone == o.Zone && c.Bind == o.Bind && c.Advertise == o.Advertise &&
+		slices.Equal(c.Join, o.Join) && c.Label == o.Label && c.KeyFile == o.KeyFile &&
+		slices.Equal(c.Allow, o.Allow) && c.Probe == o.Probe
+}
+
+// ErrConfig is what each error of Check is.
+var ErrConfig = errors.New("fleet")
+
+func wrong(field, format string, args ...any) error {
+	return fmt.Errorf("%w.%s: %s", ErrConfig, field, fmt.Sprintf(format, args...))
+}
+
+const labelMost = 64 // bytes
+
+func inLabel(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("._-", r)
+}
+
+// Check says which field can't be used.
+func (c Config) Check() error {
+	if c.Name == "" || len(c.Name) > 128 {
+		return wrong("name", "want 1 to 128 bytes, got %d", len(c.Name))
+	}
+	addresses := map[string][]string{"bind": {c.Bind}, "join": c.Join}
+	if c.Advertise != "" {
+		addresses["advertise"] = []string{c.Advertise}
+	}
+	for _, field := range []string{"bind", "advertise", "join"} {
+		for _, a := range addresses[field] {
+			if _, _, err := splitAddress(a); err != nil {
+				return wrong(field, "%v", err)
+			}
+		}
+	}
+	if host, _, _ := splitAddress(c.Bind); host.IsUnspecified() && c.Advertise == "" {
+		return wrong("advertise", "missing, for bind names no single address")
+	}
+	if len(c.Label) > labelMost || strings.ContainsFunc(c.Label, func(r rune) bool { return !inLabel(r) }) {
+		return wrong("label", "want up to 64 letters, digits, dots, dashes and underlines, got %q", c.Label)
+	}
+	if _, err := memberlist.ParseCIDRs(c.Allow); err != nil {
+		return wrong("allow", "%v", err)
+	}
+	if c.Probe != 0 && (c.Probe < 50*time.Millisecond || c.Probe > time.Minute) {
+		return wrong("probe_ms", "want 50 ms to a minute, got %v", c.Probe)
+	}
+	_, err := c.keys()
+	return err
+}
+
+func splitAddress(a string) (net.IP, int, error) {
+	addr, err := net.ResolveUDPAddr("udp", a)
+	if err != nil || addr.IP == nil || addr.Port == 0 || net.ParseIP(hostOf(a)) == nil {
+		return nil, 0, fmt.Errorf("want an IP address and a port, got %q", a)
+	}
+	return addr.IP, addr.Port, nil
+}
+
+func hostOf(a string) string {
+	host, _, _ := net.SplitHostPort(a)
+	return host
+}
+
+// keys reads the key file; nil for none.
+func (c Config) keys() (*memberlist.Keyring, error) {
+	if c.KeyFile == "" {
+		return nil, nil
+	}
+	raw, err := os.ReadFile(c.KeyFile)
+	if err != nil {
+		return nil, wrong("key_file", "%v", err)
+	}
+	var keys [][]byte
+	for i, line := range strings.Split(strings.TrimSpace(string(raw)), "\n") {
+		key, err := base64.StdEncoding.DecodeString(strings.TrimSpace(line))
+		if err != nil || memberlist.ValidateKey(key) != nil {
+			return nil, wrong("key_file", "%s:%d: want a base64 key of 16, 24 or 32 bytes", c.KeyFile, i+1)
+		}
+		keys = append(keys, key)
+	}
+	ring, err := memberlist.NewKeyring(keys, keys[0])
+	if err != nil {
+		return nil, wrong("key_file", "%v", err)
+	}
+	return ring, nil
+}
+
+// Fleet is this node's part in the fleet. Make one with New, run it with Run; its other methods may be called
+// from any goroutine, at any time.
+type Fleet struct {
+	c     Config
+	log   *logAdapter
+	wants chan bool // whether this process is to be the member; the newest wish counts
+	stats stats
+
+	mu          sync.Mutex
+	list        *memberlist.Memberlist // nil while this process isn't the member
+	incarnation uint64
+	leaving     bool
+	superseded  bool // another process bears the name, and is later
+	number      uint64
+	members     map[string]*Member
+	told        []chan View
+}
+
+// New makes a node's part in a fleet. Nothing is opened before Run.
+func New(c Config) (*Fleet, error) {
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	if c.now == nil {
+		c.now = time.Now
+	}
+	f := &Fleet{c: c, wants: make(chan bool, 1), members: make(map[string]*Member)}
+	f.log = newLogAdapter(slog.Default(), c.now, f.heard)
+	f.incarnation = uint64(max(1, c.now().UnixMilli()))
+	return f, nil
+}
+
+// Run takes part until ctx ends, and then says so to the others. Whatever is wrong with the fleet is told in
+// the log, and tried again: service doesn't depend on it.
+func (f *Fleet) Run(ctx context.Context) {
+	want := true
+	for ctx.Err() == nil {
+		if !want {
+			select {
+			case want = <-f.wants:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		list, err := f.open()
+		if err != nil {
+			f.log.tell(slog.LevelWarn, "fleet: not a member yet", "err", err)
+			select {
+			case want = <-f.wants:
+			case <-time.After(bindAgain):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		want = f.take(ctx, list)
+	}
+}
+
+// take is the member's life: it looks for the others until ctx ends, or this process is not to be the member
+// any more. The later process of a name tells the earlier to go.
+func (f *Fleet) take(ctx context.Context, list *memberlist.Memberlist) (want bool) {
+	f.set(list)
+	defer func() {
+		f.set(nil)
+		if err := list.Shutdown(); err != nil {
+			f.log.tell(slog.LevelWarn, "fleet: ending", "err", err)
+		}
+	}()
+	slog.Info("fleet: a member", "name", f.c.Name, "address", list.LocalNode().FullAddress().Addr, "label", f.c.Label)
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		select {
+		case <-next.C:
+			f.rejoin(list)
+			next.Reset(rejoinEvery/2 + rand.N(rejoinEvery))
+		case want := <-f.wants:
+			if !want {
+				slog.Info("fleet: another process of this node is the member")
+				return false
+			}
+		case <-ctx.Done():
+			f.goodbye(list)
+			return false
+		}
+	}
+}
+
+func (f *Fleet) set(list *memberlist.Memberlist) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = list
+}
+
+// open binds, and becomes a member that knows nobody.
+func (f *Fleet) open() (*memberlist.Memberlist, error) {
+	keys, err := f.c.keys()
+	if err != nil {
+		return nil, err
+	}
+	allow, err := memberlist.ParseCIDRs(f.c.Allow)
+	if err != nil {
+		return nil, err
+	}
+	make := f.c.transport
+	if make == nil {
+		make = func(*slog.Logger) (memberlist.NodeAwareTransport, error) { return listen(f.c, &f.stats) }
+	}
+	t, err := make(slog.Default())
+	if err != nil {
+		return nil, err
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Transport, c.Label, c.Keyring, c.CIDRsAllowed = f.c.Name, t, f.c.Label, keys, allow
+	c.BindAddr, c.BindPort = hostOf(f.c.Bind), 0
+	c.ProbeInterval = cmp.Or(f.c.Probe, defaultProbe)
+	c.ProbeTimeout = c.ProbeInterval / 2
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = suspicion, suspicionTop
+	c.GossipInterval, c.GossipNodes, c.RetransmitMult = gossipEvery, gossipTo, retransmit
+	c.GossipToTheDeadTime, c.PushPullInterval, c.TCPTimeout = gossipToDead, pushPull, streamTime
+	c.EnableCompression = false // costs more CPU than what is saved is worth on a fleet's own network
+	c.Logger = f.log.logger()
+	d := delegate{f}
+	c.Delegate, c.Events, c.Alive, c.Conflict, c.Ping = d, d, d, d, d
+	list, err := memberlist.Create(c)
+	if err != nil {
+		_ = t.Shutdown()
+		return nil, err
+	}
+	return list, nil
+}
+
+// rejoin calls one member that was lost, or one of those to join by that is not there yet: after a split, or
+// where two parts of a fleet start apart, nobody else would bring them together.
+func (f *Fleet) rejoin(list *memberlist.Memberlist) {
+	there := map[string]bool{list.LocalNode().FullAddress().Addr: true}
+	var lost []string
+	f.mu.Lock()
+	for _, m := range f.members {
+		switch m.State {
+		case Alive, Suspect:
+			there[m.Address] = true
+		case Dead:
+			lost = append(lost, m.Address)
+		}
+	}
+	f.mu.Unlock()
+	for _, at := range f.c.Join {
+		if !there[at] && !slices.Contains(lost, at) {
+			lost = append(lost, at)
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	at := lost[rand.IntN(len(lost))]
+	if _, err := list.Join([]string{at}); err != nil {
+		f.log.tell(slog.LevelInfo, "fleet: no answer from a lost member", "address", at, "err", err, "heard", len(there))
+	}
+}
+
+// goodbye says that this node goes, which is not the same as to fall silent.
+func (f *Fleet) goodbye(list *memberlist.Memberlist) {
+	f.mu.Lock()
+	f.leaving = true
+	f.mu.Unlock()
+	if list.NumMembers() <= 1 {
+		return
+	}
+	if err := list.UpdateNode(goodbyeTime); err != nil {
+		slog.Info("fleet: not all may have heard that this node goes", "err", err)
+	}
+	if err := list.Leave(goodbyeTime); err != nil {
+		slog.Info("fleet: not all may have heard that this node has gone", "err", err)
+	}
+}
+
+// Yield leaves the name to another process of this node, with no word to the others. Resume takes it back.
+func (f *Fleet) Yield() { f.wish(false) }
+
+// Resume makes this process the member again.
+func (f *Fleet) Resume() { f.wish(true) }
+
+func (f *Fleet) wish(on bool) {
+	for {
+		select {
+		case f.wants <- on:
+			return
+		default:
+		}
+		select {
+		case <-f.wants: // an older one that was not heard yet
+		default:
+		}
+	}
+}
+
+// Stats are the figures of this process's membership.
+type Stats struct {
+	Sent, Received uint64 // bytes of datagrams and streams
+	Views          uint64 // changes of the view
+	Refuted        uint64 // suspicions of this node that it answered
+	Conflicts      uint64 // times that another process bore this node's name
+	Quieted        uint64 // log lines that were counted and not written
+}
+
+type stats struct{ sent, received, refuted, conflicts atomic.Uint64 }
+
+// Stats returns the figures so far.
+func (f *Fleet) Stats() Stats {
+	f.mu.Lock()
+	views := f.number
+	f.mu.Unlock()
+	return Stats{Sent: f.stats.sent.Load(), Received: f.stats.received.Load(), Views: views,
+		Refuted: f.stats.refuted.Load(), Conflicts: f.stats.conflicts.Load(), Quieted: f.log.quieted()}
+}
--- /dev/null
+++ b/internal/member/view.go
@@ -0,0 +1,174 @@
+package member
+
+import (
+	"cmp"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// State is what is known of a member.
+type State string
+
+// The states. Suspect is this node's own finding, that its probes get no answer; what others suspect comes as
+// a death, or not at all.
+const (
+	Alive   State = "alive"
+	Suspect State = "suspect"
+	Left    State = "left" // it said so
+	Dead    State = "dead" // it fell silent
+)
+
+// Member is one node as another sees it.
+type Member struct {
+	Name        string
+	Address     string
+	Zone        string
+	Version     string
+	Incarnation uint64 // of its process: the later one of a name is the member
+	State       State
+	Since       time.Time
+}
+
+// View is the fleet as one node sees it at a moment. Its number only grows while the node's process lives.
+type View struct {
+	Number     uint64
+	Self       string
+	Superseded bool // another process bears this node's name, and is the member
+	Members    []Member
+}
+
+// Heard counts the members that are there, this node among them.
+func (v View) Heard() (n int) {
+	for _, m := range v.Members {
+		if m.State == Alive || m.State == Suspect {
+			n++
+		}
+	}
+	return n
+}
+
+// Names are the members that are there, in order: what two nodes agree on if their views are equal.
+func (v View) Names() (all []string) {
+	for _, m := range v.Members {
+		if m.State == Alive || m.State == Suspect {
+			all = append(all, m.Name)
+		}
+	}
+	return all
+}
+
+// View is the fleet as this node sees it now.
+func (f *Fleet) View() View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view()
+}
+
+func (f *Fleet) view() View {
+	v := View{Number: f.number, Self: f.c.Name, Superseded: f.superseded}
+	for _, m := range f.members {
+		v.Members = append(v.Members, *m)
+	}
+	slices.SortFunc(v.Members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return v
+}
+
+// Subscribe returns a channel on which the newest view waits after each change. One that nobody reads is
+// replaced by a newer; nobody is waited for.
+func (f *Fleet) Subscribe() <-chan View {
+	told := make(chan View, 1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told = append(f.told, told)
+	if f.number > 0 {
+		told <- f.view()
+	}
+	return told
+}
+
+// changed notes a change of the view. The lock is held.
+func (f *Fleet) changed() {
+	f.number++
+	f.forget()
+	for _, told := range f.told {
+		select {
+		case <-told:
+		default:
+		}
+		told <- f.view()
+	}
+}
+
+// forget drops those who are long gone, and the longest gone where there are too many.
+func (f *Fleet) forget() {
+	now := f.c.now()
+	for name, m := range f.members {
+		gone := now.Sub(m.Since)
+		if m.State == Left && gone > forgetLeft || m.State == Dead && gone > forgetDead {
+			delete(f.members, name)
+		}
+	}
+	if len(f.members) <= mostMembers {
+		return
+	}
+	all := slices.SortedFunc(maps.Values(f.members), func(a, b *Member) int { return a.Since.Compare(b.Since) })
+	for _, m := range all {
+		if len(f.members) > mostMembers && (m.State == Left || m.State == Dead) {
+			delete(f.members, m.Name)
+		}
+	}
+}
+
+// book notes what a member is now, where that is news.
+func (f *Fleet) book(n *memberlist.Node, s State) {
+	about, err := readAbout(n.Meta)
+	if err != nil {
+		f.log.tell(levelWarn, "fleet: a member of another version tells what can't be read", "member", n.Name, "err", err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	was := f.members[n.Name]
+	if was == nil && len(f.members) >= mostMembers && (s == Left || s == Dead) {
+		return
+	}
+	if s != Dead && about.Leaving {
+		s = Left
+	}
+	if s == Dead && (about.Leaving || was != nil && was.State == Left) {
+		s = Left
+	}
+	m := Member{Name: n.Name, Address: net.JoinHostPort(n.Addr.String(), strconv.Itoa(int(n.Port))),
+		Zone: about.Zone, Version: about.Version, Incarnation: about.Incarnation, State: s, Since: f.c.now()}
+	if was != nil {
+		if m.State == was.State && m.Incarnation == was.Incarnation {
+			m.Since = was.Since
+		}
+		if m == *was {
+			return
+		}
+	}
+	f.members[n.Name] = &m
+	if was == nil || was.State != m.State || was.Incarnation != m.Incarnation {
+		f.log.member(was, m)
+	}
+	f.changed()
+}
+
+// mark changes the state of a member that is there.
+func (f *Fleet) mark(name string, from, to State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[name]
+	if m == nil || m.State != from {
+		return
+	}
+	next := *m
+	next.State, next.Since = to, f.c.now()
+	f.members[name] = &next
+	f.changed()
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	gossip "cobaltward/internal/member"
 	"cobaltward/internal/wire"
 	"cobaltward/policy"
 )
@@ -30,6 +31,7 @@
 	Sockets   int
 	Known     list // the servers as this node last had them, perhaps stale
 	Settings  policy.Settings
+	Fleet     *gossip.Config // this node's part in a fleet; nil for none
 
 	// Figures of the settings that bind the node and not the module.
 	MaxOpen        int           // unanswered requests; 0: no limit
@@ -70,6 +72,9 @@
 			*field = v
 		}
 	}
+	if c.Fleet != nil {
+		c.Fleet.Name = c.Name
+	}
 	if err := checkAddress(c.Listen); err != nil {
 		return Config{}, fmt.Errorf("configuration: listen: %w", err)
 	}
@@ -123,6 +128,7 @@
 		} `json:"limits"`
 		Known    json.RawMessage `json:"known"`
 		Settings json.RawMessage `json:"settings"`
+		Fleet    json.RawMessage `json:"fleet"`
 	}
 	if err := unmarshal(raw, &f); err != nil {
 		return Config{}, err
@@ -155,7 +161,12 @@
 	if _, err := policy.New(c.Settings, 0, 0); err != nil { // the module checks what it is given
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
-	err = nodeLimits(f.Settings, &c)
+	if err := nodeLimits(f.Settings, &c); err != nil {
+		return Config{}, err
+	}
+	if len(f.Fleet) > 0 {
+		c.Fleet, err = parseFleet(f.Fleet, c)
+	}
 	return c, err
 }
 
@@ -194,19 +205,27 @@
 
 // ownSockets is how many descriptors belong to neither side.
 func (c Config) ownSockets() int {
+	n := ownSockets
 	if c.Control != "" {
-		return ownSockets + controlSockets
+		n += controlSockets
+	}
+	if c.Fleet != nil {
+		n += gossip.Sockets
 	}
-	return ownSockets
+	return n
 }
 
 // ownBeside is the same for each of two processes that share the node's descriptors for a while. What is set
 // aside for moments when counts are off, and for many callers at the second address, is set aside once.
 func (c Config) ownBeside() int {
+	n := leanSockets
 	if c.Control != "" {
-		return leanSockets + controlSockets/2
+		n += controlSockets / 2
+	}
+	if c.Fleet != nil { // one of the two is the member
+		n += gossip.Sockets / 2
 	}
-	return leanSockets
+	return n
 }
 
 func checkAddress(addr string) error {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -26,8 +26,9 @@
 	peers *peers
 }
 
-// newControl makes the operators' side; taking tells whether the node takes clients.
-func newControl(f *figures, taking func() bool) *control {
+// newControl makes the operators' side; taking tells whether the node takes clients, and fleet is nil for a
+// node of none.
+func newControl(f *figures, taking func() bool, fleet *membership) *control {
 	c := &control{peers: newPeers(func() int { return controlSockets / 2 }, new(atomic.Int64), func() {})}
 	mux := http.NewServeMux()
 	mux.HandleFunc(http.MethodGet+" "+healthPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -39,6 +40,9 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 		f.set.WritePrometheus(w)
 	})
+	if fleet != nil {
+		mux.HandleFunc(http.MethodGet+" "+fleetPath, fleet.serve)
+	}
 	c.http = http.Server{
 		Handler: mux, MaxHeaderBytes: maxHeader, ReadTimeout: callTimeout, WriteTimeout: 2 * callTimeout,
 		DisableGeneralOptionsHandler: true, ConnContext: c.peers.admit, ConnState: c.peers.follow,
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,193 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	gossip "cobaltward/internal/member"
+)
+
+const fleetPath = "/fleet"
+
+// fleetSection is the part of the configuration that makes the node a member. Without it there is none of it.
+type fleetSection struct {
+	Bind      string   `json:"bind"`
+	Advertise string   `json:"advertise"`
+	Join      []string `json:"join"`
+	Label     string   `json:"label"`
+	KeyFile   string   `json:"key_file"`
+	Allow     []string `json:"allow"`
+	ProbeMs   float64  `json:"probe_ms"`
+}
+
+// parseFleet reads the section strictly: a key that is misspelt would leave the fleet open, say.
+func parseFleet(raw json.RawMessage, c Config) (*gossip.Config, error) {
+	var s fleetSection
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	m := &gossip.Config{Name: c.Name, Zone: c.Settings.Zone, Version: Version(), Bind: s.Bind, Advertise: s.Advertise,
+		Join: s.Join, Label: s.Label, KeyFile: s.KeyFile, Allow: s.Allow, Probe: millis(s.ProbeMs)}
+	return m, m.Check()
+}
+
+// fleetSeen is how many nodes this one hears, on its way to the loop.
+type fleetSeen struct{ heard int }
+
+// fleetAsked asks what the module makes of it.
+type fleetAsked struct{ reply chan<- fleetState }
+
+type fleetState struct {
+	agreed, heard int
+	cutOff        bool
+}
+
+// follow passes on what the fleet looks like, until ctx ends.
+func (l *loop) follow(ctx context.Context, views <-chan gossip.View) {
+	for {
+		select {
+		case v := <-views:
+			l.send(fleetSeen{v.Heard()})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// membership is this process's part in the fleet, for operators. The zero value is a node of no fleet.
+type membership struct {
+	*gossip.Fleet
+	loop *loop
+}
+
+// fleetView is the answer at /fleet.
+type fleetView struct {
+	Node        string       `json:"node"`
+	View        uint64       `json:"view"`
+	Agreed      int          `json:"agreed"` // nodes that quotas are divided by
+	Heard       int          `json:"heard"`
+	CutOff      bool         `json:"cut_off"`
+	Superseded  bool         `json:"superseded"`
+	SentBytes   uint64       `json:"sent_bytes"`
+	HeardBytes  uint64       `json:"received_bytes"`
+	Refuted     uint64       `json:"suspicions_refuted"`
+	Conflicts   uint64       `json:"conflicts"`
+	LinesQuiet  uint64       `json:"log_lines_quieted"`
+	Members     []memberView `json:"members"`
+	GeneratedAt time.Time    `json:"at"`
+}
+
+type memberView struct {
+	Name        string       `json:"name"`
+	Address     string       `json:"address"`
+	Zone        string       `json:"zone"`
+	Version     string       `json:"version"`
+	Incarnation uint64       `json:"incarnation"`
+	State       gossip.State `json:"state"`
+	SinceMs     int64        `json:"since_ms"` // how long ago that began
+}
+
+// serve answers with the view of this node.
+func (m membership) serve(w http.ResponseWriter, _ *http.Request) {
+	v, s, now := m.View(), m.Stats(), time.Now()
+	f, _ := ask(m.loop, func(reply chan<- fleetState) any { return fleetAsked{reply} })
+	out := fleetView{Node: v.Self, View: v.Number, Agreed: f.agreed, Heard: v.Heard(), CutOff: f.cutOff,
+		Superseded: v.Superseded, SentBytes: s.Sent, HeardBytes: s.Received, Refuted: s.Refuted,
+		Conflicts: s.Conflicts, LinesQuiet: s.Quieted, Members: []memberView{}, GeneratedAt: now}
+	for _, one := range v.Members {
+		out.Members = append(out.Members, memberView{one.Name, one.Address, one.Zone, one.Version, one.Incarnation,
+			one.State, now.Sub(one.Since).Milliseconds()})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(out); err != nil {
+		slog.Debug("the answer at "+fleetPath, "err", err)
+	}
+}
+
+// register adds the fleet's figures to the node's.
+func (m membership) register(f *figures) {
+	for _, s := range []gossip.State{gossip.Alive, gossip.Suspect, gossip.Left, gossip.Dead} {
+		f.set.NewGauge(fmt.Sprintf("app_fleet_members{state=%q}", s), func() float64 {
+			n := 0
+			for _, one := range m.View().Members {
+				if one.State == s {
+					n++
+				}
+			}
+			return float64(n)
+		})
+	}
+	for name, of := range map[string]func(gossip.Stats) uint64{
+		"app_fleet_sent_bytes_total":         func(s gossip.Stats) uint64 { return s.Sent },
+		"app_fleet_received_bytes_total":     func(s gossip.Stats) uint64 { return s.Received },
+		"app_fleet_view_changes_total":       func(s gossip.Stats) uint64 { return s.Views },
+		"app_fleet_suspicions_refuted_total": func(s gossip.Stats) uint64 { return s.Refuted },
+		"app_fleet_name_conflicts_total":     func(s gossip.Stats) uint64 { return s.Conflicts },
+		"app_fleet_log_lines_quieted_total":  func(s gossip.Stats) uint64 { return s.Quieted },
+	} {
+		f.set.NewGauge(name, func() float64 { return float64(of(m.Stats())) })
+	}
+	for name, of := range map[string]func(fleetState) float64{
+		"app_fleet_agreed": func(s fleetState) float64 { return float64(s.agreed) },
+		"app_fleet_cut_off": func(s fleetState) float64 {
+			if s.cutOff {
+				return 1
+			}
+			return 0
+		},
+	} {
+		f.set.NewGauge(name, func() float64 {
+			s, _ := ask(m.loop, func(reply chan<- fleetState) any { return fleetAsked{reply} })
+			return of(s)
+		})
+	}
+}
+
+// join makes the node a member where its configuration says so; nil where it doesn't.
+func (l *loop) join(c Config) (*membership, error) {
+	if c.Fleet == nil {
+		return nil, nil
+	}
+	f, err := gossip.New(*c.Fleet)
+	if err != nil {
+		return nil, err
+	}
+	m := &membership{f, l}
+	m.register(l.fig)
+	return m, nil
+}
+
+// sameFleet tells whether a changed configuration asks for another membership, which needs a new process.
+func sameFleet(a, b *gossip.Config) error {
+	if (a == nil) != (b == nil) || a != nil && !a.Equal(*b) {
+		return errors.New("fleet: what has changed there takes a new process")
+	}
+	return nil
+}
+
+// Version is that of this build: what the tool chain knows of its source.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	version, changed := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision" && len(s.Value) >= 12:
+			version = s.Value[:12]
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = "+"
+		}
+	}
+	return version + changed
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -233,11 +233,12 @@
 
 // handover is a serving process's end: it waits for a successor.
 type handover struct {
-	c    Config
-	path string
-	s    *server
-	up   *upstream
-	gate *gate
+	c     Config
+	path  string
+	s     *server
+	up    *upstream
+	gate  *gate
+	fleet *membership // nil for a node of no fleet
 
 	mu    sync.Mutex
 	share int  // descriptors that this process may hold
@@ -334,6 +335,9 @@
 	}
 	h.resize()
 	limitMemory(h.c, 1)
+	if h.fleet != nil {
+		h.fleet.Resume()
+	}
 	h.s.loop.send(takenBack{served})
 }
 
@@ -382,6 +386,9 @@
 	}
 	slog.Info("a successor serves: its clients come to it from now on")
 	h.s.superseded.Store(true)
+	if h.fleet != nil {
+		h.fleet.Yield()
+	}
 	h.s.draining.Store(true) // clients come again, to the successor
 	if err := h.gate.setShut(true); err != nil {
 		return true, err
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -56,6 +56,7 @@
 	Learn(now policy.Time, k policy.Knowledge)
 	Out() map[string]int
 	Beside(out map[string]int)
+	Fleet() (agreed, heard int, cutOff bool)
 }
 
 // loop owns the module, the open requests and the timers, in one goroutine. All else sends it events;
@@ -258,6 +259,12 @@
 		e.reply <- l.module.Out()
 	case outBeside:
 		l.module.Beside(e.out)
+	case fleetSeen:
+		l.tell(policy.Fleet{Heard: e.heard})
+	case fleetAsked:
+		var f fleetState
+		f.agreed, f.heard, f.cutOff = l.module.Fleet()
+		e.reply <- f
 	case tailAsked:
 		e.reply <- l.module.Tail()
 	case takenBack:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,10 @@
 		return err
 	}
 	s := newServer(l)
+	fleet, err := l.join(c)
+	if err != nil {
+		return err
+	}
 
 	running, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
@@ -52,12 +56,22 @@
 
 	failed := make(chan error, 1)
 	clients := newGate(at.Clients, held)
-	h := &handover{c: c, path: handoverPath(c), s: s, up: up, gate: clients, share: held, whole: at.heir == nil}
+	h := &handover{c: c, path: handoverPath(c), s: s, up: up, gate: clients, fleet: fleet, share: held, whole: at.heir == nil}
 	h.resize()
 	parts.Go(func() { failed <- s.accept(clients) })
 	parts.Go(func() { h.start(running, at.heir) })
+	if fleet != nil {
+		parts.Go(func() { l.follow(running, fleet.Subscribe()) })
+		parts.Go(func() {
+			select {
+			case <-s.first: // until then another process is the member
+				fleet.Run(ctx)
+			case <-running.Done():
+			}
+		})
+	}
 	if at.Control != nil {
-		ctl := newControl(fig, s.taking)
+		ctl := newControl(fig, s.taking, fleet)
 		parts.Go(func() { ctl.run(running, at.Control) })
 	}
 	for ctx.Err() == nil {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -127,14 +127,21 @@
 			return Config{}, errors.New("configuration: settings.services: one has no name")
 		}
 	}
-	c.dial = before.dial
+	c.Name, c.dial = before.Name, before.dial
+	if c.Fleet != nil {
+		c.Fleet.Name = c.Name
+	}
+	if err := sameFleet(before.Fleet, c.Fleet); err != nil {
+		slog.Warn("the configuration is taken but for a part", "err", err)
+		c.Fleet = before.Fleet
+	}
 	return c, nil
 }
 
 // mayLack are the keys that a configuration may be without, as the wire page has it, and what only some
 // entries need.
 var mayLack = []string{"control", "aimStretch", "warmKeys", "passesDeadline", "servedOn", "localitiesOnly",
-	"group", "window", "minExtra", "budgetShare", "ratioSpan"}
+	"group", "window", "fleet", "minExtra", "budgetShare", "ratioSpan"}
 
 // shape is what keys a configuration has: the members of a list of servers are discovery's.
 func shape(raw []byte) (any, error) {
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cobaltward/internal/emulator"
+	_ "cobaltward/internal/node" // the program under test: a change of it is a reason to test again
 )
 
 var (
