--- a/internal/member/delegate.go
+++ b/internal/member/delegate.go
@@ -62,7 +62,10 @@
 func (d delegate) NotifyLeave(n *memberlist.Node)  { d.f.book(n, Dead) }
 
 // NotifyPingComplete hears that a member answers a probe.
-func (d delegate) NotifyPingComplete(n *memberlist.Node, _ time.Duration, _ []byte) {
+func (d delegate) NotifyPingComplete(n *memberlist.Node, took time.Duration, _ []byte) {
+	if d.f.c.Probed != nil {
+		d.f.c.Probed(took)
+	}
 	d.f.stats.path.probed(true)
 	d.f.mark(n.Name, Suspect, Alive)
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -60,6 +60,8 @@
 	Allow     []string      // CIDRs that members may have; empty for any
 	Probe     time.Duration // between probes; 0 for the default
 
+	Probed func(took time.Duration) // is told each round trip of a probe; nil for nobody
+
 	transport func(logger *slog.Logger) (memberlist.NodeAwareTransport, error) // nil for sockets
 	now       func() time.Time                                                 // nil for the machine's
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -9,9 +9,11 @@
 	"maps"
 	"net"
 	"os"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,6 +142,15 @@
 	return all
 }
 
+// cpuTime is what this process has used of processors.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func percentile(all []time.Duration, p float64) time.Duration {
 	slices.Sort(all)
 	return all[min(len(all)-1, int(p*float64(len(all))))]
@@ -161,9 +172,14 @@
 			return sum
 		}
 		const quiet = 30 * time.Second
-		before := sent()
+		before, used := sent(), cpuTime()
 		time.Sleep(quiet)
 		rate := float64(sent()-before) / quiet.Seconds() / float64(n)
+		core := (cpuTime() - used).Seconds() / quiet.Seconds() / float64(n)
+		runtime.GC()
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		heap := float64(mem.HeapAlloc) / float64(n) / (1 << 20)
 		for i := range v.seen {
 			if told := v.told(i); len(told) > 0 {
 				t.Errorf("member %d was told of deaths while all lived: %v", i, told)
@@ -191,8 +207,8 @@
 		})
 		healed := v.agreed(t, 30*time.Second, n-1, upTo(n-1)...)
 		p50, p99 := percentile(took, 0.5), percentile(took, 0.99)
-		t.Logf("%d members, %.0f%% lost: joined %v, a death known p50 %v p99 %v, split healed %v, %.0f bytes/s a node",
-			n, *loss*100, joined, p50, p99, healed, rate)
+		t.Logf("%d members, %.0f%% lost: joined %v, a death known p50 %v p99 %v, split healed %v, "+
+			"%.0f bytes/s, %.2f%% of a core and %.2f MB a node", n, *loss*100, joined, p50, p99, healed, rate, core*100, heap)
 		if p99 > 4*time.Second || rate > 4000 {
 			t.Errorf("p99 %v, want under 4 s; %.0f bytes/s, want under 4000", p99, rate)
 		}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -158,6 +158,8 @@
 	if c.Fleet == nil {
 		return nil, nil
 	}
+	trips := l.fig.set.NewHistogram("app_fleet_probe_seconds")
+	c.Fleet.Probed = func(took time.Duration) { trips.Update(took.Seconds()) }
 	f, err := gossip.New(*c.Fleet)
 	if err != nil {
 		return nil, err
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -35,6 +35,7 @@
 	Zones   []string // that the nodes are in, in turn
 	ProbeMs float64
 	Label   string
+	KeyFile string
 	Sockets int
 	Quota   float64 // requests a second of all tenants over the fleet
 	Classes []emulator.Class
@@ -63,7 +64,8 @@
 		if err != nil {
 			return nil, err
 		}
-		n.Spec.Fleet = map[string]any{"bind": n.Gossip(), "advertise": at, "label": spec.Label, "probe_ms": spec.ProbeMs}
+		n.Spec.Fleet = map[string]any{"bind": n.Gossip(), "advertise": at, "label": spec.Label,
+			"key_file": spec.KeyFile, "probe_ms": spec.ProbeMs}
 		if i < 3 {
 			join = append(join, at)
 		}
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"math/rand/v2"
 	"net"
+	"os"
+	"path/filepath"
 	"slices"
 	"syscall"
 	"testing"
@@ -254,18 +257,32 @@
 	}
 }
 
-// With all members to join by dead, nodes start and serve alone; garbage and members of another fleet change
-// nothing and fill no log; the first that is there brings all together.
+// With all members to join by dead, nodes start and serve alone; garbage, datagrams of long ago and members
+// with another label or key change nothing and fill no log; the first that is there brings all together.
 func TestFleetWithoutSeedsAmongStrangers(t *testing.T) {
 	r, ctx := newRig(t)
 	w := r.NewWorld(*seed, boxes(3, "a")...)
-	spec := FleetSpec{Nodes: 5, Zones: []string{"a"}, Classes: quick(), Tenants: tenants, Quota: 4000, Label: "delta"}
+	keys := func(name, key string) string {
+		path := filepath.Join(r.dir, name)
+		if err := os.WriteFile(path, []byte(base64.StdEncoding.EncodeToString([]byte(key))+"\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	spec := FleetSpec{Nodes: 6, Zones: []string{"a"}, Classes: quick(), Tenants: tenants, Quota: 4000, Label: "delta",
+		KeyFile: keys("key", "sixteen bytes it")}
 	f, err := w.NewFleet(spec)
 	if err != nil {
 		t.Fatal(err)
 	}
 	x := &trial{T: t, Fleet: f, w: w, ctx: ctx}
-	f.Nodes["n04"].Spec.Fleet["label"] = "omega" // a stranger who calls the same members
+	f.Nodes["n04"].Spec.Fleet["label"] = "omega" // strangers who call the same members
+	f.Nodes["n05"].Spec.Fleet["key_file"] = keys("other", "another key, too")
+	for _, a := range f.Names {
+		for _, b := range f.Names {
+			r.SetLink(a, b, Faults{Duplicate: 0.5, Replay: 1500 * time.Millisecond})
+		}
+	}
 	seeds, rest := f.Names[:3], f.Names[3:]
 	if err := f.Start(within(t, ctx), rest...); err != nil {
 		t.Fatal(err)
@@ -282,8 +299,14 @@
 	if err := f.Start(within(t, ctx), seeds...); err != nil {
 		t.Fatal(err)
 	}
-	x.agree(f.Without("n04")...)
+	fleet := f.Without("n04", "n05")
+	x.agree(fleet...)
 	x.agree("n04")
+	x.agree("n05")
+	f.Nodes["n00"].Kill() // what it said while it lived comes again, and brings nobody back to life
+	x.await("n00", "dead", f.Without("n00", "n04", "n05")...)
+	x.restart("n00")
+	x.agree(fleet...)
 	close(stop)
 	<-done
 	p := f.Nodes["n03"].Process()
--- a/internal/rig/link.go
+++ b/internal/rig/link.go
@@ -24,7 +24,8 @@
 	Latency   time.Duration
 	Jitter    time.Duration // up to so much more, evenly
 	Loss      float64       // part of the datagrams lost, and of new streams that are reset
-	Duplicate float64       // part of the datagrams that come twice
+	Duplicate float64       // part of the datagrams that come twice,
+	Replay    time.Duration // the second time so much later
 	Reorder   float64       // part of the datagrams that others overtake
 	Bandwidth int           // bytes a second; 0 for no limit
 	Cut       bool          // nothing passes and nothing is told: streams stay open and silent
@@ -285,7 +286,7 @@
 		block := make([]byte, maxDatagram)
 		places := make(chan struct{}, maxQueued)
 		for {
-			n, addr, err := conn.ReadFromUDP(block)
+			size, addr, err := conn.ReadFromUDP(block)
 			if err != nil {
 				return
 			}
@@ -293,13 +294,13 @@
 			if f.Cut || l.chance(f.Loss) {
 				continue
 			}
-			for range l.copies(f) {
-				wait := l.delay(f)
+			for n := range l.copies(f) {
+				wait := l.delay(f) + time.Duration(n)*f.Replay
 				if l.chance(f.Reorder) {
 					wait += reorderAfter
 				}
 				if wait <= 0 {
-					_, _ = conn.WriteToUDP(block[:n], target)
+					_, _ = conn.WriteToUDP(block[:size], target)
 					continue
 				}
 				select {
@@ -307,7 +308,7 @@
 				default:
 					continue
 				}
-				packet := append([]byte(nil), block[:n]...)
+				packet := append([]byte(nil), block[:size]...)
 				time.AfterFunc(wait, func() {
 					_, _ = conn.WriteToUDP(packet, target)
 					<-places
