--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -30,15 +30,17 @@
 	gossipTo     = 3                      // members at a time
 	suspicion    = 4                      // times log10 of the members, in probes: 0.95 s at 15 members
 	suspicionTop = 5                      // times that, while nobody confirms
-	retransmit   = 4                      // times log10 of the members, each word is passed on
-	pushPull     = 30 * time.Second       // between whole states, stretched where members are many
+	retransmit   = 6                      // times log10 of the members, each word is passed on
+	pushPull     = 2 * time.Minute        // between whole states, stretched where members are many: a backstop
 	streamTime   = time.Second            // for a stream between two members
 	gossipToDead = time.Minute            // that the dead are told what is said of them
 	reclaim      = time.Second            // after a death, the name may turn up at another address
 
 	rejoinEvery = time.Second            // a call to one member that was lost, or to a seed; spread by half
-	settleLeast = 5 * time.Second        // from the last change of the view to an exchange of whole states,
-	settleEach  = 50 * time.Millisecond  // and so much for each member, for their size's sake
+	settleTimes = 2                      // whole states are exchanged after the last change of the view:
+	settleLeast = 2 * time.Second        // after so long each time,
+	settleEach  = 50 * time.Millisecond  // and so much for each member, for their size's sake;
+	settleBad   = 3                      // times that, again and again, while the path is bad
 	bindAgain   = 50 * time.Millisecond  // another process of this node may still be bound
 	goodbyeTime = 500 * time.Millisecond // for each of two last words
 
@@ -171,7 +173,8 @@
 	number      uint64
 	members     map[string]*Member
 	changedAt   time.Time // the members that are there
-	settledAt   time.Time // whole states were exchanged for that
+	settledAt   time.Time // whole states were last exchanged for that,
+	unsettled   int       // and are to be so often more
 	told        []chan View
 }
 
@@ -351,9 +354,13 @@
 	now := f.c.now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.changedAt.After(f.settledAt) || now.Sub(f.changedAt) < span || now.Sub(f.settledAt) < span {
+	if f.unsettled == 0 && f.stats.path.bad() {
+		f.unsettled, span = 1, settleBad*span
+	}
+	if f.unsettled == 0 || now.Sub(f.changedAt) < span || now.Sub(f.settledAt) < span {
 		return false
 	}
+	f.unsettled--
 	f.settledAt = now
 	return true
 }
--- a/internal/member/transport.go
+++ b/internal/member/transport.go
@@ -33,13 +33,16 @@
 	}
 }
 
+func (p *path) bad() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost > pathBad
+}
+
 // send sends a datagram, and again where the path is bad. The second time may be after the network's end.
 func (p *path) send(b []byte, write func([]byte)) {
 	write(b)
-	p.mu.Lock()
-	bad := p.lost > pathBad
-	p.mu.Unlock()
-	if bad {
+	if p.bad() {
 		again := append([]byte(nil), b...)
 		time.AfterFunc(twiceIn, func() { write(again) })
 	}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -146,7 +146,7 @@
 	f.members[n.Name] = &m
 	if was == nil || was.State != m.State || was.Incarnation != m.Incarnation {
 		f.log.member(was, m)
-		f.changedAt = f.c.now()
+		f.changedAt, f.unsettled = f.c.now(), settleTimes
 	}
 	f.changed()
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -314,7 +314,7 @@
 // health tells the front whether the node may be taken in.
 func (c *client) health(m message) bool {
 	a := answer{status: http.StatusOK}
-	if !c.s.taking() && !c.s.superseded.Load() {
+	if !c.s.ready() {
 		a.status = http.StatusServiceUnavailable
 	}
 	c.last = c.last || m.length != 0 // nobody reads that body
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 		return err
 	}
 	s := newServer(l)
+	s.heir = at.heir != nil
 	fleet, err := l.join(c)
 	if err != nil {
 		return err
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -57,6 +57,7 @@
 	draining   atomic.Bool   // and answers end their connections
 	closing    atomic.Bool   // and connections end as soon as they have no request
 	superseded atomic.Bool   // another process of this node serves
+	heir       bool          // another one served before this
 	peers      *peers
 	open       sync.WaitGroup // connections
 }
@@ -75,6 +76,19 @@
 	}
 }
 
+// ready tells whether the node takes clients, in this process or in another of it.
+func (s *server) ready() bool {
+	if s.stopping.Load() {
+		return s.superseded.Load()
+	}
+	select {
+	case <-s.loop.ready:
+		return true
+	default:
+		return s.heir
+	}
+}
+
 // fault is what is wrong with a request.
 type fault struct {
 	status int
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -157,6 +157,9 @@
 	if most > n.Spec.Sockets {
 		t.Errorf("the processes held %d descriptors of %d", most, n.Spec.Sockets)
 	}
+	if n := load.NotReady(); n > 0 {
+		t.Errorf("the front was told %d times that the node takes no clients", n)
+	}
 	if sums.Refusals > 0 || sums.Unserved > 0 || sums.InTime == 0 {
 		t.Errorf("requests that a place was free for were not served: %+v", sums)
 	}
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -320,6 +320,8 @@
 	done    chan struct{}
 	turn    int
 	rng     *rand.Rand
+
+	notReady int // answers to the front that a node doesn't take clients
 }
 
 // Wait waits until the clients' time is over and their last try has ended.
@@ -332,6 +334,13 @@
 	}
 }
 
+// NotReady is how often a node told the front that it takes no clients.
+func (l *Load) NotReady() int {
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	return l.notReady
+}
+
 // Sums tells what became of the requests so far, in all.
 func (l *Load) Sums() (all emulator.Sums) {
 	l.w.mu.Lock()
@@ -409,6 +418,12 @@
 		if fails++; err == nil {
 			fails = 0
 		}
+		var status statusError
+		if errors.As(err, &status) {
+			l.w.mu.Lock()
+			l.notReady++
+			l.w.mu.Unlock()
+		}
 		l.w.mu.Lock()
 		d.up = fails < frontFails
 		l.w.mu.Unlock()
