--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,233 @@
+package emulator
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func try(id string, repeat Repeat) *Try {
+	return &Try{ID: id, Class: &Class{Name: string(repeat), Repeat: repeat, Window: 12 * time.Second}, Expires: time.Second,
+		Work: 100 * ms}
+}
+
+// Each rule's breach is found, and what is allowed isn't taken for one.
+func TestJudgeFindsEachBreach(t *testing.T) {
+	warm := func(id string) *Box { return NewBox(DefaultBox(id, "a"), 0, 1) }
+	cold := NewBox(DefaultBox("cold", "a"), time.Second, 1)
+	a, b := warm("a"), warm("b")
+	b.Spec.Cell = 1
+	for _, c := range []struct {
+		name string
+		do   func(j *Judge)
+		want string // empty for nothing
+	}{
+		{"an answer in time", func(j *Judge) {
+			j.Took(0, try("x", Never))
+			j.Arrived(0, "n", "x", a)
+			j.Over("x", "a", false)
+			j.Answer(time.Second, "x", 200)
+		}, ""},
+		{"a late answer", func(j *Judge) { j.Took(0, try("x", Free)); j.Answer(1100*ms, "x", 503) }, "late"},
+		{"two answers", func(j *Judge) {
+			j.Took(0, try("x", Free))
+			j.Answer(1, "x", 503)
+			j.Answer(2, "x", 503)
+		}, "second final answer"},
+		{"an answer out of nothing", func(j *Judge) { j.Took(0, try("x", Free)); j.Answer(1, "x", 200) }, "no server served"},
+		{"a connection cut off", func(j *Judge) { j.Took(0, try("x", Free)); j.Broke(1, "x", false) }, "no answer"},
+		{"a connection of a killed node", func(j *Judge) { j.Took(0, try("x", Free)); j.Broke(1, "x", true) }, ""},
+		{"a second copy of what must not run twice", func(j *Judge) {
+			j.Took(0, try("x", Never))
+			j.Arrived(1, "n", "x", a)
+			j.Over("x", "a", false)
+			j.Arrived(2, "n", "x", b)
+		}, "second copy"},
+		{"another try after it was turned away", func(j *Judge) {
+			j.Took(0, try("x", Never))
+			j.Arrived(1, "n", "x", a)
+			j.Over("x", "a", true)
+			j.Arrived(2, "n", "x", b)
+		}, ""},
+		{"a repeat in another cell", func(j *Judge) {
+			j.Took(0, try("x", Guarded))
+			j.Arrived(1, "n", "x", a)
+			j.Over("x", "a", false)
+			j.Arrived(2, "n", "x", b)
+		}, "outside of the group"},
+		{"a repeat in the same cell", func(j *Judge) {
+			j.Took(0, try("x", Guarded))
+			j.Arrived(1, "n", "x", a)
+			j.Over("x", "a", false)
+			j.Arrived(2, "n", "x", a)
+		}, ""},
+		{"two attempts out", func(j *Judge) {
+			j.Took(0, try("x", Free))
+			j.Arrived(1, "n", "x", a)
+			j.Arrived(2, "n", "x", b)
+		}, "is out"},
+		{"refused after it may have run", func(j *Judge) {
+			j.Took(0, try("x", Never))
+			j.Arrived(1, "n", "x", a)
+			j.Over("x", "a", false)
+			j.Answer(2, "x", 503)
+		}, "refused though"},
+		{"a draining server", func(j *Judge) {
+			j.Told(0, "n", "a", Draining)
+			j.Took(time.Second, try("x", Free))
+			j.Arrived(2*time.Second, "n", "x", a)
+		}, "which drains"},
+		{"a draining server, told to another node", func(j *Judge) {
+			j.Told(0, "m", "a", Draining)
+			j.Took(time.Second, try("x", Free))
+			j.Arrived(2*time.Second, "n", "x", a)
+		}, ""},
+		{"a cold server", func(j *Judge) {
+			for i := range 200 {
+				id := fmt.Sprint("x", i)
+				j.Took(time.Second, try(id, Free))
+				j.Arrived(time.Second+Time(i)*ms, fmt.Sprint("n", i%3), id, cold)
+			}
+		}, "the cold cold was sent"},
+	} {
+		j := NewJudge(DefaultRules())
+		c.do(j)
+		all, n := j.Breaches()
+		if got := strings.Join(all, "; "); (c.want == "") != (n == 0) || !strings.Contains(got, c.want) {
+			t.Errorf("%s: %d breaches: %s", c.name, n, got)
+		}
+	}
+}
+
+// What a box takes it finishes, once, and never faster than its cores can.
+func TestBoxFinishesWhatItTakes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec := DefaultBox("s", "a")
+		spec.Cores, spec.Room = rapid.IntRange(1, 4).Draw(t, "cores"), rapid.IntRange(1, 20).Draw(t, "room")
+		b := NewBox(spec, Time(rapid.IntRange(0, 3).Draw(t, "started"))*time.Second, 1)
+		var now Time
+		var work time.Duration
+		taken, done := 0, make(map[string]bool)
+		finish := func(all []Done) {
+			for _, d := range all {
+				if done[d.ID] {
+					t.Fatalf("%s is done twice", d.ID)
+				}
+				done[d.ID] = true
+			}
+		}
+		for i := range rapid.IntRange(1, 60).Draw(t, "jobs") {
+			now += Time(rapid.IntRange(0, 300).Draw(t, "gap")) * ms
+			finish(b.Advance(now))
+			j := Job{ID: fmt.Sprint("j", i), Work: Time(rapid.IntRange(1, 500).Draw(t, "work")) * ms}
+			if b.Offer(now, j) == Taken {
+				taken, work = taken+1, work+j.Work
+			}
+			if b.Held() > spec.Room {
+				t.Fatalf("%d held, room for %d", b.Held(), spec.Room)
+			}
+		}
+		end := now
+		for at, ok := b.Next(); ok; at, ok = b.Next() {
+			end = at
+			finish(b.Advance(at))
+		}
+		if least := time.Duration(float64(work) / spec.Speed / float64(spec.Cores)); len(done) != taken || end+ms < least {
+			t.Fatalf("%d of %d done by %v, and the work takes %v", len(done), taken, end, least)
+		}
+	})
+}
+
+// A box that is crowded for long turns slower, and recovers once it has been mostly idle.
+func TestBoxChokes(t *testing.T) {
+	b := NewBox(DefaultBox("s", "a"), 0, 1)
+	for i := range b.Spec.Room {
+		b.Offer(0, Job{ID: fmt.Sprint(i), Work: 10 * time.Second})
+	}
+	b.Advance(b.Spec.ChokeFor)
+	if !b.Choked() {
+		t.Fatal("a crowded box doesn't choke")
+	}
+	for at, ok := b.Next(); ok; at, ok = b.Next() {
+		b.Advance(at)
+	}
+	b.Advance(10 * time.Hour)
+	if b.Advance(10*time.Hour + b.Spec.ChokeRest); b.Choked() {
+		t.Error("an idle box stays choked")
+	}
+}
+
+// A repeat of a key has no effect for a time; a new key has.
+func TestBoxDropsRepeats(t *testing.T) {
+	b := NewBox(DefaultBox("s", "a"), 0, 1)
+	var effects []bool
+	for i, key := range []string{"k", "k", "l"} {
+		b.Offer(Time(i)*time.Second, Job{ID: fmt.Sprint(i), Key: key, Work: ms})
+		for _, d := range b.Advance(Time(i)*time.Second + 100*ms) {
+			effects = append(effects, d.Effect)
+		}
+	}
+	if fmt.Sprint(effects) != "[true false true]" {
+		t.Errorf("effects %v", effects)
+	}
+}
+
+// A seed gives the same clients each time; each request is asked for no longer than its deadline, and what may
+// have run and must not run twice isn't sent again.
+func TestClients(t *testing.T) {
+	play := func() string {
+		c := NewClients("c", ClientSpec{Rate: 50, Classes: Classes(), Tries: 3, Wait: 50 * ms, Until: 10 * time.Second}, 0, 7)
+		var log strings.Builder
+		unsafe := make(map[*request]bool)
+		for at, ok := c.Next(); ok; at, ok = c.Next() {
+			for _, try := range c.Take(at) {
+				fmt.Fprintln(&log, try.ID, try.Number, try.Class.Name, try.At, try.Expires, try.Work)
+				if try.At+try.Expires > try.request.first+try.Class.Deadline {
+					t.Fatalf("%s waits beyond its deadline", try.ID)
+				}
+				if unsafe[try.request] {
+					t.Fatalf("%s is sent again though it may have run", try.ID)
+				}
+				status := []int{200, 503, 502, 0}[len(log.String())%4]
+				if (status == 502 || status == 0) && try.Class.Repeat == Never {
+					unsafe[try.request] = true
+				}
+				c.Ended(try.At+ms, try, status, 0)
+			}
+		}
+		return log.String()
+	}
+	if first := play(); first != play() || strings.Count(first, "\n") < 500 {
+		t.Error("a seed gives other clients the second time, or too few")
+	}
+}
+
+// Who follows the list by changes has what is there.
+func TestListChangesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, seen, at := NewList(), make(map[string]string), int64(-1)
+		for range rapid.IntRange(1, 50).Draw(t, "changes") {
+			id := fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "id"))
+			l.Set(Entry{ID: id, Phase: rapid.SampledFrom([]string{Up, Draining, Removed}).Draw(t, "phase")})
+			if rapid.Bool().Draw(t, "looks") {
+				a, _ := l.Since(at)
+				if at = a.Revision; a.Complete {
+					clear(seen)
+				}
+				for _, e := range a.Members {
+					if seen[e.ID] = e.Phase; e.Phase == Removed {
+						delete(seen, e.ID)
+					}
+				}
+				if whole := l.Whole(); len(whole.Members) != len(seen) {
+					t.Fatalf("seen %v, and there are %v", seen, whole.Members)
+				}
+			}
+		}
+	})
+}
