--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	gossip "cobaltward/internal/member"
@@ -22,7 +23,8 @@
 type Config struct {
 	Name      string
 	Listen    string // the only address to listen on
-	Discovery string
+	Discovery string // of the list service; commas part the addresses of its replicas
+	ListFile  string // where the list is kept for a start with no list service; empty for none
 	Control   string // the operators' address; empty for none
 	Scratch   string // a folder that all processes of this node share; empty for none
 	Seed      uint64
@@ -78,7 +80,7 @@
 	if err := checkAddress(c.Listen); err != nil {
 		return Config{}, fmt.Errorf("configuration: listen: %w", err)
 	}
-	if err := checkAddress(c.Discovery); err != nil {
+	if err := checkAddresses(c.Discovery); err != nil {
 		return Config{}, fmt.Errorf("configuration: discovery: %w", err)
 	}
 	if c.Control != "" {
@@ -119,6 +121,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		ListFile  string `json:"list_file"`
 		Control   string `json:"control"`
 		Seed      string `json:"seed"`
 		Limits    struct {
@@ -145,7 +148,7 @@
 	case l.Sockets < leastSockets:
 		return Config{}, fmt.Errorf("limits.sockets: want %d or more, got %d", leastSockets, l.Sockets)
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Control: f.Control, Seed: seed,
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, ListFile: f.ListFile, Control: f.Control, Seed: seed,
 		Cores: f.Limits.Cores, MemoryMB: int64(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
 	for name, field := range map[string]json.RawMessage{"known": f.Known, "settings": f.Settings} {
 		if len(field) == 0 {
@@ -239,4 +242,14 @@
 	return nil
 }
 
+// checkAddresses checks addresses that commas part.
+func checkAddresses(addrs string) error {
+	for addr := range strings.SplitSeq(addrs, ",") {
+		if err := checkAddress(addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -7,6 +7,8 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"cobaltward/policy"
@@ -40,23 +42,42 @@
 	"up": policy.Running, "draining": policy.Draining, "removed": policy.Removed,
 }
 
+// listForm and entryForm are discovery's form.
+type (
+	listForm struct {
+		Revision *int64      `json:"revision"`
+		Complete bool        `json:"complete"`
+		SavedMs  int64       `json:"saved_ms,omitempty"` // of a kept list
+		Members  []entryForm `json:"members"`
+	}
+	entryForm struct {
+		ID       string   `json:"id"`
+		HostPort string   `json:"host_port"`
+		Locality string   `json:"locality"`
+		Flavor   string   `json:"flavor"`
+		Cell     int64    `json:"cell"`
+		Phase    string   `json:"phase"`
+		Size     *float64 `json:"size"`
+		UpSince  float64  `json:"up_since_ms"`
+	}
+)
+
+// form is m as discovery writes it.
+func (m member) form() entryForm {
+	f := entryForm{ID: m.Server, HostPort: m.Addr, Locality: m.Zone, Flavor: m.Kind, Cell: m.Cell, Size: &m.Weight,
+		UpSince: float64(m.UpSince)}
+	for word, phase := range phases {
+		if phase == m.Availability {
+			f.Phase = word
+		}
+	}
+	return f
+}
+
 // parseList reads discovery's form. A list with one bad entry is bad as a whole: what it would
 // otherwise leave out might be a drain.
 func parseList(raw []byte) (list, error) {
-	var f struct {
-		Revision *int64 `json:"revision"`
-		Complete bool   `json:"complete"`
-		Members  []struct {
-			ID       string   `json:"id"`
-			HostPort string   `json:"host_port"`
-			Locality string   `json:"locality"`
-			Flavor   string   `json:"flavor"`
-			Cell     int64    `json:"cell"`
-			Phase    string   `json:"phase"`
-			Size     *float64 `json:"size"`
-			UpSince  float64  `json:"up_since_ms"`
-		} `json:"members"`
-	}
+	var f listForm
 	if err := unmarshal(raw, &f); err != nil {
 		return list{}, err
 	}
@@ -97,9 +118,11 @@
 
 // discovery watches the list of servers from a connection of its own.
 type discovery struct {
-	url       string
+	urls      []string // of the service's replicas; one is called at a time
+	at        int
 	client    *http.Client
-	subscribe bool // watch only when the module has asked, and tell it of failures
+	kept      *keeper // nil for none
+	subscribe bool    // watch only when the module has asked, and tell it of failures
 	revision  int64
 	asks      chan bool   // the module's newest wish to be kept told
 	moves     chan target // the newest, where the configuration names another
@@ -118,11 +141,18 @@
 // wholeList stands for a revision of no list: the answer is then the list as a whole, at once.
 const wholeList = -1
 
-func registryURL(addr string) string { return "http://" + addr + "/registry/instances" }
+// registryURLs are where the list is at each of the addresses, which commas part.
+func registryURLs(addrs string) (all []string) {
+	for addr := range strings.SplitSeq(addrs, ",") {
+		all = append(all, "http://"+addr+"/registry/instances")
+	}
+	return all
+}
 
 func newDiscovery(c Config, tell func(any)) *discovery {
+	urls := registryURLs(c.Discovery)
 	return &discovery{
-		url: registryURL(c.Discovery), subscribe: c.Settings.Subscribe,
+		urls: urls, at: int(c.Seed % uint64(len(urls))), kept: newKeeper(c), subscribe: c.Settings.Subscribe,
 		revision: c.Known.Revision, asks: make(chan bool, 1), moves: make(chan target, 1), tell: tell,
 		client: &http.Client{
 			// A Transport of its own, so neither a proxy nor the requests share its connection.
@@ -155,9 +185,9 @@
 
 // moveTo leaves the old address. Its revisions need not be the new one's, so the whole list is fetched.
 func (d *discovery) moveTo(to target) {
-	if url := registryURL(to.addr); url != d.url {
+	if urls := registryURLs(to.addr); !slices.Equal(urls, d.urls) {
 		slog.Info("discovery: moved", "address", to.addr)
-		d.url, d.revision = url, wholeList
+		d.urls, d.at, d.revision = urls, d.at%len(urls), wholeList
 	}
 	d.subscribe = to.subscribe
 	d.client.CloseIdleConnections()
@@ -166,6 +196,9 @@
 // run watches until ctx ends.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
+	if d.kept != nil {
+		defer d.kept.save(true)
+	}
 	watching, backoff := !d.subscribe, time.Duration(0)
 	for ctx.Err() == nil {
 		if d.subscribe {
@@ -175,6 +208,9 @@
 			continue
 		}
 		l, err := d.call(ctx)
+		if err != nil && !errors.Is(err, errMoved) { // the next replica may be there
+			d.at = (d.at + 1) % len(d.urls)
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -244,7 +280,7 @@
 func (d *discovery) watch(ctx context.Context) (list, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
 	defer cancel()
-	url := d.url
+	url := d.urls[d.at]
 	if d.revision != wholeList {
 		url += fmt.Sprintf("?index=%d&wait=%d", d.revision, watchWait.Milliseconds())
 	}
@@ -271,12 +307,22 @@
 	if err != nil {
 		return list{}, fmt.Errorf("malformed list skipped: %w", err)
 	}
+	// Our own service's revisions only grow, from one epoch to the next as well.
+	if resp.Header.Get(epochHeader) != "" && l.Revision < d.revision {
+		return list{}, fmt.Errorf("revision %d after %d: a replica that lags", l.Revision, d.revision)
+	}
 	return l, nil
 }
 
+const epochHeader = "X-Registry-Epoch" // in the answers of our own list service
+
 // learn passes on what a watch brought. An empty delta is told only where the module awaits an answer.
 func (d *discovery) learn(l list) {
 	d.revision = max(0, l.Revision)
+	if d.kept != nil {
+		d.kept.take(l)
+		d.kept.save(false)
+	}
 	switch {
 	case l.Complete:
 		d.tell(news{policy.ListReplace, l.Members})
--- /dev/null
+++ b/internal/node/kept_test.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cobaltward/policy"
+)
+
+// runDiscovery runs discovery by a configuration until the test ends, or stop is called.
+func runDiscovery(t *testing.T, c Config) (told chan news, stop func()) {
+	t.Helper()
+	told = make(chan news, 100)
+	d := newDiscovery(c, func(ev any) { told <- ev.(news) })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { d.run(ctx); close(ended) }()
+	stop = func() { cancel(); receive(t, "the end of discovery", ended) }
+	t.Cleanup(stop)
+	return told, stop
+}
+
+// A replica that fails, and one that lags behind what was heard, give way to the next one.
+func TestDiscoveryGoesOnAtAnotherReplica(t *testing.T) {
+	replica := func(revision int, ids ...string) string {
+		first := true
+		return httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+			if !first {
+				<-r.Context().Done()
+				return
+			}
+			first = false
+			var all []string
+			for _, id := range ids {
+				all = append(all, entry(id, "up"))
+			}
+			w.Header().Set(epochHeader, "1")
+			_, _ = io.WriteString(w, delta(revision, all...))
+		})
+	}
+	good, lags, best := replica(40, "a"), replica(30, "old"), replica(50, "b")
+	c := testConfig(t, knownList("127.0.0.1:9"))
+	c.Seed = 0
+	c.Discovery = "127.0.0.1:9," + good + "," + lags + "," + best // nobody is at the first
+	d := newDiscovery(c, func(any) {})
+	for _, want := range []string{"", "a", "", "b"} {
+		ctx, cancel := context.WithTimeout(context.Background(), long)
+		l, err := d.watch(ctx)
+		cancel()
+		if want == "" {
+			if err == nil {
+				t.Errorf("took %+v", l)
+			}
+		} else if err != nil || l.Members[0].Server != want {
+			t.Errorf("got %+v, %v; want %s", l, err, want)
+		} else {
+			d.learn(l)
+		}
+		d.at = (d.at + 1) % len(d.urls)
+	}
+}
+
+// The list is kept over the node's end, and used by the next start if it is newer than what that was told.
+func TestListIsKept(t *testing.T) {
+	calls := make(chan string, 2)
+	calls <- delta(41, entry("a", "up"), entry("b", "draining"))
+	calls <- delta(42, entry("a", "removed"))
+	c := testConfig(t, knownList("127.0.0.1:9"))
+	c.Discovery = httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case a := <-calls:
+			_, _ = io.WriteString(w, a)
+		default:
+			<-r.Context().Done()
+		}
+	})
+	c.ListFile = filepath.Join(t.TempDir(), "list")
+	told, stop := runDiscovery(t, c)
+	receive(t, "the first change", told)
+	receive(t, "the second", told)
+	stop()
+	c.Known.Revision = 40
+	got := knownBest(c)
+	if got.Revision != 42 || !got.Complete || len(got.Members) != 2 {
+		t.Fatalf("kept %+v", got)
+	}
+	for _, m := range got.Members {
+		if m.Server == "b" && m.Availability != policy.Draining || m.Server == "a" {
+			t.Errorf("kept %+v", m)
+		}
+	}
+	c.Known.Revision = 43
+	if got := knownBest(c); got.Revision != 43 {
+		t.Errorf("an older list was used: %+v", got)
+	}
+}
+
+// A kept list that is cut, flipped, of another version, too old or from the future is none.
+func TestSpoiltKeptLists(t *testing.T) {
+	c := testConfig(t, knownList("127.0.0.1:9"))
+	c.ListFile = filepath.Join(t.TempDir(), "list")
+	now := time.Now()
+	good := newKeeper(c).encode(now)
+	write := func(raw []byte) {
+		if err := os.WriteFile(c.ListFile, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(good)
+	if _, err := readKept(c.ListFile, now); err != nil {
+		t.Fatal(err)
+	}
+	for _, then := range []time.Time{now.Add(-time.Minute), now.Add(keptMost + time.Minute)} {
+		if _, err := readKept(c.ListFile, then); err == nil {
+			t.Errorf("a list of %v was read at %v", now, then)
+		}
+	}
+	for i := range good {
+		write(good[:i])
+		if _, err := readKept(c.ListFile, now); err == nil {
+			t.Fatalf("cut at byte %d, and read", i)
+		}
+		flipped := bytes.Clone(good)
+		flipped[i] ^= 1
+		write(flipped)
+		if _, err := readKept(c.ListFile, now); err == nil {
+			t.Fatalf("byte %d flipped, and read", i)
+		}
+	}
+	write([]byte(fmt.Sprintf("%s0\n{}", keptMark)))
+	if got := knownBest(c); got.Revision != c.Known.Revision {
+		t.Errorf("started with %+v", got)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,8 @@
 	shared, held := new(sockets), c.Sockets
 	if at.heir != nil {
 		held, c.Known = at.heir.Sockets, list{Revision: wholeList, Members: at.heir.Members}
+	} else {
+		c.Known = knownBest(c)
 	}
 	limitMemory(c, 1)
 	fig := newFigures(c.Settings.Classes)
--- /dev/null
+++ b/internal/rig/discovery_test.go
@@ -0,0 +1,153 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cobaltward/internal/emulator"
+	"cobaltward/internal/registry"
+)
+
+// listServers puts the boxes of a world into a list service, each by an agent, until the returned function ends
+// one or all. The node reaches them at the addresses that the list has.
+func listServers(t *testing.T, w *World, g *Registry, node string) (drop func(id string)) {
+	t.Helper()
+	stops := make(map[string]func())
+	var all sync.WaitGroup
+	for id, b := range w.boxes {
+		at, err := w.serve(node, id, w.boxHandler(node, b))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := registry.Agent{Client: registry.NewClient(g.Addresses()), Lease: 2 * time.Second, Entry: registry.Entry{ID: id,
+			HostPort: at, Locality: b.Spec.Zone, Flavor: b.Spec.Kind, Cell: b.Spec.Cell, Phase: registry.Up, Size: 1}}
+		ctx, stop := context.WithCancel(w.ctx)
+		stops[id] = sync.OnceFunc(stop)
+		all.Go(func() { _ = a.Run(ctx, 300*time.Millisecond) })
+	}
+	t.Cleanup(func() {
+		for _, stop := range stops {
+			stop()
+		}
+		all.Wait()
+	})
+	return func(id string) { stops[id]() }
+}
+
+// A node lives by three replicas of the list service: it goes on when the one that it watches dies, when all
+// are away, and when it starts anew meanwhile; nobody is removed because the service was away, and what drains
+// afterwards is heard of.
+func TestNodeSurvivesItsListService(t *testing.T) {
+	t.Parallel()
+	r, ctx := newRig(t)
+	g, err := r.NewRegistry(3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range g.Names {
+		if err := g.Start(name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := g.AwaitLeader(within(t, ctx)); err != nil {
+		t.Fatal(err)
+	}
+	w := r.NewWorld(*seed, boxes(4, "a")...)
+	n, err := w.AddNode(NodeSpec{Name: "n0", Settings: Settings(0, 1, "a", quick(), tenants, 4000)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Spec.Known = nil // all that it knows it has from the list service
+	n.Spec.Discovery = strings.Join(g.Addresses(), ",")
+	n.Spec.ListFile = n.dir + "/list"
+	drop := listServers(t, w, g, "n0")
+	if _, err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Ready(within(t, ctx)); err != nil {
+		t.Fatal(err)
+	}
+	entries := func(want int) {
+		t.Helper()
+		err := Await(within(t, ctx), fmt.Sprint(want, " servers at the node"), func() bool {
+			return strings.Contains(stats(ctx, n), fmt.Sprintf("app_registry_entries %d\n", want))
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	entries(4)
+	load := w.Clients("c", emulator.ClientSpec{Rate: 80, Classes: quick(), Tenants: tenants, Tries: 2,
+		Wait: 100 * time.Millisecond, Open: 0.6, Until: time.Hour}, n)
+	kill := func(names ...string) {
+		for _, name := range names {
+			g.Process(name).Kill()
+		}
+	}
+	kill("r0")
+	if err := g.Start("r0"); err != nil {
+		t.Fatal(err)
+	}
+	kill("r1")
+	if err := g.Start("r1"); err != nil {
+		t.Fatal(err)
+	}
+	kill(g.Names...)
+	before := load.Sums()
+	_ = wait(ctx, 3*time.Second) // longer than a lease
+	n.Kill()                     // and the node itself, with nobody to ask
+	if _, err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Ready(within(t, ctx)); err != nil {
+		t.Fatal(err)
+	}
+	entries(4)
+	_ = wait(ctx, time.Second)
+	if after := load.Sums(); after.InTime-before.InTime < 200 {
+		t.Errorf("%d served while the list service was away for 4 s, at 80 a second", after.InTime-before.InTime)
+	}
+	for _, name := range g.Names {
+		if err := g.Start(name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := g.AwaitLeader(within(t, ctx)); err != nil {
+		t.Fatal(err)
+	}
+	entries(4)
+	drop("s-03")
+	entries(3)
+	w.Look(func() { load.clients.Stop() })
+	if err := load.Wait(within(t, ctx)); err != nil {
+		t.Fatal(err)
+	}
+	w.clean(t)
+	t.Logf("clients: %+v", load.Sums())
+}
+
+// stats is a node's figures as text; empty where it gives none.
+func stats(ctx context.Context, n *Node) string {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Control()+"/stats", nil)
+	if err != nil {
+		return ""
+	}
+	resp, err := caller.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -26,7 +26,8 @@
 // NodeSpec says how a node is configured. Zero values are replaced by what suits a test.
 type NodeSpec struct {
 	Name      string
-	Discovery string         // the address of the list service, as this node reaches it
+	Discovery string         // the addresses of the list service, as this node reaches it
+	ListFile  string         // where it keeps the list; empty for nowhere
 	Known     any            // the list that it starts with, in discovery's form
 	Settings  map[string]any // as a node finds them in its file
 	Cores     float64
@@ -62,9 +63,6 @@
 	if spec.Sockets == 0 {
 		spec.Sockets = defaultLimit
 	}
-	if spec.Known == nil {
-		spec.Known = map[string]any{"revision": 0, "complete": true, "members": []any{}}
-	}
 	dir, err := r.Dir(spec.Name)
 	if err != nil {
 		return nil, err
@@ -87,6 +85,12 @@
 	if s.Fleet != nil {
 		file["fleet"] = s.Fleet
 	}
+	if s.ListFile != "" {
+		file["list_file"] = s.ListFile
+	}
+	if s.Known == nil {
+		file["known"] = map[string]any{"revision": 0, "complete": true, "members": []any{}}
+	}
 	raw, err := json.Marshal(file)
 	if err != nil {
 		return "", err
