--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -272,7 +272,7 @@
 func (c *client) handle(m message) bool {
 	s := c.s
 	// Over its part of the descriptors the node still answers, and gets the descriptor back.
-	full := c.peer.over
+	full := !s.place(c.peer)
 	// A node that stops gets no new connections, and its clients are best kept: the others have to bear
 	// whoever leaves.
 	crowded := !s.stopping.Load() && s.peers.crowded(c.peer)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -460,6 +460,7 @@
 	h.mu.Lock()
 	h.share, h.whole = sockets, whole
 	h.mu.Unlock()
+	h.s.sharing.Store(!whole)
 	if !h.s.superseded.Load() {
 		h.resize()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	}
 	s := newServer(l)
 	s.heir = at.heir != nil
+	s.sharing.Store(s.heir)
 	fleet, err := l.join(c)
 	if err != nil {
 		return err
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -59,6 +59,16 @@
 	return p
 }
 
+// fits tells whether a connection that came over the limit has a place by now, and gives it that.
+func (s *peers) fits(p *peer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) <= s.most() {
+		p.over = false
+	}
+	return !p.over
+}
+
 // become notes what a connection does now, and tells whether it was to give way before.
 func (s *peers) become(p *peer, state http.ConnState) (shed bool) {
 	s.mu.Lock()
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -16,7 +16,8 @@
 	maxHeader     = 16 << 10
 	headerTimeout = 2300 * time.Millisecond // for a request's header from its first byte, or from the connect
 	clientIdle    = 60 * time.Second
-	writeTimeout  = 5 * time.Second // for an answer to a client that doesn't read
+	writeTimeout  = 5 * time.Second      // for an answer to a client that doesn't read
+	placePoll     = 5 * time.Millisecond // between looks for a place
 	readyPath     = "/health/ready"
 )
 
@@ -58,6 +59,7 @@
 	closing    atomic.Bool   // and connections end as soon as they have no request
 	superseded atomic.Bool   // another process of this node serves
 	heir       bool          // another one served before this
+	sharing    atomic.Bool   // another one still holds descriptors that come to this one bit by bit
 	peers      *peers
 	open       sync.WaitGroup // connections
 }
@@ -89,6 +91,18 @@
 	}
 }
 
+// place tells whether a client has a place. One that came over the limit while descriptors come from the process
+// before this one waits for the next few of them.
+func (s *server) place(p *peer) bool {
+	for end := time.Now().Add(2 * handoverTell); p.over && s.sharing.Load() && time.Now().Before(end); {
+		if s.peers.fits(p) {
+			return true
+		}
+		time.Sleep(placePoll)
+	}
+	return !p.over
+}
+
 // fault is what is wrong with a request.
 type fault struct {
 	status int
