--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -31,7 +31,9 @@
 
 // NewClient makes a client of the replicas at these addresses. One goroutine uses it.
 func NewClient(addrs []string) *Client {
-	return &Client{addrs: addrs, at: mrand.IntN(len(addrs)), http: http.Client{Timeout: clientTime}}
+	own := http.DefaultTransport.(*http.Transport).Clone() // a shared one keeps two connections for all clients
+	own.Proxy = nil
+	return &Client{addrs: addrs, at: mrand.IntN(len(addrs)), http: http.Client{Timeout: clientTime, Transport: own}}
 }
 
 // ErrRefused is a call that was answered, and not with what was asked for.
--- a/internal/rig/measure_test.go
+++ b/internal/rig/measure_test.go
@@ -1,14 +1,20 @@
 package rig
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"os"
 	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"cobaltward/internal/emulator"
+	"cobaltward/internal/registry"
 )
 
 // The measures of docs/membership.md. They take minutes, so each asks for its flag.
@@ -133,3 +139,150 @@
 	}
 	x.finish()
 }
+
+var watchersN = flag.Int("watchers", 0, "watchers in TestMeasureRegistry; 0 to skip it")
+
+// The list service under load: how late watchers are told of a change, what a replica's memory is with as many
+// watchers and 2,000 servers, and how many writes a second three replicas and one keep.
+func TestMeasureRegistry(t *testing.T) {
+	if *watchersN == 0 {
+		t.Skip("-watchers")
+	}
+	for _, replicas := range []int{1, 3} {
+		t.Run(fmt.Sprint(replicas, " replicas"), func(t *testing.T) { measureRegistry(t, replicas) })
+	}
+}
+
+func measureRegistry(t *testing.T, replicas int) {
+	r, ctx := newRig(t)
+	g, err := r.NewRegistry(replicas)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range g.Names {
+		if err := g.Start(name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	leader, err := g.AwaitLeader(within(t, ctx))
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(c *registry.Client, id string, n int) error {
+		return c.Do(ctx, http.MethodPut, "/registry/instances/"+id, map[string]any{"host_port": "10.0.0.1:9000",
+			"locality": "zone-a", "flavor": "big-box", "lease_ms": 600_000, "up_since_ms": n}, nil, 0)
+	}
+	const servers, writers = 2000, 32
+	var all sync.WaitGroup
+	began := time.Now()
+	for w := range writers {
+		all.Go(func() {
+			c := registry.NewClient([]string{g.Listen(leader)})
+			for i := w; i < servers; i += writers {
+				if err := write(c, fmt.Sprintf("server-%04d", i), 1); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	rate := servers / time.Since(began).Seconds()
+	alone := syncs(t, r.dir)
+	late := tellWatchers(t, ctx, g, leader, write)
+	t.Logf("%d replicas: %.0f writes a second by %d writers (fsync alone %.0f); %d watchers told p50 %v p99 %v; memory %v", replicas,
+		rate, writers, alone, *watchersN, percentile(late, 0.5), percentile(late, 0.99), residents(g))
+}
+
+// syncs is how many writes of 4 KiB a second are kept by one file, one after the other.
+func syncs(t *testing.T, dir string) float64 {
+	f, err := os.CreateTemp(dir, "sync")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	const n = 200
+	block, began := make([]byte, 4<<10), time.Now()
+	for range n {
+		if _, err := f.Write(block); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Sync(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return n / time.Since(began).Seconds()
+}
+
+// tellWatchers makes changes and returns how long each took to reach each watcher, from before the write on.
+func tellWatchers(t *testing.T, ctx context.Context, g *Registry, leader string,
+	write func(*registry.Client, string, int) error) (late []time.Duration) {
+	under, stop := context.WithCancel(ctx)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	sent := make(map[int64]time.Time) // by up_since_ms
+	ready := 0
+	for i := range *watchersN {
+		all.Go(func() {
+			c, at := registry.NewClient([]string{g.Listen(g.Names[i%len(g.Names)])}), int64(-1)
+			for first := true; under.Err() == nil; first = false {
+				var l registry.List
+				if c.Watch(under, fmt.Sprintf("/registry/instances?index=%d&wait=30000", at), 30*time.Second, &l) != nil {
+					continue
+				}
+				at = l.Revision
+				mu.Lock()
+				if first {
+					ready++
+				}
+				for _, e := range l.Members {
+					if from, ok := sent[e.UpSince]; ok && !first {
+						late = append(late, time.Since(from))
+					}
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	err := Await(within(t, ctx), "all watchers", func() bool { mu.Lock(); defer mu.Unlock(); return ready == *watchersN })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := registry.NewClient([]string{g.Listen(leader)})
+	const changes = 20
+	for i := range changes {
+		mu.Lock()
+		sent[int64(i+100)] = time.Now()
+		mu.Unlock()
+		if err := write(c, "server-0000", i+100); err != nil {
+			t.Error(err)
+		}
+		err := Await(within(t, ctx), "all to be told", func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(late) >= (i+1)**watchersN
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Logf("memory while they watch: %v", residents(g))
+	stop()
+	all.Wait()
+	return late
+}
+
+// residents is the memory of each replica, in MB.
+func residents(g *Registry) (all []string) {
+	for _, name := range g.Names {
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.Process(name).PID()))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(raw)) {
+			if kb, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+				all = append(all, strings.TrimSpace(kb))
+			}
+		}
+	}
+	return all
+}
