--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -237,6 +238,38 @@
 	x.finish()
 }
 
+// A fleet under load lives through a schedule of faults that a seed draws, however they fall together; then it
+// agrees again. A failure prints the schedule.
+func TestFleetUnderDrawnFaults(t *testing.T) {
+	t.Parallel()
+	x := newTrial(t, 5, FleetSpec{}, 60)
+	s := Draw(*seed, 8, 8*time.Second, x.Names, Pause, Replace, Restart, Part, PartOne, Lossy)
+	if err := x.rig.Play(within(t, x.ctx), s, x.Nodes); err != nil {
+		t.Errorf("%v\nschedule: %s", err, s)
+	}
+	x.agree(x.Names...)
+	x.finish()
+	if t.Failed() {
+		t.Logf("schedule: %s", s)
+	}
+}
+
+func TestSchedulesAreData(t *testing.T) {
+	s := Draw(7, 20, time.Minute, []string{"a", "b", "c"}, Kill, Part, Lossy)
+	back, err := Parse(s.String())
+	if err != nil || back.String() != s.String() || Draw(7, 20, time.Minute, []string{"a", "b", "c"}, Kill, Part, Lossy).String() != s.String() {
+		t.Errorf("%v: %s", err, back)
+	}
+	for text, want := range map[string]string{
+		`[{"Do":"burn","Whom":["a"]}]`: `step 0: unknown fault "burn"`, `[{"Do":"kill"}]`: "step 0: whom",
+		`[{"Do":"kill","Whom":["a"],"Loss":2}]`: "step 0: a figure", `{`: "schedule: ",
+	} {
+		if _, err := Parse(text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
 // incarnation is that of a member's process, as a node knows it.
 func (x *trial) incarnation(at, member string) uint64 {
 	v, err := x.View(x.ctx, at)
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -45,6 +45,8 @@
 	rig    *Rig
 	dir    string
 
+	trouble sync.Mutex // held by a schedule's fault of its processes
+
 	mu    sync.Mutex
 	procs []*Process // newest last
 	calls []string   // their second addresses
--- a/internal/rig/schedule.go
+++ b/internal/rig/schedule.go
@@ -146,14 +146,19 @@
 }
 
 func (r *Rig) process(ctx context.Context, step Step, n *Node) error {
+	n.trouble.Lock() // one trouble of its processes at a time
+	defer n.trouble.Unlock()
 	switch step.Do {
 	case Kill:
 		n.Kill()
 	case Pause:
 		n.Process().Pause(ctx, step.For)
 	case Replace:
-		_, err := n.Replace(ctx)
-		return err
+		old, err := n.Replace(ctx)
+		if err != nil {
+			return err
+		}
+		return old.Wait(ctx)
 	case Restart:
 		n.Kill()
 		if err := wait(ctx, step.For); err != nil {
