--- a/internal/rig/discovery_test.go
+++ b/internal/rig/discovery_test.go
@@ -46,18 +46,7 @@
 func TestNodeSurvivesItsListService(t *testing.T) {
 	t.Parallel()
 	r, ctx := newRig(t)
-	g, err := r.NewRegistry(3)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, name := range g.Names {
-		if err := g.Start(name); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if _, err := g.AwaitLeader(within(t, ctx)); err != nil {
-		t.Fatal(err)
-	}
+	g, _ := startRegistry(t, r, ctx, 3)
 	w := r.NewWorld(*seed, boxes(4, "a")...)
 	n, err := w.AddNode(NodeSpec{Name: "n0", Settings: Settings(0, 1, "a", quick(), tenants, 4000)})
 	if err != nil {
--- a/internal/rig/measure_test.go
+++ b/internal/rig/measure_test.go
@@ -155,19 +155,7 @@
 
 func measureRegistry(t *testing.T, replicas int) {
 	r, ctx := newRig(t)
-	g, err := r.NewRegistry(replicas)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, name := range g.Names {
-		if err := g.Start(name); err != nil {
-			t.Fatal(err)
-		}
-	}
-	leader, err := g.AwaitLeader(within(t, ctx))
-	if err != nil {
-		t.Fatal(err)
-	}
+	g, leader := startRegistry(t, r, ctx, replicas)
 	write := func(c *registry.Client, id string, n int) error {
 		return c.Do(ctx, http.MethodPut, "/registry/instances/"+id, map[string]any{"host_port": "10.0.0.1:9000",
 			"locality": "zone-a", "flavor": "big-box", "lease_ms": 600_000, "up_since_ms": n}, nil, 0)
--- a/internal/rig/registry_test.go
+++ b/internal/rig/registry_test.go
@@ -140,15 +140,30 @@
 	return nil
 }
 
+// startRegistry starts so many replicas, and waits until one leads.
+func startRegistry(t *testing.T, r *Rig, ctx context.Context, n int) (g *Registry, leader string) {
+	t.Helper()
+	g, err := r.NewRegistry(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range g.Names {
+		if err := g.Start(name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if leader, err = g.AwaitLeader(within(t, ctx)); err != nil {
+		t.Fatal(err)
+	}
+	return g, leader
+}
+
 // Three replicas live through the death of leaders, a leader that stands still, a split, and the end of all of
 // them: writes are in one order, none that was acknowledged is lost, and no watcher sees a revision go back.
 func TestRegistryThroughTroubles(t *testing.T) {
 	t.Parallel()
 	r, ctx := newRig(t)
-	g, err := r.NewRegistry(3)
-	if err != nil {
-		t.Fatal(err)
-	}
+	g, _ := startRegistry(t, r, ctx, 3)
 	start := func(names ...string) {
 		t.Helper()
 		for _, name := range names {
@@ -165,8 +180,6 @@
 		}
 		return name
 	}
-	start(g.Names...)
-	leader()
 	h := &writers{newest: make(map[string]int64)}
 	under, stop := context.WithCancel(ctx)
 	var work sync.WaitGroup
@@ -204,7 +217,7 @@
 	progress()
 	name = leader()
 	g.Cut(name, true)
-	err = Await(within(t, ctx), "the cut-off leader to refuse its list", func() bool {
+	err := Await(within(t, ctx), "the cut-off leader to refuse its list", func() bool {
 		return Get(ctx, g.Listen(name), "/registry/instances", nil) != nil
 	})
 	if err != nil {
@@ -256,19 +269,7 @@
 func TestRegistryFolders(t *testing.T) {
 	t.Parallel()
 	r, ctx := newRig(t)
-	g, err := r.NewRegistry(3)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, name := range g.Names {
-		if err := g.Start(name); err != nil {
-			t.Fatal(err)
-		}
-	}
-	leader, err := g.AwaitLeader(within(t, ctx))
-	if err != nil {
-		t.Fatal(err)
-	}
+	g, leader := startRegistry(t, r, ctx, 3)
 	c := registry.NewClient(g.Addresses())
 	for i := range 20 {
 		body := map[string]any{"host_port": "10.0.0.1:9000", "locality": "needle"}
