--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -265,14 +265,23 @@
 		defer close(done)
 		l, err = d.watch(ctx)
 	}()
-	select {
-	case <-done:
-		return l, err
-	case to := <-d.moves:
-		hangUp()
-		<-done
-		d.moveTo(to)
-		return list{}, errMoved
+	var due <-chan time.Time // to keep what came since the list was last written
+	if d.kept != nil && d.kept.dirty {
+		due = time.After(keepEvery)
+	}
+	for {
+		select {
+		case <-done:
+			return l, err
+		case <-due:
+			d.kept.save(false)
+			due = nil
+		case to := <-d.moves:
+			hangUp()
+			<-done
+			d.moveTo(to)
+			return list{}, errMoved
+		}
 	}
 }
 
--- a/internal/node/kept_test.go
+++ b/internal/node/kept_test.go
@@ -85,6 +85,11 @@
 	told, stop := runDiscovery(t, c)
 	receive(t, "the first change", told)
 	receive(t, "the second", told)
+	// Both came within a second, and the watch goes on: the second is kept all the same, with no end of the node.
+	await(t, "the second change in the file", func() bool {
+		l, err := readKept(c.ListFile, time.Now())
+		return err == nil && l.Revision == 42
+	})
 	stop()
 	c.Known.Revision = 40
 	got := knownBest(c)
--- a/internal/rig/discovery_test.go
+++ b/internal/rig/discovery_test.go
@@ -1,10 +1,12 @@
 package rig
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -72,6 +74,13 @@
 		}
 	}
 	entries(4)
+	err = Await(within(t, ctx), "the list to be kept", func() bool {
+		raw, err := os.ReadFile(n.Spec.ListFile)
+		return err == nil && bytes.Count(raw, []byte(`"host_port"`)) == 4
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
 	load := w.Clients("c", emulator.ClientSpec{Rate: 80, Classes: quick(), Tenants: tenants, Tries: 2,
 		Wait: 100 * time.Millisecond, Open: 0.6, Until: time.Hour}, n)
 	kill := func(names ...string) {
