--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -307,8 +307,8 @@
 }
 
 // rejoin calls one member that was lost, or one of those to join by that is not there yet: after a split, or
-// where two parts of a fleet start apart, nobody else would bring them together. Where nobody is lost, it
-// exchanges whole states once after changes: some word of theirs may have reached all but a few.
+// where two parts of a fleet start apart, nobody else would bring them together. And it exchanges whole states
+// after changes: some word of theirs may have reached all but a few.
 func (f *Fleet) rejoin(list *memberlist.Memberlist) {
 	self := list.LocalNode().FullAddress().Addr
 	there, lost := f.sides(self)
@@ -317,16 +317,16 @@
 			lost = append(lost, at)
 		}
 	}
-	if len(lost) > 0 {
-		at := lost[rand.IntN(len(lost))]
-		if _, err := list.Join([]string{at}); err != nil {
-			f.log.tell(slog.LevelInfo, "fleet: no answer from a lost member", "address", at, "err", err, "heard", len(there)+1)
-		}
-		return
-	}
 	if len(there) > 0 && f.settles(len(there)) {
 		_, _ = list.Join([]string{there[rand.IntN(len(there))]}) // the next change brings the next
 	}
+	if len(lost) == 0 {
+		return
+	}
+	at := lost[rand.IntN(len(lost))]
+	if _, err := list.Join([]string{at}); err != nil {
+		f.log.tell(slog.LevelInfo, "fleet: no answer from a lost member", "address", at, "err", err, "heard", len(there)+1)
+	}
 }
 
 // sides are the addresses of the others who are there, and of those who fell silent.
