--- a/cmd/sloerail/members.go
+++ b/cmd/sloerail/members.go
@@ -116,10 +116,7 @@
 		}
 		v := a.View
 		fmt.Fprintf(out, "%s: %s hears %d, quotas by %d, view %d%s\n", a.Address, v.Node, v.Heard, v.Agreed, v.View, unusual(v))
-		t := table.NewWriter()
-		t.SetOutputMirror(out)
-		t.SetStyle(table.StyleLight)
-		t.AppendHeader(table.Row{"name", "zone", "state", "for", "incarnation", "version", "address"})
+		t := newTable(out, "name", "zone", "state", "for", "incarnation", "version", "address")
 		for _, m := range v.Members {
 			t.AppendRow(table.Row{m.Name, m.Zone, m.State, (time.Duration(m.SinceMs) * time.Millisecond).Round(time.Second),
 				m.Incarnation, m.Version, m.Address})
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -207,24 +207,6 @@
 	}
 }
 
-// Restarted books that a node has forgotten what it was told.
-func (j *Judge) Restarted(node string) {
-	for key := range j.told {
-		if key[0] == node {
-			delete(j.told, key)
-		}
-	}
-}
-
-// Forget drops tries that ended before a time, so that a long run takes no more memory than a short one.
-func (j *Judge) Forget(before Time) {
-	for id, t := range j.tries {
-		if t.try != nil && t.due < before {
-			delete(j.tries, id)
-		}
-	}
-}
-
 // window sums work over a time.
 type window struct {
 	at   []Time
--- a/internal/member/delegate.go
+++ b/internal/member/delegate.go
@@ -43,8 +43,6 @@
 // delegate is what memberlist calls, mostly with its own lock held: nothing here waits or calls back.
 type delegate struct{ f *Fleet }
 
-const levelWarn = slog.LevelWarn
-
 // NodeMeta tells what this node says of itself.
 func (d delegate) NodeMeta(limit int) []byte {
 	d.f.mu.Lock()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -64,8 +64,8 @@
 
 	Probed func(took time.Duration) // is told each round trip of a probe; nil for nobody
 
-	transport func(logger *slog.Logger) (memberlist.NodeAwareTransport, error) // nil for sockets
-	now       func() time.Time                                                 // nil for the machine's
+	transport func() (memberlist.NodeAwareTransport, error) // nil for sockets
+	now       func() time.Time                              // nil for the machine's
 }
 
 // Equal tells whether two configurations ask for the same.
@@ -277,11 +277,11 @@
 	if err != nil {
 		return nil, err
 	}
-	make := f.c.transport
-	if make == nil {
-		make = func(*slog.Logger) (memberlist.NodeAwareTransport, error) { return listen(f.c, &f.stats) }
+	connect := f.c.transport
+	if connect == nil {
+		connect = func() (memberlist.NodeAwareTransport, error) { return listen(f.c, &f.stats) }
 	}
-	t, err := make(slog.Default())
+	t, err := connect()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -57,7 +57,7 @@
 	var f *Fleet
 	c := Config{Name: fmt.Sprintf("n%04d", i), Zone: fmt.Sprint("z", i%3), Version: "test", Bind: memAddress(i),
 		Join: []string{memAddress(0), memAddress(1), memAddress(2)}}
-	c.transport = func(*slog.Logger) (memberlist.NodeAwareTransport, error) {
+	c.transport = func() (memberlist.NodeAwareTransport, error) {
 		return v.net.transport(c.Bind, &f.stats), nil
 	}
 	f, err := New(c)
@@ -261,7 +261,7 @@
 		var later *Fleet
 		c := v.all[2].c
 		c.Bind = memAddress(77)
-		c.transport = func(*slog.Logger) (memberlist.NodeAwareTransport, error) {
+		c.transport = func() (memberlist.NodeAwareTransport, error) {
 			return v.net.transport(c.Bind, &later.stats), nil
 		}
 		later, err := New(c)
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"maps"
 	"net"
 	"slices"
@@ -120,7 +121,7 @@
 func (f *Fleet) book(n *memberlist.Node, s State) {
 	about, err := readAbout(n.Meta)
 	if err != nil {
-		f.log.tell(levelWarn, "fleet: a member of another version tells what can't be read", "member", n.Name, "err", err)
+		f.log.tell(slog.LevelWarn, "fleet: a member of another version tells what can't be read", "member", n.Name, "err", err)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -241,8 +241,7 @@
 	fleet *membership // nil for a node of no fleet
 
 	mu    sync.Mutex
-	share int  // descriptors that this process may hold
-	whole bool // those are all of the node's
+	share int // descriptors that this process may hold
 }
 
 // listen makes the place where a successor calls. It takes the former one's place only once it is there.
@@ -438,7 +437,7 @@
 func (h *handover) resize() {
 	h.mu.Lock()
 	sockets, own := h.share, h.c.ownBeside()
-	if h.whole {
+	if !h.s.sharing.Load() {
 		own = h.c.ownSockets()
 	}
 	h.mu.Unlock()
@@ -458,9 +457,9 @@
 		limitMemory(h.c, 1)
 	}
 	h.mu.Lock()
-	h.share, h.whole = sockets, whole
-	h.mu.Unlock()
+	h.share = sockets
 	h.s.sharing.Store(!whole)
+	h.mu.Unlock()
 	if !h.s.superseded.Load() {
 		h.resize()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,7 +60,7 @@
 
 	failed := make(chan error, 1)
 	clients := newGate(at.Clients, held)
-	h := &handover{c: c, path: handoverPath(c), s: s, up: up, gate: clients, fleet: fleet, share: held, whole: at.heir == nil}
+	h := &handover{c: c, path: handoverPath(c), s: s, up: up, gate: clients, fleet: fleet, share: held}
 	h.resize()
 	parts.Go(func() { failed <- s.accept(clients) })
 	parts.Go(func() { h.start(running, at.heir) })
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,9 +34,6 @@
 	mu      sync.Mutex
 	list    *emulator.List
 	boxes   map[string]*box
-	nodes   map[string]*Node
-	served  map[string]map[string]int // by box and node: requests served
-	clients []*emulator.Clients
 	changed chan struct{} // closed when the list changes
 	open    int
 	skipped int // tries not sent for want of the driver's own room
@@ -51,14 +47,12 @@
 	*emulator.Box
 	wake  chan struct{}
 	waits map[string]chan emulator.Done // by request
-	dead  bool
 }
 
 // NewWorld makes a world with these boxes, all of them warm and in the list.
 func (r *Rig) NewWorld(seed uint64, specs ...emulator.BoxSpec) *World {
 	w := &World{Judge: emulator.NewJudge(emulator.DefaultRules()), rig: r, start: time.Now().Add(-time.Hour),
-		seed: seed, list: emulator.NewList(), boxes: make(map[string]*box), nodes: make(map[string]*Node),
-		served: make(map[string]map[string]int), changed: make(chan struct{})}
+		seed: seed, list: emulator.NewList(), boxes: make(map[string]*box), changed: make(chan struct{})}
 	w.ctx, w.end = context.WithCancel(context.Background())
 	for _, spec := range specs {
 		w.addBox(spec, 0)
@@ -80,7 +74,6 @@
 	b := &box{Box: emulator.NewBox(spec, started, w.seed+uint64(len(w.boxes))), wake: make(chan struct{}, 1),
 		waits: make(map[string]chan emulator.Done)}
 	w.boxes[spec.ID] = b
-	w.served[spec.ID] = make(map[string]int)
 	var up int64
 	if started > 0 {
 		up = w.start.Add(started).UnixMilli()
@@ -100,13 +93,6 @@
 // Box is one of the boxes; read and change it within Look.
 func (w *World) Box(id string) *emulator.Box { return w.boxes[id].Box }
 
-// Served is how many requests of a node a box has served.
-func (w *World) Served(box, node string) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.served[box][node]
-}
-
 // Phase changes what the list says of a box, and tells all watches.
 func (w *World) Phase(id, phase string) {
 	w.mu.Lock()
@@ -172,9 +158,6 @@
 	if err != nil {
 		return nil, err
 	}
-	w.mu.Lock()
-	w.nodes[spec.Name] = n
-	w.mu.Unlock()
 	return n, nil
 }
 
@@ -281,7 +264,6 @@
 		case <-reply:
 			w.mu.Lock()
 			w.Judge.Over(id, b.Spec.ID, false)
-			w.served[b.Spec.ID][node]++
 			w.mu.Unlock()
 			_, _ = io.WriteString(rw, "served "+id)
 		case <-r.Context().Done():
@@ -298,8 +280,7 @@
 	w.mu.Lock()
 	spec.Until += w.now()
 	l := &Load{w: w, clients: emulator.NewClients(name, spec, w.now(), w.seed), done: make(chan struct{}),
-		wake: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(w.seed, 0xf0))}
-	w.clients = append(w.clients, l.clients)
+		wake: make(chan struct{}, 1)}
 	w.mu.Unlock()
 	for _, n := range nodes {
 		l.doors = append(l.doors, &door{node: n, up: true})
@@ -319,7 +300,6 @@
 	wake    chan struct{}
 	done    chan struct{}
 	turn    int
-	rng     *rand.Rand
 
 	notReady int // answers to the front that a node doesn't take clients
 }
