Settle at the answer whether a stopping node's connection goes on, and refuse what comes last

Cause: client.handle settled whether the answer ends its connection when the request came. A request taken before the draining began, and failed at the end, left its connection open; its client came again at once, the loop sent that on, and shutdown's closeAll cut it 100 ms later (front.go handle, loop.go finish). Change: head, which writes the answer, settles it; after finish the loop refuses what still comes, unsent, with 503; a connection that becomes idle after shutdown woke the idle ones is woken by the same lock that books it as idle. Tests: on the version before, TestAnswersOfAStoppingNodeEndTheirConnections "status 200, and the connection is to go on"; TestRequestAfterTheLastOnesFailedIsRefused "no whole answer: unexpected EOF"; TestConnectionIdleJustAfterTheEndIsWoken reads for 30 s.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -1,11 +1,16 @@
 package node
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -123,3 +128,155 @@
 		})
 	}
 }
+
+// holdingServer reads requests whole, tells of each, and holds its answer until the test lets go.
+func holdingServer(t *testing.T) (addr string, got <-chan string, letGo func()) {
+	t.Helper()
+	all, released := make(chan string, 100), make(chan struct{})
+	letGo = sync.OnceFunc(func() { close(released) })
+	addr = httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		all <- r.Header.Get("X-Request-Id")
+		select {
+		case <-released:
+		case <-r.Context().Done():
+		}
+	})
+	t.Cleanup(letGo)
+	return addr, all, letGo
+}
+
+// testClient is one connection to a node, as a client has it.
+type testClient struct {
+	memOrTCP
+	t    *testing.T
+	node string
+	r    *bufio.Reader
+}
+
+func newTestClient(t *testing.T, node string) *testClient {
+	t.Helper()
+	c := dial(t, node)
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(long))
+	return &testClient{c, t, node, bufio.NewReader(c)}
+}
+
+func (c *testClient) send(method, class, id, body string, headers ...string) {
+	c.t.Helper()
+	if err := clientRequest(c.t, c.node, method, class, id, body, headers...).Write(c); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// answered reads a whole answer.
+func (c *testClient) answered() *http.Response {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.t.Fatal("no whole answer: ", err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		c.t.Fatal("no whole answer: ", err)
+	}
+	return resp
+}
+
+// closedTo waits until a node takes no more connections.
+func closedTo(t *testing.T, node string) {
+	t.Helper()
+	await(t, "the end of accepting", func() bool {
+		c, err := net.Dial("tcp", node)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+}
+
+// briefAt configures a node with a server that ends 2 s after the signal, and gives no request up before that.
+func briefAt(t *testing.T, server string) Config {
+	c := testConfig(t, knownList(server))
+	for i := range c.Settings.Classes {
+		class := &c.Settings.Classes[i]
+		class.Aim, class.Deadline, class.LateWorth = time.Second, 1500*time.Millisecond, 1
+	}
+	return c
+}
+
+// An answer tells that its connection ends wherever the node was told to stop by then, and not only where it was
+// when the request came: else the client goes on using a connection for which no time is left.
+func TestAnswersOfAStoppingNodeEndTheirConnections(t *testing.T) {
+	t.Parallel()
+	server, got, letGo := holdingServer(t)
+	node, stop := startNode(t, briefAt(t, server))
+	inTime, tooLate := newTestClient(t, node), newTestClient(t, node)
+	for i, c := range []*testClient{inTime, tooLate} {
+		c.send("POST", "pay", fmt.Sprint("r", i), "sum") // which no second attempt disturbs
+		receive(t, "the attempt", got)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	closedTo(t, node)
+	letGo()
+	for i, c := range []*testClient{inTime, tooLate} {
+		if resp := c.answered(); !resp.Close {
+			t.Errorf("request %d: status %d, and the connection is to go on", i, resp.StatusCode)
+		}
+	}
+	if err := receive(t, "the end", ended); err != nil {
+		t.Error(err)
+	}
+}
+
+// What is failed at a node's end ends its connection too, and a request that comes after that gets a refusal: there
+// is no time to send it on, and its connection would be cut with no answer.
+func TestRequestAfterTheLastOnesFailedIsRefused(t *testing.T) {
+	t.Parallel()
+	server, got, _ := holdingServer(t)
+	node, stop := startNode(t, briefAt(t, server))
+	failed, late := newTestClient(t, node), newTestClient(t, node)
+	failed.send("POST", "pay", "failed", "sum")
+	receive(t, "the attempt", got)
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	if resp := failed.answered(); resp.StatusCode != http.StatusBadGateway || !resp.Close {
+		t.Errorf("the last of what was open: status %d, ends its connection: %v", resp.StatusCode, resp.Close)
+	}
+	late.send("POST", "pay", "late", "sum")
+	if resp := late.answered(); resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("what came after: status %d, ends its connection: %v", resp.StatusCode, resp.Close)
+	}
+	if err := receive(t, "the end", ended); err != nil {
+		t.Error(err)
+	}
+	select {
+	case id := <-got:
+		t.Errorf("%s was sent on", id)
+	default:
+	}
+}
+
+// A connection whose answer crosses the node's end is not forgotten: it ends as well.
+func TestConnectionIdleJustAfterTheEndIsWoken(t *testing.T) {
+	t.Parallel()
+	ln := listen(t)
+	client := dial(t, ln.Addr().String())
+	defer client.Close()
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	var counted atomic.Int64
+	all := newPeers(func() int { return 10 }, &counted, func() {})
+	p := all.enter(conn)
+	all.become(p, http.StateActive)
+	all.end()
+	_ = conn.SetReadDeadline(time.Now().Add(long))
+	all.become(p, http.StateIdle) // its answer is written
+	began := time.Now()
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(began) > long/2 {
+		t.Errorf("read for %v: %v", time.Since(began), err)
+	}
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -93,7 +93,7 @@
 // still open then.
 func (s *server) shutdown(end time.Time) {
 	s.closing.Store(true)
-	s.peers.wake()
+	s.peers.end()
 	closed := make(chan struct{})
 	go func() {
 		s.open.Wait()
@@ -277,7 +277,7 @@
 	// whoever leaves.
 	crowded := !s.stopping.Load() && s.peers.crowded(c.peer)
 	c.old = m.minor == 0
-	c.last = m.close || c.old && !m.keep || m.chunked || full || crowded || s.draining.Load()
+	c.last = m.close || c.old && !m.keep || m.chunked || full || crowded
 	if path, _, _ := strings.Cut(m.path, "?"); path == readyPath &&
 		(m.method == http.MethodGet || m.method == http.MethodHead) {
 		return c.health(m)
@@ -454,8 +454,10 @@
 	return err
 }
 
-// head writes the head of an answer.
+// head writes the head of an answer. Whether the connection goes on is settled here, and not when the request
+// came: a node that was told to stop since has no more time for another one.
 func (c *client) head(a answer) []byte {
+	c.last = c.last || c.s.draining.Load()
 	b := append(c.out[:0], "HTTP/1."...)
 	if c.old {
 		b = append(b, '0')
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -77,7 +77,8 @@
 	done     chan struct{} // closed when the loop has ended
 	ready    chan struct{} // closed when the known list is in
 	requests map[string]*request
-	owed     int // requests without their answer
+	owed     int  // requests without their answer
+	finished bool // there is no time left for any
 	timers   timers
 	members  map[string]member // the list as last told
 	skipped  []policy.Outcome  // of attempts that were not made; told once all actions are done
@@ -124,7 +125,7 @@
 		x   *exchange
 		err error
 	}
-	finish struct{} // fail what is still open, for the node stops
+	finish struct{} // fail what is still open and refuse what comes, for the node stops
 )
 
 func newLoop(c Config, ck clock, up *upstream, fig *figures) (*loop, error) {
@@ -274,6 +275,7 @@
 	case takenBack:
 		l.tell(policy.Ceded{Served: e.served})
 	case finish:
+		l.finished = true
 		for _, r := range l.requests {
 			if !r.ended {
 				l.fail(r, http.StatusBadGateway)
@@ -287,7 +289,7 @@
 		x.reply <- answer{status: http.StatusConflict}
 		return
 	}
-	if l.maxOpen > 0 && l.owed >= l.maxOpen {
+	if l.finished || l.maxOpen > 0 && l.owed >= l.maxOpen {
 		x.reply <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -27,11 +27,13 @@
 	counted *atomic.Int64 // how many there are
 	yield   func()        // asks for descriptors that others can do without
 
-	mu   sync.Mutex
-	open map[net.Conn]*peer
+	mu     sync.Mutex
+	open   map[net.Conn]*peer
+	ending bool // connections end once they are idle
 }
 
 type peer struct {
+	conn  net.Conn
 	state http.ConnState
 	since time.Time
 	asked int       // requests that it has begun
@@ -53,7 +55,7 @@
 	if len(s.open) >= s.most() {
 		s.yield()
 	}
-	p := &peer{state: http.StateNew, since: now, begun: now, over: len(s.open) >= s.most() && !s.shed(now)}
+	p := &peer{conn: c, state: http.StateNew, since: now, begun: now, over: len(s.open) >= s.most() && !s.shed(now)}
 	s.open[c] = p
 	s.counted.Store(int64(len(s.open)))
 	return p
@@ -82,6 +84,9 @@
 	}
 	shed = p.shed
 	p.state, p.since, p.shed = state, now, false
+	if s.ending {
+		p.wake()
+	}
 	return shed
 }
 
@@ -149,15 +154,21 @@
 	p.reads = on
 }
 
-// wake ends the waiting of all connections that were answered and have no further request. New ones may have
-// sent theirs.
-func (s *peers) wake() {
+// end ends the waiting of all connections that were answered and have no further request, from now on. New ones
+// may have sent theirs.
+func (s *peers) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, p := range s.open {
-		if p.state == http.StateIdle {
-			_ = c.SetReadDeadline(time.Unix(1, 0))
-		}
+	s.ending = true
+	for _, p := range s.open {
+		p.wake()
+	}
+}
+
+// wake ends the waiting of a connection without a request.
+func (p *peer) wake() {
+	if p.state == http.StateIdle {
+		_ = p.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
