Ask again whether a server is to be sent to once its connection is made

An attempt decided before a server was told to leave, whose connection comes up after that, is written all the same, as late as the connect time-out allows: past the grace where a customer allows connections more time than draining servers. Cause: upstream.acquire looks the pool up, dials, and writes without asking again. Change: a pool knows that its server drains; once a connection was made for an attempt, acquire asks whether the list still has that process and wants it sent to. If not, the attempt has failed to connect, which is so: it never ran, and the module decides anew. Idle connections need no second look: nothing waits between the look and the write.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -445,3 +445,64 @@
 		}
 	}
 }
+
+// An attempt whose connection comes up only after its server was told to leave, is gone or has started anew is not
+// written there: it never ran, and is decided anew.
+func TestLateConnectionToALeavingServerIsNotUsed(t *testing.T) {
+	for name, change := range map[string]string{
+		"draining": `"phase":"draining","up_since_ms":0`,
+		"gone":     `"phase":"removed","up_since_ms":0`,
+		"new":      `"phase":"up","up_since_ms":1764600000000`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var leaving, staying arrivals
+			first, second := httpServer(t, leaving.ServeHTTP), httpServer(t, staying.ServeHTTP)
+			to := "s0"
+			l, module := startLoop(t, first, func(_ policy.Time, ev policy.Event) []policy.Action {
+				switch e := ev.(type) {
+				case policy.Request:
+					return []policy.Action{{Kind: policy.Send, ID: e.ID, Server: to}}
+				case policy.MemberList:
+					if e.Kind == policy.ListUpdate {
+						to = "s1"
+					}
+				case policy.Outcome:
+					if !e.Ended && e.Code != policy.OK {
+						return []policy.Action{{Kind: policy.Send, ID: e.ID, Server: to}}
+					}
+				}
+				return nil
+			})
+			dials, up := make(chan struct{}, 10), make(chan struct{})
+			l.up.mu.Lock()
+			l.up.dialer = func(_ context.Context, network, addr string) (net.Conn, error) {
+				dials <- struct{}{}
+				<-up
+				return net.Dial(network, addr)
+			}
+			l.up.mu.Unlock()
+			c := newTestClient(t, serveAt(t, newServer(l)))
+			c.send("POST", "pay", "r1", "sum")
+			receive(t, "the dialling", dials)
+			list, err := parseList([]byte(delta(8, fmt.Sprintf(`{"id":"s0","host_port":%q,%s}`, first, change), listed("s1", second, "up"))))
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.send(news{policy.ListUpdate, list.Members})
+			if _, ok := ask(l, func(reply chan<- time.Duration) any { return tailAsked{reply} }); !ok { // the list is in
+				t.Fatal("the loop has ended")
+			}
+			close(up)
+			if resp := c.answered(); resp.StatusCode != http.StatusOK {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+			if n, m := leaving.after(time.Time{}), staying.after(time.Time{}); n != 0 || m != 1 {
+				t.Errorf("%d sent to the leaving server and %d to the other, want 0 and 1", n, m)
+			}
+			module.has(t, "list 2", "request r1", "list 1", fmt.Sprintf("outcome r1 0 code %d ended false", policy.ConnectFailed),
+				"outcome r1 1 code 0 ended true")
+			await(t, "rest", l.atRest)
+		})
+	}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -32,6 +32,7 @@
 
 var (
 	errUnknown   = errors.New("not in the list")
+	errLeaving   = errors.New("the server was told to leave while the connection came up")
 	errNoSockets = errors.New("no descriptor is left for another connection")
 )
 
@@ -58,6 +59,7 @@
 	upSince int64
 	idle    []*conn
 	gone    time.Time // when the list lacked it, where the module may still send to it
+	leaving bool      // it drains, as the list says
 }
 
 // conn is a connection to a server. One attempt at a time has it.
@@ -152,6 +154,9 @@
 		default:
 			p.gone = time.Time{}
 		}
+		if p := u.pools[m.Server]; p != nil {
+			p.leaving = m.Availability == policy.Draining
+		}
 	}
 	if n.kind == policy.ListUpdate {
 		return
@@ -242,6 +247,10 @@
 			return nil, true, err
 		}
 		c = newConn(conn, p)
+		if !u.wanted(id, p) {
+			u.release(c, id, false)
+			return nil, true, errLeaving
+		}
 	}
 	if err := f.board(c.Conn); err != nil {
 		u.release(c, id, true) // nothing was written
@@ -274,6 +283,14 @@
 	return p, nil, nil
 }
 
+// wanted tells whether the list still has the process that a connection was made for, to send to: making one may take
+// longer than the settings' grace.
+func (u *upstream) wanted(id string, p *pool) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.pools[id] == p && !p.leaving
+}
+
 func (u *upstream) unreserve() {
 	u.mu.Lock()
 	u.count(-1)
