Send nothing over a kept connection to a server that was told to leave meanwhile

Need: nothing goes to a server later than the settings' grace after it was told as leaving. An attempt is decided in the loop and written by a goroutine of its own; on part of a core its turn can come late, behind the list's change. Ruled out: that the module means it: draining servers are in no order that it chooses or tries from (policy.reorder). Change: reserve, which holds the pools' lock anyway, turns a server that leaves away. It never ran, and is decided anew. Test: TestAttemptBehindTheListIsNotSentToALeavingServer; before, "code 0, want 4" and 2 requests at the server. 50 times under -race.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -506,3 +506,30 @@
 		})
 	}
 }
+
+// An attempt whose turn comes only after its server was told to leave is not written, over a kept connection either:
+// the module's choice may have waited for a processor for as long as the settings' grace.
+func TestAttemptBehindTheListIsNotSentToALeavingServer(t *testing.T) {
+	t.Parallel()
+	var got arrivals
+	addr := httpServer(t, got.ServeHTTP)
+	u := testUpstream(t, addr)
+	if r := ended(t, u, testExchange(http.MethodGet, "r1", "")); r.code != policy.OK {
+		t.Fatalf("first code %v", r.code)
+	}
+	if _, idle := u.counts("s0"); idle != 1 {
+		t.Fatalf("%d idle connections: nothing is tried", idle)
+	}
+	leaving := members(t, addr)
+	leaving[0].Availability = policy.Draining
+	u.update(news{policy.ListUpdate, leaving})
+	if r := ended(t, u, testExchange(http.MethodGet, "r2", "")); r.code != policy.ConnectFailed {
+		t.Errorf("code %v, want %v: it never ran", r.code, policy.ConnectFailed)
+	}
+	if n := got.after(time.Time{}); n != 1 {
+		t.Errorf("the server got %d requests, want the one from before", n)
+	}
+	if open, idle := u.counts("s0"); open != idle {
+		t.Errorf("%d connections are counted, %d are idle", open, idle)
+	}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -32,7 +32,7 @@
 
 var (
 	errUnknown   = errors.New("not in the list")
-	errLeaving   = errors.New("the server was told to leave while the connection came up")
+	errLeaving   = errors.New("the server was told to leave since it was chosen")
 	errNoSockets = errors.New("no descriptor is left for another connection")
 )
 
@@ -264,8 +264,11 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p := u.pools[id]
-	if p == nil {
+	switch {
+	case p == nil:
 		return nil, nil, errUnknown
+	case p.leaving: // told since the module chose it
+		return nil, nil, errLeaving
 	}
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
