Count a request from its first byte, so that the end of idle connections spares it

Need: a request is answered also where its connection is given up just as it arrives (docs/endings.md, an open row). Cause: peers booked a kept connection as idle until the next request's head was whole. Between the first byte, after which the reader is back in headReader.read, and the last one, peers.end (SIGTERM) and peers.shed woke that reading as if it were a wait: the node closed with half a request read, and reset the other half and its client. Change: peers.begin books the first byte. While the rest of the head is awaited, the connection owes it as it owes a body: silent for half a second it may still make room, and boundHead ends it as before. Test: TestHalfReadRequestOutlivesTheEndOfIdleConnections ends the idle connections in a hook before the read of the second half: 50 of 50 failed before ("no whole answer: unexpected EOF"), 50 of 50 pass under -race.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -533,3 +533,67 @@
 		t.Errorf("%d connections are counted, %d are idle", open, idle)
 	}
 }
+
+// hookedReads is a listener whose connections call a function before each read, with what they have read until then.
+type hookedReads struct {
+	net.Listener
+	before func(got string)
+}
+
+type hookedRead struct {
+	net.Conn
+	before func(got string)
+	got    []byte
+}
+
+func (l hookedReads) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &hookedRead{Conn: c, before: l.before}, err
+}
+
+func (c *hookedRead) Read(p []byte) (int, error) {
+	c.before(string(c.got))
+	n, err := c.Conn.Read(p)
+	c.got = append(c.got, p[:n]...)
+	return n, err
+}
+
+// A request of which the node has read a part when it ends its idle connections is no idle connection: it is answered.
+func TestHalfReadRequestOutlivesTheEndOfIdleConnections(t *testing.T) {
+	t.Parallel()
+	l, _ := startLoop(t, httpServer(t, func(http.ResponseWriter, *http.Request) {}), func(_ policy.Time, ev policy.Event) []policy.Action {
+		if e, ok := ev.(policy.Request); ok {
+			return sends(e.ID, 1)
+		}
+		return nil
+	})
+	s := newServer(l)
+	head := "GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: r2\r\nX-Class: read\r\n"
+	ended := make(chan struct{})
+	endThere := sync.OnceFunc(func() {
+		s.draining.Store(true)
+		s.closing.Store(true)
+		s.peers.end()
+		close(ended)
+	})
+	c := newTestClient(t, serveOn(t, s, hookedReads{listen(t), func(got string) {
+		if strings.HasSuffix(got, head) { // and the node waits for the rest
+			endThere()
+		}
+	}}))
+	c.send("GET", "read", "r1", "")
+	if resp := c.answered(); resp.StatusCode != http.StatusOK || resp.Close {
+		t.Fatalf("status %d, to end: %v", resp.StatusCode, resp.Close)
+	}
+	if _, err := io.WriteString(c, head); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "the end of idle connections", ended)
+	if _, err := io.WriteString(c, "X-Tenant: t\r\nX-Deadline-Ms: 8000\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if resp := c.answered(); resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("status %d, to end: %v", resp.StatusCode, resp.Close)
+	}
+	await(t, "rest", l.atRest)
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -157,6 +157,7 @@
 		if !c.handle(m) {
 			return
 		}
+		s.peers.begin(c.peer)
 		c.boundHead()
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -38,7 +38,7 @@
 	since time.Time
 	asked int       // requests that it has begun
 	begun time.Time // its request's first byte, or the connect if that is its first request
-	reads bool      // its body is waited for
+	reads bool      // the rest of its head is waited for, or its body
 	over  bool      // came when the limit was reached and no other could give way
 	shed  bool
 }
@@ -78,7 +78,8 @@
 	now := time.Now()
 	if state == http.StateActive {
 		p.asked++
-		if p.state != http.StateNew {
+		p.reads = false
+		if p.state == http.StateIdle {
 			p.begun = now
 		}
 	}
@@ -90,6 +91,14 @@
 	return shed
 }
 
+// begin notes the first byte of a further request: its connection rests no more, and is not ended as one that does.
+func (s *peers) begin(p *peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	p.state, p.since, p.begun, p.reads, p.shed = http.StateActive, now, now, true, false
+}
+
 // expired tells whether a connection without a request is to end.
 func (s *peers) expired(p *peer, now time.Time) bool {
 	s.mu.Lock()
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -186,7 +186,11 @@
 // serveAt has s take clients.
 func serveAt(t *testing.T, s *server) (addr string) {
 	t.Helper()
-	ln := listen(t)
+	return serveOn(t, s, listen(t))
+}
+
+func serveOn(t *testing.T, s *server, ln net.Listener) (addr string) {
+	t.Helper()
 	s.loop.up.sockets.total.Store(leastSockets)
 	ended := make(chan error, 1)
 	go func() { ended <- s.accept(ln) }()
