Read what lies behind a request before its last answer's connection is closed

A close over unread bytes resets the connection, and what the system still holds of the answer goes with it. Only early answers and refusals of long bodies lingered. Cause: client.write closed right after the answer, whatever the socket still held; refuse judged by the body's length. Ruled out: an answer that failed half-way (it has to end by a close, and keeps it); small writes held back by the system (Go sets TCP_NODELAY on both sides). Change: the writer asks the socket; where something is unread its reader, which sees that too, reads on for the usual half second and closes. Without unread bytes nothing changes but a poll for each last answer.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -597,3 +597,39 @@
 	}
 	await(t, "rest", l.atRest)
 }
+
+// A last answer reaches its client whatever lies unread behind the request: a close over that would reset the
+// connection, and take the answer along.
+func TestLastAnswerIsNotResetByWhatIsBehind(t *testing.T) {
+	for _, class := range []string{"read", "unknown"} { // which is refused
+		for _, behind := range []int{0, 3, 4000, 300_000} {
+			t.Run(fmt.Sprint(class, " ", behind), func(t *testing.T) {
+				t.Parallel()
+				server, got, letGo := holdingServer(t)
+				node, _ := startNode(t, testConfig(t, knownList(server)))
+				c := newTestClient(t, node)
+				var text strings.Builder
+				if err := clientRequest(t, node, "GET", class, "r1", "", "Connection", "close").Write(&text); err != nil {
+					t.Fatal(err)
+				}
+				text.WriteString(strings.Repeat("G", behind))
+				all := text.String()
+				first := min(len(all), 10_000) // which the kernels hold, whoever reads
+				if _, err := io.WriteString(c, all[:first]); err != nil {
+					t.Fatal(err)
+				}
+				go func() { _, _ = io.WriteString(c, all[first:]) }()
+				if class == "read" {
+					receive(t, "the attempt", got)
+					letGo()
+				}
+				if resp := c.answered(); !resp.Close {
+					t.Errorf("status %d, and the connection is to go on", resp.StatusCode)
+				}
+				if _, err := c.r.ReadByte(); err != io.EOF {
+					t.Errorf("behind the answer: %v, want the end", err)
+				}
+			})
+		}
+	}
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -310,7 +310,14 @@
 			return false
 		}
 	}
-	return c.watch(x) && <-c.done
+	if !c.watch(x) {
+		return false
+	}
+	goesOn := <-c.done
+	if !goesOn {
+		c.linger(closeLinger) // for what is behind the request
+	}
+	return goesOn
 }
 
 // health tells the front whether the node may be taken in.
@@ -354,7 +361,10 @@
 }
 
 // hungUp asks the socket whether the client has closed or reset the connection, also behind bytes that are unread.
-func (c *client) hungUp() (gone bool) {
+func (c *client) hungUp() bool { return c.polled(unix.POLLRDHUP) }
+
+// polled asks the socket for a sign, as poll names it.
+func (c *client) polled(sign int16) (there bool) {
 	conn := tcp(c)
 	if conn == nil {
 		return false
@@ -364,11 +374,11 @@
 		return false
 	}
 	look := func(fd uintptr) {
-		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		p := []unix.PollFd{{Fd: int32(fd), Events: sign}}
 		n, err := unix.Poll(p, 0)
-		gone = n > 0 && err == nil
+		there = n > 0 && err == nil
 	}
-	return raw.Control(look) != nil || gone
+	return raw.Control(look) != nil || there
 }
 
 // settle books the end of the request in hand, once.
@@ -383,14 +393,17 @@
 	for {
 		select {
 		case a := <-c.reply:
-			goesOn := c.answer(a)
+			whole, early := c.answer(a)
+			goesOn := whole && (early || !c.last)
 			c.settle()
 			if goesOn && !c.last {
 				c.s.peers.become(c.peer, http.StateIdle)
 			}
+			if !goesOn && (!whole || !c.polled(unix.POLLIN)) { // else its reader sees that, and closes
+				c.Close()
+			}
 			c.done <- goesOn
 			if !goesOn {
-				c.Close()
 				return
 			}
 		case <-c.gone:
@@ -399,23 +412,23 @@
 	}
 }
 
-// answer writes the client's answer, and tells whether the connection may be read on: where an answer came
-// early, so that the client gets it.
-func (c *client) answer(a answer) (goesOn bool) {
+// answer writes the client's answer, and tells whether that is whole, and whether it came early: then the connection
+// is read on all the same, so that the client gets it.
+func (c *client) answer(a answer) (whole, early bool) {
 	x := c.x
-	early := x.rest != nil && !x.rest.whole.Load()
+	early = x.rest != nil && !x.rest.whole.Load()
 	if early {
 		x.rest.stop()
 		c.last = true
 	}
 	if a.rest != nil {
-		return c.stream(a) && !c.last
+		return c.stream(a), false
 	}
 	if !early || a.status >= http.StatusInternalServerError {
 		x.tally.count(a.status)
 	}
 	a.length = int64(len(a.body))
-	return c.send(a) == nil && (early || !c.last)
+	return c.send(a) == nil, early
 }
 
 // stream passes a long answer on. One that breaks off ends the connection, so that the client can tell.
@@ -533,7 +546,10 @@
 	c.last = true
 	a := answer{status: bad.status, body: []byte(bad.text + "\n"), contentType: "text/plain; charset=utf-8", allow: bad.allow}
 	a.length = int64(len(a.body))
-	if c.send(a) == nil && unread && bad.status != http.StatusRequestTimeout { // else its time is up
+	if c.send(a) != nil || bad.status == http.StatusRequestTimeout { // its time is up
+		return
+	}
+	if unread || c.polled(unix.POLLIN) {
 		c.linger(closeLinger)
 	}
 }
