Let a connection to a server rest for 20 ms after an answer, as a second one may follow

Ruled out: a second answer at once (what is buffered behind an answer ends its connection), and one that comes before the connection is looked at again (conn.open finds it); nothing in an answer says which request it is to. Change: reserve passes over connections whose last answer is less than 20 ms old. What speaks meanwhile is closed by the look that there was.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,9 @@
 const (
 	defaultConnIdle = 60 * time.Second // a connection is kept unused where the settings name no limit
 	lookEvery       = 5 * time.Second  // at an idle connection, for whether its server closed it
+	// answerRest is how long a connection rests after an answer: a server may answer twice, the second time some
+	// milliseconds late, and nothing tells that from the answer to the next request.
+	answerRest = 20 * time.Millisecond
 )
 
 var (
@@ -270,10 +274,15 @@
 	case p.leaving: // told since the module chose it
 		return nil, nil, errLeaving
 	}
-	for n := len(p.idle); n > 0; n = len(p.idle) {
-		c := p.idle[n-1]
-		p.idle[n-1], p.idle = nil, p.idle[:n-1]
-		if time.Since(c.used) < u.idleFor && c.open() {
+	now := time.Now()
+	for at := len(p.idle) - 1; at >= 0; at-- {
+		c := p.idle[at]
+		idle := now.Sub(c.used)
+		if idle < answerRest {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, at, at+1)
+		if idle < u.idleFor && c.open() {
 			return p, c, nil
 		}
 		c.Close()
