--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -625,54 +625,6 @@
 }
 
 
-// A server's second answer to a request, late by some milliseconds, is not taken for the answer to the next one: a
-// connection rests after each answer, and what says something meanwhile is not used again.
-func TestLateSecondAnswerIsNoAnswer(t *testing.T) {
-	for name, late := range map[string]bool{"at the next request": true, "while it rests": false} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			var conns atomic.Int32
-			second := make(chan struct{})
-			addr := rawServer(t, func(c net.Conn, r *bufio.Reader) {
-				say := func(body string) { fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n%s", body) }
-				if conns.Add(1) > 1 {
-					swallow(r)
-					say("two")
-					return
-				}
-				swallow(r)
-				say("one")
-				if late {
-					swallow(r)
-				} else {
-					<-second
-				}
-				say("one")
-				_, _ = r.ReadByte()
-			})
-			u := testUpstream(t, addr)
-			if r := ended(t, u, testExchange(http.MethodGet, "r1", "")); r.code != policy.OK || string(r.answer.body) != "one" {
-				t.Fatalf("first: code %v, %q", r.code, r.answer.body)
-			}
-			if u.sinceUsed(-long); !late { // just used, however long this test waits
-				close(second)
-				await(t, "the second answer", func() bool {
-					u.mu.Lock()
-					defer u.mu.Unlock()
-					return !u.pools["s0"].idle[0].open()
-				})
-				u.sinceUsed(time.Second)
-			}
-			if r := ended(t, u, testExchange(http.MethodGet, "r2", "")); r.code != policy.OK || string(r.answer.body) != "two" {
-				t.Errorf("next: code %v, %q", r.code, r.answer.body)
-			}
-			if n := conns.Load(); n != 2 {
-				t.Errorf("%d connections, want 2", n)
-			}
-		})
-	}
-}
-
 // A server's second answer to a request, late by some milliseconds, is not taken for the answer to the next one: a
 // connection rests after each answer, and what says something meanwhile is not used again.
 func TestLateSecondAnswerIsNoAnswer(t *testing.T) {
