--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -624,7 +624,6 @@
 	}
 }
 
-
 // A server's second answer to a request, late by some milliseconds, is not taken for the answer to the next one: a
 // connection rests after each answer, and what says something meanwhile is not used again.
 func TestLateSecondAnswerIsNoAnswer(t *testing.T) {
