Admit less while attempts are lost, where many nodes hear no load reports

Cause: policy.follow cuts the bucket rates where a choice finds no room. A node of 300 without reports always finds some: 200 servers, a threshold of 0.25 at least each (leastPart). The rates went up, to 1.5 times the shares. Change: a learned part of time-outs and full answers above 6 in 100 cuts the rates as a want of room does, where nodes are many and nothing is reported.

--- a/policy/load_test.go
+++ b/policy/load_test.go
@@ -344,3 +344,39 @@
 		t.Errorf("16 times the servers take %d times as long: %v and %v", many/few, few, many)
 	}
 }
+
+// A node of many that gets no load reports learns of no server what it can take: the fleet's attempts that time out
+// tell it, and it admits less while they do. It comes back with the answers.
+func TestRatesFollowTimeOutsWhereNothingIsReported(t *testing.T) {
+	set := site(300)
+	set.Tenants = []Tenant{{Name: "t", Quota: 3000}}
+	b := start(t, set, members(200))
+	now, n := Time(0), 0
+	admitted := func(code Code) (part float64) {
+		const asked = 300
+		for range asked {
+			now += 20 * ms
+			n++
+			id := fmt.Sprint("r", n)
+			for _, a := range of(b.Handle(now, ask(id, "free")), Send) {
+				part += 1.0 / asked
+				end := outcome(id, 0, a.Server, code, 40*ms)
+				end.Ended = true
+				b.Handle(now+ms, end)
+			}
+		}
+		return part
+	}
+	admitted(OK)
+	usual := admitted(OK)
+	admitted(TimedOut)
+	if got := admitted(TimedOut); got > 0.6*usual {
+		t.Errorf("%.2f of the requests are admitted while attempts time out, %.2f before", got, usual)
+	}
+	for range 5 { // the rates above the shares wait until few answers of the last hundreds are bad
+		admitted(OK)
+	}
+	if got := admitted(OK); got < 0.9*usual {
+		t.Errorf("%.2f of the requests are admitted after that, %.2f before", got, usual)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -172,6 +172,7 @@
 	paceLeast         = 0.3        // below, in-share traffic starves by faults that shedding can't mend
 	paceShare         = 1.5        // above, only while few answers are bad
 	paceBad, badGain  = 0.06, 0.01 // of the answers, and the weight of one
+	lostGain          = 0.05       // the same among those that came too late, or of servers that were full
 	paceMost          = 3.0        // above, there is little worth left to win
 )
 
@@ -181,7 +182,7 @@
 	switch {
 	case !room && b.measured(): // what is worth least is given up first, not a part of all
 		b.pace = max(1, b.pace*(1-paceCut))
-	case !room:
+	case !room || b.lost > paceBad && b.staggered() && !b.measured(): // no threshold tells of room there
 		b.pace = max(paceLeast, b.pace*(1-paceCut))
 	case b.pace > paceShare && b.bad > paceBad:
 		b.pace *= 1 - paceCut
@@ -352,6 +353,7 @@
 		b.fault(s, code, latency, blame)
 		return
 	}
+	track(&b.lost, lostGain, code == TimedOut || code == Full)
 	s.felt = s.felt || step < 0
 	s.threshold = max(leastPart*b.start(), s.threshold+step*min(1, s.threshold))
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -52,7 +52,8 @@
 	doneAt    Time
 	ceded     bool // another process of this node has taken over
 	fleet     presence
-	bad       float64       // part of bad answers lately
+	bad       float64       // part of bad answers lately,
+	lost      float64       // and of time-outs and full answers, where nothing is reported
 	starved   float64       // part of the dearest requests lately that found no room
 	places    []*place      // in order of their zones; none where the settings name none
 	troubled  bool          // one of them has less than its whole share,
