Give up a silent call for the whole list in time for what counts as told after a move

Shown by TestMovedDiscoveryKeepsDrains: where the first call to a new discovery falls silent, 41 (asked) and 42 (pushed) requests went to a draining server past the grace. Cause: discovery.watch gave every call 5 s: 3 s of waiting, which only a watch has, and 2 s. What a new discovery has counts as told 4 s after the signal. Change: a call for the whole list, which has no wait, is given up after 2.5 s; the service itself fails one at 2 s.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -21,6 +21,8 @@
 	// A call that the service has no time for fails within 2 s: one that it still answers is not given up.
 	watchWait  = 3 * time.Second
 	watchGrace = 2 * time.Second
+	// A call for the whole list has no wait. After a move, what it brings counts as told 4 s after the signal.
+	wholeTime  = 2500 * time.Millisecond
 	backoffMin = 25 * time.Millisecond
 	// backoffMax guards the rule on drains: what a pushed list's agent has counts as told, also while
 	// the node pauses after a failed call.
@@ -142,7 +144,7 @@
 
 var (
 	errMoved  = errors.New("discovery has moved") // since the call was made
-	errSilent = errors.New("the watch fell silent")
+	errSilent = errors.New("the call fell silent")
 )
 
 // wholeList stands for a revision of no list: the answer is then the list as a whole, at once.
@@ -228,7 +230,7 @@
 			backoff = 0
 			d.learn(l)
 		case errors.Is(err, errSilent): // the clock of what it missed runs: it is opened anew at once
-			slog.Warn("discovery: a watch fell silent", "for", watchWait+watchGrace)
+			slog.Warn("discovery: a call fell silent", "for", d.patience())
 		case d.subscribe: // the module says when to try again
 			slog.Warn("discovery: a watch failed", "err", err)
 			watching = false
@@ -297,7 +299,7 @@
 
 // watch makes one call, which waits for something newer than the revision held.
 func (d *discovery) watch(ctx context.Context) (list, error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, watchWait+watchGrace, errSilent)
+	ctx, cancel := context.WithTimeoutCause(ctx, d.patience(), errSilent)
 	defer cancel()
 	l, err := d.fetch(ctx)
 	if err != nil && context.Cause(ctx) == errSilent {
@@ -306,6 +308,14 @@
 	return l, err
 }
 
+// patience is how long the next call may take.
+func (d *discovery) patience() time.Duration {
+	if d.revision == wholeList {
+		return wholeTime
+	}
+	return watchWait + watchGrace
+}
+
 // fetch reads one answer.
 func (d *discovery) fetch(ctx context.Context) (list, error) {
 	url := d.urls[d.at]
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -51,7 +51,12 @@
 type listCall struct {
 	at    time.Time
 	query map[string][]string
-	give  chan<- string
+	serve chan<- http.HandlerFunc
+}
+
+// give answers the call with a list.
+func (c listCall) give(list string) {
+	c.serve <- func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, list) }
 }
 
 // wait is for how long the call may be held.
@@ -69,11 +74,11 @@
 	t.Helper()
 	all := make(chan listCall, 1000)
 	return httpServer(t, func(w http.ResponseWriter, r *http.Request) {
-		give := make(chan string, 1)
-		all <- listCall{time.Now(), r.URL.Query(), give}
+		serve := make(chan http.HandlerFunc, 1)
+		all <- listCall{time.Now(), r.URL.Query(), serve}
 		select {
-		case list := <-give:
-			_, _ = io.WriteString(w, list)
+		case answer := <-serve:
+			answer(w, r)
 		case <-r.Context().Done():
 		}
 	}), all
@@ -84,53 +89,168 @@
 	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","flavor":"k","cell":1,"phase":%q,"up_since_ms":0}`, id, addr, phase)
 }
 
-// A watch that falls silent is opened anew in time for what it missed: nothing goes to a draining server later
-// than the settings' grace after that counts as told, which is 6 s after the silence began, or 2 s after the
-// wait was over.
+// leavingTest is a node with a server that begins to drain while the node's watch is broken, one that stays, and
+// clients.
+type leavingTest struct {
+	*testing.T
+	Config
+	leaving, staying arrivals
+	first            string // the address of the one that leaves
+	calls            <-chan listCall
+	changes          chan Change
+	node             string
+	asked            int
+}
+
+func newLeavingTest(t *testing.T, subscribe bool) *leavingTest {
+	t.Helper()
+	l := &leavingTest{T: t, changes: make(chan Change, 1)}
+	l.first = httpServer(t, l.leaving.ServeHTTP)
+	l.Config = testConfig(t, knownList(l.first, httpServer(t, l.staying.ServeHTTP)))
+	l.Discovery, l.calls = listService(t)
+	l.Settings.Subscribe = subscribe
+	l.node, _ = startNodeAt(t, l.Config, Listeners{Clients: listen(t)}, l.changes)
+	return l
+}
+
+// ask sends one request.
+func (l *leavingTest) ask() {
+	l.Helper()
+	l.asked++
+	resp, _ := do(l.T, clientRequest(l.T, l.node, "GET", "read", fmt.Sprint("r", l.asked), ""))
+	if resp.StatusCode != http.StatusOK {
+		l.Errorf("request %d: status %d", l.asked, resp.StatusCode)
+	}
+}
+
+// drains has clients ask on until the node knows from its further calls that the first server drains. Nothing may be
+// sent there later than the settings' grace after that counts as told, which a zero time leaves to the answer.
+func (l *leavingTest) drains(told time.Time, further <-chan listCall, list func(c listCall) string) {
+	l.Helper()
+	for began, given := time.Now(), false; !given || l.staying.after(time.Time{}) == 0; {
+		l.ask()
+		select {
+		case c := <-further:
+			if !given {
+				c.give(list(c))
+				if given = true; told.IsZero() {
+					told = time.Now()
+				}
+			}
+		default:
+		}
+		if time.Since(began) > long {
+			l.Fatal("the list is never asked for anew")
+		}
+		time.Sleep(10 * time.Millisecond) // between requests
+	}
+	if l.leaving.after(time.Time{}) == 0 {
+		l.Error("the draining server never had a request: nothing was tried")
+	}
+	if late := l.leaving.after(told.Add(l.Settings.Rules.DrainGrace)); late > 0 {
+		l.Errorf("%d requests were sent to a draining server later than %v after it counts as told", late,
+			l.Settings.Rules.DrainGrace)
+	}
+}
+
+// change is the answer that a watch gets once the first server drains.
+func (l *leavingTest) change(listCall) string { return delta(8, listed("s0", l.first, "draining")) }
+
+// A watch that falls silent is opened anew in time for what it missed: that counts as told 6 s after the silence
+// began, or 2 s after the wait was over. So is one whose answer breaks off in the middle and stays open.
 func TestSilentWatchKeepsDrains(t *testing.T) {
 	for _, subscribe := range []bool{true, false} {
-		t.Run(fmt.Sprint("asked ", subscribe), func(t *testing.T) {
-			t.Parallel()
-			var leaving, staying arrivals
-			first, second := httpServer(t, leaving.ServeHTTP), httpServer(t, staying.ServeHTTP)
-			c := testConfig(t, knownList(first, second))
-			var calls <-chan listCall
-			c.Discovery, calls = listService(t)
-			c.Settings.Subscribe = subscribe
-			node, _ := startNode(t, c)
-
-			silent := receive(t, "the watch that falls silent", calls)
-			told := silent.at.Add(max(6*time.Second, silent.wait(t)+2*time.Second))
-			ask := func(n int) {
-				resp, _ := do(t, clientRequest(t, node, "GET", "read", fmt.Sprint("r", n), ""))
-				if resp.StatusCode != http.StatusOK {
-					t.Errorf("request %d: status %d", n, resp.StatusCode)
+		for _, half := range []bool{false, true} {
+			t.Run(fmt.Sprintf("asked %v/half an answer %v", subscribe, half), func(t *testing.T) {
+				t.Parallel()
+				l := newLeavingTest(t, subscribe)
+				silent := receive(t, "the watch that falls silent", l.calls)
+				if half {
+					silent.serve <- func(w http.ResponseWriter, r *http.Request) {
+						_, _ = io.WriteString(w, `{"revision":8,"compl`)
+						_ = http.NewResponseController(w).Flush()
+						<-r.Context().Done()
+					}
+				}
+				l.drains(silent.at.Add(max(6*time.Second, silent.wait(t)+2*time.Second)), l.calls, l.change)
+			})
+		}
+	}
+}
+
+// A watch that ends in another way than by an answer is opened anew as well. Where lists are pushed, what its agent
+// has counts as told at once, whether a watch is open or not, and when the service is back; else as it is written.
+func TestBrokenWatchKeepsDrains(t *testing.T) {
+	breaks := map[string]http.HandlerFunc{
+		"reset": func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_ = c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}
+		},
+		"refused": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"rubbish": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"revision":8,"members":[{}]}`)
+		},
+		"endless": func(w http.ResponseWriter, r *http.Request) {
+			for r.Context().Err() == nil {
+				if _, err := w.Write(make([]byte, 1<<16)); err != nil {
+					return
 				}
 			}
-			n := 0
-			for anew := (*listCall)(nil); anew == nil || staying.after(time.Time{}) == 0; n++ {
-				ask(n)
-				if anew == nil {
-					select {
-					case c := <-calls:
-						anew = &c
-						c.give <- delta(8, listed("s0", first, "draining"))
-					default:
+		},
+	}
+	for name, broken := range breaks {
+		for _, subscribe := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/asked %v", name, subscribe), func(t *testing.T) {
+				t.Parallel()
+				l := newLeavingTest(t, subscribe)
+				over := make(chan struct{}, 2)
+				for range 2 {
+					receive(t, "a watch", l.calls).serve <- func(w http.ResponseWriter, r *http.Request) {
+						broken(w, r)
+						over <- struct{}{}
 					}
+					l.ask()
+					receive(t, "the end of the watch", over)
 				}
-				if time.Since(silent.at) > long {
-					t.Fatal("the watch is never opened anew")
+				told := time.Now()
+				if subscribe {
+					told = time.Time{}
 				}
-				time.Sleep(10 * time.Millisecond)
-			}
-			if leaving.after(time.Time{}) == 0 {
-				t.Error("the draining server never had a request: nothing was tried")
-			}
-			if late := leaving.after(told.Add(c.Settings.Rules.DrainGrace)); late > 0 {
-				t.Errorf("%d requests were sent to a draining server later than %v after it counts as told", late,
-					c.Settings.Rules.DrainGrace)
-			}
-		})
+				l.drains(told, l.calls, l.change)
+			})
+		}
+	}
+}
+
+// A node whose configuration names another discovery is told what that has 4 s after the signal, also where the
+// first call to it falls silent.
+func TestMovedDiscoveryKeepsDrains(t *testing.T) {
+	for _, subscribe := range []bool{true, false} {
+		for _, silent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("asked %v/silent %v", subscribe, silent), func(t *testing.T) {
+				t.Parallel()
+				l := newLeavingTest(t, subscribe)
+				receive(t, "a watch at the old address", l.calls)
+				next := l.Config
+				addr, calls := listService(t)
+				next.Discovery = addr
+				l.changes <- Change{Config: next}
+				signal := time.Now()
+				if silent {
+					receive(t, "the call that falls silent", calls)
+				}
+				l.drains(signal.Add(4*time.Second), calls, func(c listCall) string {
+					if c.query["index"] != nil {
+						t.Errorf("asked the new address for what is newer than %v of the old one", c.query["index"])
+					}
+					return fmt.Sprintf(`{"revision":3,"complete":true,"members":[%s,%s]}`, listed("s0", l.first, "draining"),
+						listed("s1", l.Known.Members[1].Addr, "up"))
+				})
+			})
+		}
 	}
 }
 
