Try answers without end, of eight kinds and as a flood, on real connections

Need: a request ends with an answer or an error in its time, whatever a server sends (docs/endings.md, an open row). Suspicion refuted: heads, interim heads, fields, bodies with and without length, chunks and trailers that come on and on, or stop half-way, are ended by the request's time, and an answer of 64 KiB and more that never ends by its client's leaving; the books are at zero after each.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -791,3 +791,91 @@
 		})
 	}
 }
+
+// openConns counts the connections that a server holds.
+type openConns struct{ n atomic.Int32 }
+
+func (o *openConns) serve(f func(net.Conn)) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		o.n.Add(1)
+		defer o.n.Add(-1)
+		if swallow(r) {
+			f(c)
+		}
+	}
+}
+
+// An answer that never ends is ended by its request's time: the client gets an error then, whatever piece of the
+// answer comes on and on, and the server's connection is closed.
+func TestAnswerWithoutEndIsEndedInTime(t *testing.T) {
+	for name, a := range map[string]struct{ first, again string }{
+		"no head":        {"", ""},
+		"half a line":    {"HTTP/1.1 2", ""},
+		"fields":         {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+		"interim heads":  {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"half a body":    {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", ""},
+		"no length":      {"HTTP/1.1 200 OK\r\n\r\n", "b"},
+		"chunks":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nb\r\n"},
+		"trailer fields": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var conns openConns
+			addr := rawServer(t, conns.serve(func(c net.Conn) {
+				_, err := io.WriteString(c, a.first)
+				if a.again == "" {
+					_, _ = io.Copy(io.Discard, c) // until the node hangs up
+				}
+				for err == nil && a.again != "" {
+					_, err = io.WriteString(c, a.again)
+					time.Sleep(time.Millisecond)
+				}
+			}))
+			node, _ := startNode(t, testConfig(t, knownList(addr)))
+			c := newTestClient(t, node)
+			began := time.Now()
+			c.send("POST", "pay", "r1", "sum", "X-Deadline-Ms", "300")
+			if resp := c.answered(); resp.StatusCode != http.StatusBadGateway && resp.StatusCode != http.StatusGatewayTimeout {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+			if took := time.Since(began); took > 3*time.Second { // a busy machine's, not the node's
+				t.Errorf("answered after %v", took)
+			}
+			await(t, "the end of the attempt", func() bool { return conns.n.Load() == 0 })
+			c.send("POST", "pay", "r2", "sum", "X-Deadline-Ms", "300")
+			if resp := c.answered(); resp.StatusCode == http.StatusOK {
+				t.Errorf("the next request: status %d", resp.StatusCode)
+			}
+		})
+	}
+}
+
+// An answer that is passed on as it comes and never ends goes on for as long as its client takes it: once that has
+// left, nothing of it stays.
+func TestFloodOfAnAnswerEndsWithItsClient(t *testing.T) {
+	t.Parallel()
+	var conns openConns
+	addr := rawServer(t, conns.serve(func(c net.Conn) {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		for err == nil {
+			_, err = c.Write(make([]byte, 1<<14))
+		}
+	}))
+	l, _ := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
+		if e, ok := ev.(policy.Request); ok {
+			return sends(e.ID, 1)
+		}
+		return nil
+	})
+	c := newTestClient(t, serveAt(t, newServer(l)))
+	c.send("GET", "read", "r1", "")
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.CopyN(io.Discard, resp.Body, 4*maxBody); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	await(t, "the end of the flood", func() bool { return conns.n.Load() == 0 && l.atRest() })
+}
