Try a request that crosses the close of its idle connection

Need: a request on a connection that is given up just then is sent on by one side only (docs/endings.md, an open row). Suspicion refuted, with real connections and a hook between the node's giving up and its close: nothing of the request reaches a server, and no answer begins, at a node's end and where a connection makes room; its client sends it again.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -644,27 +644,30 @@
 	}
 }
 
-// hookedReads is a listener whose connections call a function before each read, with what they have read until then.
+// hookedReads is a listener whose connections call a function before each read, with what they have read until then,
+// and one behind each read.
 type hookedReads struct {
 	net.Listener
 	before func(got string)
+	behind func(err error)
 }
 
 type hookedRead struct {
 	net.Conn
-	before func(got string)
-	got    []byte
+	hooks hookedReads
+	got   []byte
 }
 
 func (l hookedReads) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	return &hookedRead{Conn: c, before: l.before}, err
+	return &hookedRead{Conn: c, hooks: l}, err
 }
 
 func (c *hookedRead) Read(p []byte) (int, error) {
-	c.before(string(c.got))
+	c.hooks.before(string(c.got))
 	n, err := c.Conn.Read(p)
 	c.got = append(c.got, p[:n]...)
+	c.hooks.behind(err)
 	return n, err
 }
 
@@ -690,7 +693,7 @@
 		if strings.HasSuffix(got, head) { // and the node waits for the rest
 			endThere()
 		}
-	}}))
+	}, func(error) {}}))
 	c.send("GET", "read", "r1", "")
 	if resp := c.answered(); resp.StatusCode != http.StatusOK || resp.Close {
 		t.Fatalf("status %d, to end: %v", resp.StatusCode, resp.Close)
@@ -708,6 +711,58 @@
 	await(t, "rest", l.atRest)
 }
 
+// A request that reaches a connection in the moment in which the node gives that up as idle is the client's to send
+// again: nothing of it reaches a server, and no answer begins.
+func TestRequestOnAConnectionGivenUpIsNotSentOn(t *testing.T) {
+	for name, giveUp := range map[string]func(*server){
+		"the node's end": func(s *server) { s.closing.Store(true); s.peers.end() },
+		"making room": func(s *server) {
+			s.peers.mu.Lock()
+			defer s.peers.mu.Unlock()
+			s.peers.shed(time.Now().Add(idleLeast))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var got arrivals
+			l, _ := startLoop(t, httpServer(t, got.ServeHTTP), func(_ policy.Time, ev policy.Event) []policy.Action {
+				if e, ok := ev.(policy.Request); ok {
+					return sends(e.ID, 1)
+				}
+				return nil
+			})
+			s := newServer(l)
+			var c *testClient
+			crossed := make(chan struct{})
+			c = newTestClient(t, serveOn(t, s, hookedReads{listen(t), func(string) {}, func(err error) {
+				if errors.Is(err, os.ErrDeadlineExceeded) { // it is given up, and not yet closed
+					c.send("POST", "pay", "r2", "sum")
+					close(crossed)
+				}
+			}}))
+			c.send("POST", "pay", "r1", "sum")
+			c.answered()
+			await(t, "an idle connection", func() bool {
+				s.peers.mu.Lock()
+				defer s.peers.mu.Unlock()
+				for _, p := range s.peers.open {
+					return p.state == http.StateIdle
+				}
+				return false
+			})
+			giveUp(s)
+			receive(t, "the request that crosses", crossed)
+			if b, err := c.r.ReadByte(); err == nil {
+				t.Errorf("an answer begins with %q", b)
+			}
+			await(t, "rest", func() bool { return l.atRest() && s.peers.count() == 0 })
+			if n := got.after(time.Time{}); n != 1 {
+				t.Errorf("the server got %d requests, want 1", n)
+			}
+		})
+	}
+}
+
 // A last answer reaches its client whatever lies unread behind the request: a close over that would reset the
 // connection, and take the answer along.
 func TestLastAnswerIsNotResetByWhatIsBehind(t *testing.T) {
