Let lost attempts cut bucket rates only where thresholds can't, at over 40 nodes

Cause: follow took every fleet of more than three nodes for one whose thresholds tell nothing. Their floor is 0.25 of the first trust: by 8 nodes that is 2 attempts at a server, less than the 10 that all are trusted with; only from 41 nodes on is it more, and shedding by thresholds ends. Test: TestRatesFollowLostAttemptsWhereNodesAreMany now has a fleet of 8 as well; it failed before (0.20 admitted of 0.50).

--- a/policy/load_test.go
+++ b/policy/load_test.go
@@ -345,38 +345,44 @@
 	}
 }
 
-// A node of many that gets no load reports learns of no server what it can take: the fleet's attempts that time out
-// tell it, and it admits less while they do. It comes back with the answers.
-func TestRatesFollowTimeOutsWhereNothingIsReported(t *testing.T) {
-	set := site(300)
-	set.Tenants = []Tenant{{Name: "t", Quota: 3000}}
-	b := start(t, set, members(200))
-	now, n := Time(0), 0
-	admitted := func(code Code) (part float64) {
-		const asked = 300
-		for range asked {
-			now += 20 * ms
-			n++
-			id := fmt.Sprint("r", n)
-			for _, a := range of(b.Handle(now, ask(id, "free")), Send) {
-				part += 1.0 / asked
-				end := outcome(id, 0, a.Server, code, 40*ms)
-				end.Ended = true
-				b.Handle(now+ms, end)
+// Nodes of a large fleet that get no load reports can't hold their thresholds for a server so low that it is not
+// jammed by all of them: attempts that are lost tell them of room, and they admit less until those are answered again.
+// A handful of nodes go by their thresholds.
+func TestRatesFollowLostAttemptsWhereNodesAreMany(t *testing.T) {
+	for _, c := range []struct {
+		nodes  int
+		follow bool
+	}{{300, true}, {8, false}} {
+		set := site(c.nodes)
+		set.Tenants = []Tenant{{Name: "t", Quota: 10 * float64(c.nodes)}}
+		b := start(t, set, members(200))
+		now, n := Time(0), 0
+		admitted := func(code Code) (part float64) {
+			const asked = 300
+			for range asked {
+				now += 20 * ms
+				n++
+				id := fmt.Sprint("r", n)
+				for _, a := range of(b.Handle(now, ask(id, "free")), Send) {
+					part += 1.0 / asked
+					end := outcome(id, 0, a.Server, code, 40*ms)
+					end.Ended = true
+					b.Handle(now+ms, end)
+				}
 			}
+			return part
 		}
-		return part
-	}
-	admitted(OK)
-	usual := admitted(OK)
-	admitted(TimedOut)
-	if got := admitted(TimedOut); got > 0.6*usual {
-		t.Errorf("%.2f of the requests are admitted while attempts time out, %.2f before", got, usual)
-	}
-	for range 5 { // the rates above the shares wait until few answers of the last hundreds are bad
 		admitted(OK)
-	}
-	if got := admitted(OK); got < 0.9*usual {
-		t.Errorf("%.2f of the requests are admitted after that, %.2f before", got, usual)
+		usual := admitted(OK)
+		admitted(TimedOut)
+		if got := admitted(TimedOut); (got < 0.6*usual) != c.follow {
+			t.Errorf("%d nodes: %.2f of the requests are admitted while attempts time out, %.2f before", c.nodes, got, usual)
+		}
+		for range 5 { // the rates above the shares wait until few answers of the last hundreds are bad
+			admitted(OK)
+		}
+		if got := admitted(OK); got < 0.9*usual {
+			t.Errorf("%d nodes: %.2f of the requests are admitted after that, %.2f before", c.nodes, got, usual)
+		}
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -177,12 +177,13 @@
 )
 
 // follow scales all bucket rates alike by whether the servers have room: without it a slowdown of the
-// fleet sheds nothing, and a node that sees more than its even part of a quota refuses in-share traffic.
+// fleet sheds nothing, and a node that sees more than its even part of a quota refuses in-share traffic. Lost
+// attempts tell of room where nodes are so many that their least thresholds for a server jam it together.
 func (b *Balancer) follow(room bool) {
 	switch {
 	case !room && b.measured(): // what is worth least is given up first, not a part of all
 		b.pace = max(1, b.pace*(1-paceCut))
-	case !room || b.lost > paceBad && b.staggered() && !b.measured(): // no threshold tells of room there
+	case !room || b.lost > paceBad && !b.measured() && leastPart*float64(b.set.Nodes) > startFew:
 		b.pace = max(paceLeast, b.pace*(1-paceCut))
 	case b.pace > paceShare && b.bad > paceBad:
 		b.pace *= 1 - paceCut
