Write the module that sends each request once in one place for the node's tests

Looked at and left: the commands of sloerail repeat cobra's form, which is declarations; the tests of watches share a table's head; acquire and reserve ask for a leaving server in two places, for only one of them holds the pools' lock. Change: sendsOnce in loop_test.go; what the tests assert is untouched. Measured: the node's tests pass under -race.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -311,12 +311,7 @@
 // the clock that a node's end keeps: the order of things is the test's.
 func stopping(t *testing.T, server string) (node string, l *loop, drain func()) {
 	t.Helper()
-	l, _ = startLoop(t, server, func(_ policy.Time, ev policy.Event) []policy.Action {
-		if e, ok := ev.(policy.Request); ok {
-			return sends(e.ID, 1)
-		}
-		return nil
-	})
+	l, _ = startLoop(t, server, sendsOnce)
 	s := newServer(l)
 	return serveAt(t, s), l, func() {
 		s.stopping.Store(true)
@@ -674,12 +669,7 @@
 // A request of which the node has read a part when it ends its idle connections is no idle connection: it is answered.
 func TestHalfReadRequestOutlivesTheEndOfIdleConnections(t *testing.T) {
 	t.Parallel()
-	l, _ := startLoop(t, httpServer(t, func(http.ResponseWriter, *http.Request) {}), func(_ policy.Time, ev policy.Event) []policy.Action {
-		if e, ok := ev.(policy.Request); ok {
-			return sends(e.ID, 1)
-		}
-		return nil
-	})
+	l, _ := startLoop(t, httpServer(t, func(http.ResponseWriter, *http.Request) {}), sendsOnce)
 	s := newServer(l)
 	head := "GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: r2\r\nX-Class: read\r\n"
 	ended := make(chan struct{})
@@ -725,12 +715,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var got arrivals
-			l, _ := startLoop(t, httpServer(t, got.ServeHTTP), func(_ policy.Time, ev policy.Event) []policy.Action {
-				if e, ok := ev.(policy.Request); ok {
-					return sends(e.ID, 1)
-				}
-				return nil
-			})
+			l, _ := startLoop(t, httpServer(t, got.ServeHTTP), sendsOnce)
 			s := newServer(l)
 			var c *testClient
 			crossed := make(chan struct{})
@@ -916,12 +901,7 @@
 			_, err = c.Write(make([]byte, 1<<14))
 		}
 	}))
-	l, _ := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
-		if e, ok := ev.(policy.Request); ok {
-			return sends(e.ID, 1)
-		}
-		return nil
-	})
+	l, _ := startLoop(t, addr, sendsOnce)
 	c := newTestClient(t, serveAt(t, newServer(l)))
 	c.send("GET", "read", "r1", "")
 	resp, err := http.ReadResponse(c.r, nil)
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -104,6 +104,14 @@
 	return all
 }
 
+// sendsOnce is a module that sends each request once, to s0.
+func sendsOnce(_ policy.Time, ev policy.Event) []policy.Action {
+	if e, ok := ev.(policy.Request); ok {
+		return sends(e.ID, 1)
+	}
+	return nil
+}
+
 // The restored list comes first, and the one outcome of a served request says that it has ended.
 func TestOrderOfEvents(t *testing.T) {
 	bubble(t, func(t *testing.T) {
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -223,12 +223,7 @@
 func TestStoppingNodeEndsConnections(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
-		l, _ := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
-			if e, ok := ev.(policy.Request); ok {
-				return sends(e.ID, 1)
-			}
-			return nil
-		})
+		l, _ := startLoop(t, addr, sendsOnce)
 		s := newServer(l)
 		node := serveAt(t, s)
 		receive(t, "readiness", l.ready)
