--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -12,8 +12,8 @@
 	"runtime/debug"
 	"strings"
 
-	"cobaltward/internal/wire"
-	"cobaltward/policy"
+	"sloerail/internal/wire"
+	"sloerail/policy"
 )
 
 // bufferSize of standard input and output, in bytes; batches can run to megabytes.
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 const conf = `["configure",N,7,{"position":0,"groupSize":2,"zone":"a",` +
--- a/cmd/sloerail/demo.go
+++ b/cmd/sloerail/demo.go
@@ -6,7 +6,7 @@
 
 	"github.com/spf13/cobra"
 
-	"cobaltward/internal/rig"
+	"sloerail/internal/rig"
 )
 
 func newDemo() *cobra.Command {
--- a/cmd/sloerail/experiment.go
+++ b/cmd/sloerail/experiment.go
@@ -11,7 +11,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"cobaltward/internal/lab"
+	"sloerail/internal/lab"
 )
 
 var errNotReached = errors.New("not all measures are reached")
--- a/cmd/sloerail/main.go
+++ b/cmd/sloerail/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/spf13/cobra"
 
-	"cobaltward/internal/node"
+	"sloerail/internal/node"
 )
 
 // errUse is for a call that makes no sense.
--- a/cmd/sloerail/main_test.go
+++ b/cmd/sloerail/main_test.go
@@ -9,8 +9,8 @@
 	"strings"
 	"testing"
 
-	"cobaltward/internal/member"
-	"cobaltward/internal/node"
+	"sloerail/internal/member"
+	"sloerail/internal/node"
 )
 
 // fleetAt answers as a node's second address does.
--- a/cmd/sloerail/members.go
+++ b/cmd/sloerail/members.go
@@ -15,7 +15,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"cobaltward/internal/node"
+	"sloerail/internal/node"
 )
 
 const (
--- a/cmd/sloerail/places.go
+++ b/cmd/sloerail/places.go
@@ -12,7 +12,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"cobaltward/internal/node"
+	"sloerail/internal/node"
 )
 
 var errNoPlaces = errors.New("its configuration names no places")
--- a/cmd/sloerail/registry.go
+++ b/cmd/sloerail/registry.go
@@ -11,7 +11,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"cobaltward/internal/registry"
+	"sloerail/internal/registry"
 )
 
 const watchWait = 30 * time.Second // of one watch; then comes the next
--- a/cmd/sloerail/simulate.go
+++ b/cmd/sloerail/simulate.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"cobaltward/internal/lab"
+	"sloerail/internal/lab"
 )
 
 func newSimulate() *cobra.Command {
--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -12,7 +12,7 @@
 	"runtime/pprof"
 	"syscall"
 
-	"cobaltward/internal/node"
+	"sloerail/internal/node"
 )
 
 func main() {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // What docs/zones.md says of zones: a sample of its measures, on one seed. All of them take minutes.
--- a/internal/lab/outcome.go
+++ b/internal/lab/outcome.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"cobaltward/internal/emulator"
+	"sloerail/internal/emulator"
 )
 
 // Outcome is what came of a run.
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -19,7 +19,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"cobaltward/internal/emulator"
+	"sloerail/internal/emulator"
 )
 
 // Duration is a time.Duration that a file writes as "2.5s".
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"cobaltward/internal/emulator"
-	"cobaltward/policy"
+	"sloerail/internal/emulator"
+	"sloerail/policy"
 )
 
 // Figures of the world, in the middle of the ranges that the operators' pages state.
--- a/internal/lab/zones.go
+++ b/internal/lab/zones.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"cobaltward/internal/emulator"
+	"sloerail/internal/emulator"
 )
 
 // Measure is a figure of a run that something has to reach.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -15,9 +15,9 @@
 	"strings"
 	"time"
 
-	gossip "cobaltward/internal/member"
-	"cobaltward/internal/wire"
-	"cobaltward/policy"
+	gossip "sloerail/internal/member"
+	"sloerail/internal/wire"
+	"sloerail/policy"
 )
 
 // Config is all that a node is told at its start.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 const (
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 func entry(id, phase string) string {
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -8,7 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // figures are what the node tells its operators. Whoever ends an event counts it; nobody waits for the
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -10,7 +10,7 @@
 	"runtime/debug"
 	"time"
 
-	gossip "cobaltward/internal/member"
+	gossip "sloerail/internal/member"
 )
 
 const fleetPath = "/fleet"
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -18,7 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 const (
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -16,7 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/renameio/v2"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // The list as a node last had it is kept in a file, where the configuration names one, for a start with no
--- a/internal/node/kept_test.go
+++ b/internal/node/kept_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // runDiscovery runs discovery by a configuration until the test ends, or stop is called.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 const (
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // script is a module that answers each event as a test says, and keeps what it was told.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 const (
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 const (
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // formerFor is how long after a change clients may still speak as before it.
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // loadFile loads a configuration from a file of its own, whose later texts reload reads.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 const (
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // A request goes through the whole node and back, in each class's form.
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // long is more than any step of a test takes; nothing waits for it unless the test fails.
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -20,7 +20,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // maxBody is the most that a request or an answer may hold.
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 func testUpstream(t *testing.T, addrs ...string) *upstream {
--- a/internal/rig/demo.go
+++ b/internal/rig/demo.go
@@ -11,7 +11,7 @@
 
 	"github.com/jedib0t/go-pretty/v6/table"
 
-	"cobaltward/internal/emulator"
+	"sloerail/internal/emulator"
 )
 
 // DemoSpec says what Demo plays.
--- a/internal/rig/discovery_test.go
+++ b/internal/rig/discovery_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"cobaltward/internal/emulator"
-	"cobaltward/internal/registry"
+	"sloerail/internal/emulator"
+	"sloerail/internal/registry"
 )
 
 // listServers puts the boxes of a world into a list service, each by an agent, until the returned function ends
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
-	"cobaltward/internal/emulator"
-	"cobaltward/internal/member"
-	"cobaltward/internal/node"
+	"sloerail/internal/emulator"
+	"sloerail/internal/member"
+	"sloerail/internal/node"
 )
 
 // stateOf is what a node knows of a member; empty for nothing.
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/internal/emulator"
+	"sloerail/internal/emulator"
 )
 
 // trial is a fleet under load, and what its steps are held to.
--- a/internal/rig/measure_test.go
+++ b/internal/rig/measure_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"cobaltward/internal/emulator"
-	"cobaltward/internal/registry"
+	"sloerail/internal/emulator"
+	"sloerail/internal/registry"
 )
 
 // The measures of docs/membership.md. They take minutes, so each asks for its flag.
--- a/internal/rig/registry.go
+++ b/internal/rig/registry.go
@@ -9,7 +9,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"cobaltward/internal/registry"
+	"sloerail/internal/registry"
 )
 
 const (
--- a/internal/rig/registry_test.go
+++ b/internal/rig/registry_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"cobaltward/internal/registry"
+	"sloerail/internal/registry"
 )
 
 // put is one write to an instance: its first, or one that wants a version.
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/internal/emulator"
+	"sloerail/internal/emulator"
 )
 
 var (
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"cobaltward/internal/emulator"
-	"cobaltward/internal/lab"
+	"sloerail/internal/emulator"
+	"sloerail/internal/lab"
 )
 
 // drainsFor is how long a box that drains stays in the list.
--- a/internal/rig/wire.go
+++ b/internal/rig/wire.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"time"
 
-	"cobaltward/internal/emulator"
+	"sloerail/internal/emulator"
 )
 
 // errNoConnection is for a try that no node ever took.
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"cobaltward/internal/emulator"
-	"cobaltward/internal/lab"
+	"sloerail/internal/emulator"
+	"sloerail/internal/lab"
 )
 
 const (
--- a/internal/rig/zones_test.go
+++ b/internal/rig/zones_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"cobaltward/internal/emulator"
-	"cobaltward/internal/lab"
-	"cobaltward/internal/node"
+	"sloerail/internal/emulator"
+	"sloerail/internal/lab"
+	"sloerail/internal/node"
 )
 
 // zones is a fleet of two nodes in each of three zones of two regions, with clients near their nodes.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // Kind tells the lines of the wire apart.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // names of the actions on the wire, by kind.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // object reads the keys of a JSON object, keeping the first error. Keys it is not asked for are
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 const ms = time.Millisecond
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"cobaltward/policy"
+	"sloerail/policy"
 )
 
 // A node's whole cycle: settings, the list of servers, a request, its outcomes, a timer. There is
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,4 +1,4 @@
-// Every decision of cobaltward, in the order in which a request lives: admission, choice, attempts, outcomes,
+// Every decision of sloerail, in the order in which a request lives: admission, choice, attempts, outcomes,
 // health, cold start, list; fleet.go decides how many nodes share a quota, places.go on zones.
 
 package policy
