--- /dev/null
+++ b/internal/scale/measurement.go
@@ -0,0 +1,94 @@
+// Package scale measures how a node's costs grow. Hollow nodes run the code that ships, many in one process and
+// without the sockets of requests; a scenario names one dimension and the sizes at which it is measured, and a law is
+// fitted to each measure. Nothing here is linked into a node.
+package scale
+
+import "slices"
+
+// Source says what a measurement was taken of.
+type Source string
+
+// The sources.
+const (
+	Hollow  Source = "hollow"  // a hollow node, in this process
+	Process Source = "process" // the node's program as it ships, in a process of its own
+)
+
+// Unit is what a value is counted in.
+type Unit string
+
+// The units.
+const (
+	Nanoseconds    Unit = "ns"
+	Milliseconds   Unit = "ms"
+	Bytes          Unit = "B"
+	BytesPerSecond Unit = "B/s"
+	PerSecond      Unit = "1/s"
+	CorePercent    Unit = "% of a core"
+	Count          Unit = "count"
+)
+
+// Measure is what was measured. Its name is the key by which measurements of different runs, sizes and sources are
+// set beside each other.
+type Measure struct {
+	Name string `json:"measure"`
+	Unit Unit   `json:"unit"`
+}
+
+// The measures. Those of a node are of one node, unless the name says otherwise.
+var (
+	DecisionCPU     = Measure{"decision CPU", Nanoseconds}           // of one request's decision and its outcome
+	DecisionP50     = Measure{"decision p50", Nanoseconds}           // the same in elapsed time
+	DecisionP99     = Measure{"decision p99", Nanoseconds}           //
+	DecisionRate    = Measure{"decisions a second", PerSecond}       // by one goroutine
+	ListChangeCPU   = Measure{"list change CPU", Nanoseconds}        // of a delta that names one server, read and taken
+	ListChangeP99   = Measure{"list change p99", Nanoseconds}        // the same in elapsed time
+	ConfigCPU       = Measure{"configuration CPU", Nanoseconds}      // of a whole file, read, checked and taken
+	StartCPU        = Measure{"start CPU", Nanoseconds}              // from a configuration to the first decision
+	ControlCPU      = Measure{"control CPU", CorePercent}            // of a node with no requests
+	RegistryCPU     = Measure{"registry CPU", CorePercent}           // of one replica of the list service
+	Heap            = Measure{"heap", Bytes}                         // in use after a collection
+	Resident        = Measure{"resident memory", Bytes}              // of the whole process
+	ListBytes       = Measure{"whole list", Bytes}                   // as it is on the wire
+	ConfigBytes     = Measure{"configuration", Bytes}                // as it is in the file
+	ReceivedBytes   = Measure{"received by a node", BytesPerSecond}  // on the sockets of its list client
+	SentBytes       = Measure{"sent by a node", BytesPerSecond}      //
+	ReceivedReads   = Measure{"messages to a node", PerSecond}       // answers of the list service
+	SentWrites      = Measure{"messages from a node", PerSecond}     // calls of the list service
+	InForceP50      = Measure{"change in force p50", Milliseconds}   // from the write to a node's having taken it
+	InForceP99      = Measure{"change in force p99", Milliseconds}   //
+	InForceLast     = Measure{"change in force, last", Milliseconds} // at the last node
+	ChangesMissed   = Measure{"changes missed", Count}               // not in force when the run ended
+	TenantsInBucket = Measure{"tenants with a bucket of their own", Count}
+)
+
+// Measurement is one value at one point.
+type Measurement struct {
+	Dimension string  `json:"dimension"`
+	Size      int     `json:"size"`
+	Run       int     `json:"run"` // from 1
+	Source    Source  `json:"source"`
+	Value     float64 `json:"value"`
+	Measure
+}
+
+// Recorder takes the values of one point.
+type Recorder struct {
+	dimension string
+	size, run int
+	source    Source
+	all       []Measurement
+}
+
+// NewRecorder records what is measured at one size, in one run, of one source.
+func NewRecorder(dimension string, size, run int, source Source) *Recorder {
+	return &Recorder{dimension: dimension, size: size, run: run, source: source}
+}
+
+// Record notes a value.
+func (r *Recorder) Record(m Measure, value float64) {
+	r.all = append(r.all, Measurement{r.dimension, r.size, r.run, r.source, value, m})
+}
+
+// Measurements are the values noted, in order.
+func (r *Recorder) Measurements() []Measurement { return slices.Clone(r.all) }
