Give a node without the sockets of requests, for measuring what it costs beside them

Ruled out: the decision module alone, which leaves out the list client, the pools and the configuration; a whole node over a network in memory, which costs the sockets that are to be left out. Change: internal/node/hollow.go, a new file that touches no other: Hollow runs the loop, the list client, the pools, the module and the membership as they ship, on the machine's clock or stepped; what the list client writes and reads is counted. It is in internal/node because the loop and the list client are not exported.

--- /dev/null
+++ b/internal/node/hollow.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sloerail/policy"
+)
+
+// Hollow is a node without the sockets of clients and servers, for measuring what a node costs beside them. Its
+// configuration, list client, event loop, connection pools, decision module and membership are those that ship.
+//
+// Either Run runs it on the machine's clock, or one goroutine steps it: Restore first, then the other methods in any
+// order. Between steps its clock can be set forward.
+type Hollow struct {
+	loop    *loop
+	config  Config // a node keeps it for its replacement
+	traffic *traffic
+}
+
+// Traffic is what the list client of a hollow node wrote to its sockets and read from them.
+type Traffic struct {
+	Sent, Received uint64 // bytes
+	Calls, Answers uint64
+}
+
+// traffic counts under way.
+type traffic struct{ sent, received, calls, answers atomic.Uint64 }
+
+// NewHollow makes a hollow node of a configuration as LoadConfig reads it. Each list that the module has taken is told
+// to seen, unless that is nil, by the goroutine that took it.
+func NewHollow(c Config, seen func(policy.MemberList)) (*Hollow, error) {
+	h := &Hollow{config: c, traffic: new(traffic)}
+	dial := c.dialer(watchGrace)
+	c.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &trafficConn{Conn: conn, traffic: h.traffic}, nil
+	}
+	fig := newFigures(c.Settings.Classes)
+	l, err := newLoop(c, clock{start: time.Now()}, newUpstream(c, new(sockets), fig), fig)
+	if err != nil {
+		return nil, err
+	}
+	if seen != nil {
+		l.module = listObserver{l.module, seen}
+	}
+	h.loop = l
+	return h, nil
+}
+
+// listObserver tells of each list that the module has taken.
+type listObserver struct {
+	module
+	seen func(policy.MemberList)
+}
+
+// Handle hands the event on.
+func (o listObserver) Handle(now policy.Time, ev policy.Event) []policy.Action {
+	actions := o.module.Handle(now, ev)
+	if list, ok := ev.(policy.MemberList); ok {
+		o.seen(list)
+	}
+	return actions
+}
+
+// Run watches the list, and takes part in the fleet where the configuration has it so, until ctx ends.
+func (h *Hollow) Run(ctx context.Context) error {
+	fleet, err := h.loop.join(h.config)
+	if err != nil {
+		return err
+	}
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	parts.Go(func() { h.loop.disc.run(ctx) })
+	if fleet != nil {
+		parts.Go(func() { h.loop.follow(ctx, fleet.Subscribe()) })
+		parts.Go(func() { fleet.Run(ctx) })
+	}
+	h.loop.run(ctx, h.config.Known.Members, nil)
+	return nil
+}
+
+// Restore takes the list of the configuration, as a node does at its start.
+func (h *Hollow) Restore() { h.loop.handle(news{policy.ListRestored, h.config.Known.Members}) }
+
+// TakeList reads an answer of the list service and takes it.
+func (h *Hollow) TakeList(answer []byte) error {
+	l, err := parseList(answer)
+	if err != nil {
+		return err
+	}
+	h.loop.disc.learn(l)
+	h.loop.handleMore()
+	return nil
+}
+
+// Reconfigure goes on by another configuration.
+func (h *Hollow) Reconfigure(c Config) {
+	h.loop.handle(retuned{c})
+	h.config = c
+}
+
+// Advance sets the clock forward, and fires the timers that are then due.
+func (h *Hollow) Advance(by time.Duration) {
+	h.loop.clock.start = h.loop.clock.start.Add(-by)
+	h.loop.fire()
+}
+
+// Decide has the module decide on a request; sent is false where it goes to no server.
+func (h *Hollow) Decide(r policy.Request) (server string, sent bool) { return h.handle(r) }
+
+// End tells the module how the attempt of a request ended. It names the server that the request then goes to, if it
+// is sent again.
+func (h *Hollow) End(o policy.Outcome) (server string, sent bool) { return h.handle(o) }
+
+// handle gives the module an event of a request, and carries out all but what needs a client or a server.
+func (h *Hollow) handle(ev policy.Event) (server string, sent bool) {
+	for _, a := range h.loop.module.Handle(h.loop.clock.now(), ev) {
+		if a.Kind == policy.Send {
+			server, sent = a.Server, true
+			continue
+		}
+		h.loop.carryOut(a)
+	}
+	return server, sent
+}
+
+// Servers counts those in the list.
+func (h *Hollow) Servers() int {
+	listed, _ := h.loop.module.Servers()
+	return listed
+}
+
+// Traffic is what passed so far.
+func (h *Hollow) Traffic() Traffic {
+	return Traffic{Sent: h.traffic.sent.Load(), Received: h.traffic.received.Load(), Calls: h.traffic.calls.Load(),
+		Answers: h.traffic.answers.Load()}
+}
+
+// trafficConn counts what passes over a connection. The list client has one call under way at a time, so the first read
+// after a write brings an answer.
+type trafficConn struct {
+	net.Conn
+	traffic *traffic
+	asked   atomic.Bool
+}
+
+// Write writes a call.
+func (c *trafficConn) Write(b []byte) (int, error) {
+	if !c.asked.Swap(true) {
+		c.traffic.calls.Add(1)
+	}
+	n, err := c.Conn.Write(b)
+	c.traffic.sent.Add(uint64(n))
+	return n, err
+}
+
+// Read reads an answer.
+func (c *trafficConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.traffic.received.Add(uint64(n)); n > 0 && c.asked.Swap(false) {
+		c.traffic.answers.Add(1)
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/node/hollow_test.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sloerail/policy"
+)
+
+const hollowList = `{"revision":%d,"complete":%v,"members":[{"id":"%s","host_port":"127.0.0.1:1","phase":"up","size":1}]}`
+
+// hollowConfig reads a configuration as a node's program does.
+func hollowConfig(t *testing.T, discovery string, quota float64) Config {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	raw := fmt.Sprintf(`{"name":"hollow","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
+		"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"revision":0,"complete":true,"members":[]},
+		"settings":{"position":0,"groupSize":1,"services":[{"name":"x","deadline":600,"repeat":"free"}],
+		"tenants":[{"name":"t","quotaRps":%v,"fraction":1}],"limits":{"retryAfter":true}}}`, discovery, quota)
+	if err := os.WriteFile(path, []byte(raw), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := LoadConfig(func(name string) string {
+		if name == "ROUTER_CONFIG" {
+			return path
+		}
+		return ""
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestHollowNodeDecidesAsTheNodeDoes(t *testing.T) {
+	h, err := NewHollow(hollowConfig(t, "127.0.0.1:9", 2), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Restore()
+	ask := func(id string) (string, bool) {
+		return h.Decide(policy.Request{ID: id, Class: "x", Tenant: "t", ExpiresIn: time.Second})
+	}
+	if server, sent := ask("1"); sent {
+		t.Errorf("with no list, a request went to %q", server)
+	}
+	if err := h.TakeList(fmt.Appendf(nil, hollowList, 1, true, "a")); err != nil || h.Servers() != 1 {
+		t.Fatalf("%d servers, %v", h.Servers(), err)
+	}
+	if err := h.TakeList([]byte(`{"members":[]}`)); err == nil {
+		t.Error("a list without a revision was taken")
+	}
+	spent := 0
+	for ; spent < 100; spent++ {
+		id := fmt.Sprint("r", spent)
+		server, sent := ask(id)
+		if !sent {
+			break
+		}
+		if server != "a" {
+			t.Fatalf("a request went to %q", server)
+		}
+		h.End(policy.Outcome{ID: id, Server: server, Code: policy.OK, Latency: time.Millisecond})
+	}
+	if spent == 0 || spent == 100 {
+		t.Fatalf("%d requests within the quota", spent)
+	}
+	h.Advance(10 * time.Second) // the bucket refills by the node's clock
+	if _, sent := ask("later"); !sent {
+		t.Error("refused with a full bucket")
+	}
+	h.Reconfigure(hollowConfig(t, "127.0.0.1:9", 0))
+	h.Advance(10 * time.Second)
+	for i := range 100 {
+		ask(fmt.Sprint("s", i))
+	}
+	if _, sent := ask("last"); sent {
+		t.Error("the changed quota is not in force")
+	}
+}
+
+func TestHollowNodeWatchesTheList(t *testing.T) {
+	answers := make(chan string)
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case answer := <-answers:
+			fmt.Fprint(w, answer)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(service.Close)
+	seen := make(chan policy.MemberList, 8)
+	h, err := NewHollow(hollowConfig(t, strings.TrimPrefix(service.URL, "http://"), 10), func(l policy.MemberList) { seen <- l })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(ctx) }()
+	expect := func(kind policy.ListKind, members int) {
+		t.Helper()
+		if l := <-seen; l.Kind != kind || len(l.Members) != members {
+			t.Errorf("got a list of kind %d with %d servers, want %d and %d", l.Kind, len(l.Members), kind, members)
+		}
+	}
+	expect(policy.ListRestored, 0)
+	whole, delta := fmt.Sprintf(hollowList, 1, true, "a"), fmt.Sprintf(hollowList, 2, false, "b")
+	answers <- whole
+	expect(policy.ListReplace, 1)
+	answers <- delta
+	expect(policy.ListUpdate, 1)
+	got := h.Traffic()
+	if got.Answers != 2 || got.Calls < 2 || got.Received < uint64(len(whole)+len(delta)) || got.Sent == 0 {
+		t.Errorf("traffic %+v", got)
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
