Measure hollow nodes by servers, tenants, watchers and changes, and fit a law to each

Change: internal/scale: scenarios in TOML, four dimensions (servers and tenants at one stepped node; nodes and changes at nodes that watch a replica of the list service, a process of its own), laws by least squares on relative residuals with what they say of the target, log-log plots. A size that may take over half of the machine's memory is refused before. services, routes, restarts and requests are refused by name: not measured yet.

--- a/internal/scale/measurement.go
+++ b/internal/scale/measurement.go
@@ -25,6 +25,7 @@
 	BytesPerSecond Unit = "B/s"
 	PerSecond      Unit = "1/s"
 	CorePercent    Unit = "% of a core"
+	Percent        Unit = "%"
 	Count          Unit = "count"
 )
 
@@ -37,31 +38,39 @@
 
 // The measures. Those of a node are of one node, unless the name says otherwise.
 var (
-	DecisionCPU     = Measure{"decision CPU", Nanoseconds}           // of one request's decision and its outcome
-	DecisionP50     = Measure{"decision p50", Nanoseconds}           // the same in elapsed time
-	DecisionP99     = Measure{"decision p99", Nanoseconds}           //
-	DecisionRate    = Measure{"decisions a second", PerSecond}       // by one goroutine
-	ListChangeCPU   = Measure{"list change CPU", Nanoseconds}        // of a delta that names one server, read and taken
-	ListChangeP99   = Measure{"list change p99", Nanoseconds}        // the same in elapsed time
-	ConfigCPU       = Measure{"configuration CPU", Nanoseconds}      // of a whole file, read, checked and taken
-	StartCPU        = Measure{"start CPU", Nanoseconds}              // from a configuration to the first decision
-	ControlCPU      = Measure{"control CPU", CorePercent}            // of a node with no requests
-	RegistryCPU     = Measure{"registry CPU", CorePercent}           // of one replica of the list service
-	Heap            = Measure{"heap", Bytes}                         // in use after a collection
-	Resident        = Measure{"resident memory", Bytes}              // of the whole process
-	ListBytes       = Measure{"whole list", Bytes}                   // as it is on the wire
-	ConfigBytes     = Measure{"configuration", Bytes}                // as it is in the file
-	ReceivedBytes   = Measure{"received by a node", BytesPerSecond}  // on the sockets of its list client
-	SentBytes       = Measure{"sent by a node", BytesPerSecond}      //
-	ReceivedReads   = Measure{"messages to a node", PerSecond}       // answers of the list service
-	SentWrites      = Measure{"messages from a node", PerSecond}     // calls of the list service
-	InForceP50      = Measure{"change in force p50", Milliseconds}   // from the write to a node's having taken it
-	InForceP99      = Measure{"change in force p99", Milliseconds}   //
-	InForceLast     = Measure{"change in force, last", Milliseconds} // at the last node
-	ChangesMissed   = Measure{"changes missed", Count}               // not in force when the run ended
-	TenantsInBucket = Measure{"tenants with a bucket of their own", Count}
+	DecisionCPU      = Measure{"decision CPU", Nanoseconds}           // of a request's decision and its outcome, collector included
+	DecisionP50      = Measure{"decision p50", Nanoseconds}           // the same in elapsed time
+	DecisionP99      = Measure{"decision p99", Nanoseconds}           //
+	DecisionRate     = Measure{"decisions a second", PerSecond}       // of one core's time
+	Refused          = Measure{"refused within quota", Percent}       // of requests that no limit should have refused
+	ListChangeCPU    = Measure{"list change CPU", Nanoseconds}        // of a delta that names one server, read and taken
+	ListChangeP99    = Measure{"list change p99", Nanoseconds}        // the same in elapsed time
+	ConfigCPU        = Measure{"configuration CPU", Nanoseconds}      // of a whole file, read, checked and taken
+	StartCPU         = Measure{"start CPU", Nanoseconds}              // from a configuration to the list's being taken
+	ControlCPU       = Measure{"control CPU", CorePercent}            // of a node with no requests
+	RegistryCPU      = Measure{"registry CPU", CorePercent}           // of one replica of the list service
+	RegistryResident = Measure{"registry resident memory", Bytes}     // the same
+	Heap             = Measure{"heap", Bytes}                         // in use after a collection
+	Resident         = Measure{"resident memory", Bytes}              // of the whole process, its nodes and the measuring
+	ListBytes        = Measure{"whole list", Bytes}                   // as it is on the wire
+	ConfigBytes      = Measure{"configuration", Bytes}                // as it is in the file
+	ReceivedBytes    = Measure{"received by a node", BytesPerSecond}  // on the sockets of its list client
+	SentBytes        = Measure{"sent by a node", BytesPerSecond}      //
+	ReceivedReads    = Measure{"messages to a node", PerSecond}       // of the list service
+	SentWrites       = Measure{"messages from a node", PerSecond}     // of the list service
+	InForceP50       = Measure{"change in force p50", Milliseconds}   // from the write to a node's having taken it
+	InForceP99       = Measure{"change in force p99", Milliseconds}   //
+	InForceLast      = Measure{"change in force, last", Milliseconds} // the latest of all changes at all nodes
+	ChangesMissed    = Measure{"changes missed", Count}               // at a node, not in force when the run ended
 )
 
+// Measures are all that there are, in the order of tables.
+func Measures() []Measure {
+	return []Measure{DecisionCPU, DecisionP50, DecisionP99, DecisionRate, Refused, ListChangeCPU, ListChangeP99, ConfigCPU,
+		StartCPU, ControlCPU, RegistryCPU, RegistryResident, Heap, Resident, ListBytes, ConfigBytes, ReceivedBytes,
+		SentBytes, ReceivedReads, SentWrites, InForceP50, InForceP99, InForceLast, ChangesMissed}
+}
+
 // Measurement is one value at one point.
 type Measurement struct {
 	Dimension string  `json:"dimension"`
--- /dev/null
+++ b/internal/scale/plot.go
@@ -0,0 +1,156 @@
+package scale
+
+import (
+	"fmt"
+	"image/color"
+	"io"
+	"math"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	panelColumns          = 3
+	panelWidth            = 9 * vg.Centimeter
+	panelHeight           = 7 * vg.Centimeter
+	panelGap              = 3 * vg.Millimeter
+	curvePoints           = 64
+	budgetWidth           = vg.Length(1.5)
+	axisMargin            = 1.3 // times the largest value, below it the smallest
+	largestTargetDrawn    = 1e9
+	smallestDrawn         = 1e-9
+	dashLength, dashSpace = vg.Length(4), vg.Length(3)
+)
+
+var (
+	budgetColor = color.RGBA{R: 200, A: 255}
+	targetColor = color.Gray{Y: 120}
+)
+
+// WriteSVG draws a panel for each measure whose values are above 0, both axes logarithmic: what was measured, the law
+// up to the target, and the budget.
+func (r *Report) WriteSVG(to io.Writer) error {
+	var panels []*plot.Plot
+	for _, law := range r.Laws {
+		panel, err := r.panel(law)
+		if err != nil {
+			return fmt.Errorf("plot: %s: %w", law.Name, err)
+		}
+		if panel != nil {
+			panels = append(panels, panel)
+		}
+	}
+	if len(panels) == 0 {
+		return fmt.Errorf("plot: there is nothing to draw")
+	}
+	rows := (len(panels) + panelColumns - 1) / panelColumns
+	grid := make([][]*plot.Plot, rows)
+	for i := range grid {
+		grid[i] = make([]*plot.Plot, panelColumns)
+		copy(grid[i], panels[i*panelColumns:min(len(panels), (i+1)*panelColumns)])
+	}
+	canvas := vgsvg.New(panelColumns*panelWidth, vg.Length(rows)*panelHeight)
+	tiles := draw.Tiles{Rows: rows, Cols: panelColumns, PadX: panelGap, PadY: panelGap, PadTop: panelGap,
+		PadBottom: panelGap, PadLeft: panelGap, PadRight: panelGap}
+	places := plot.Align(grid, tiles, draw.New(canvas))
+	for i, row := range grid {
+		for j, panel := range row {
+			if panel != nil {
+				panel.Draw(places[i][j])
+			}
+		}
+	}
+	_, err := canvas.WriteTo(to)
+	return err
+}
+
+// panel draws one measure; nil where it can't be drawn on logarithmic axes.
+func (r *Report) panel(law Extrapolate) (*plot.Plot, error) {
+	measured := observed(r.Measurements, law.Measure, law.Source)
+	points := make(plotter.XYs, len(measured.values))
+	for i, v := range measured.values {
+		if v <= smallestDrawn {
+			return nil, nil
+		}
+		points[i] = plotter.XY{X: measured.sizes[i], Y: v}
+	}
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s (%s)", law.Name, law.Source)
+	p.X.Label.Text, p.Y.Label.Text = string(r.Scenario.Dimension), string(law.Unit)
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return nil, err
+	}
+	scatter.Color, scatter.Shape = plotutil.Color(0), draw.CircleGlyph{}
+	p.Add(scatter)
+	if err := addLaw(p, law); err != nil {
+		return nil, err
+	}
+	if err := addBudget(p, law); err != nil {
+		return nil, err
+	}
+	p.X.Min, p.X.Max = p.X.Min/axisMargin, p.X.Max*axisMargin
+	p.Y.Min, p.Y.Max = p.Y.Min/axisMargin, p.Y.Max*axisMargin
+	return p, nil
+}
+
+// lastDrawn is the size up to which a law is drawn.
+func (e Extrapolate) lastDrawn() float64 {
+	return min(largestTargetDrawn, max(float64(e.To), e.Target))
+}
+
+// addLaw draws the law; none where none fits.
+func addLaw(p *plot.Plot, law Extrapolate) error {
+	if law.Law == "" {
+		p.Title.Text += ": " + string(law.Why)
+		return nil
+	}
+	p.Title.Text += ": " + string(law.Law)
+	var curve plotter.XYs
+	low, high := math.Log(float64(law.From)), math.Log(law.lastDrawn())
+	for i := range curvePoints {
+		n := math.Exp(low + (high-low)*float64(i)/(curvePoints-1))
+		if at := law.At(n); at > smallestDrawn {
+			curve = append(curve, plotter.XY{X: n, Y: at})
+		}
+	}
+	line, err := plotter.NewLine(curve)
+	if err != nil {
+		return err
+	}
+	line.Color = plotutil.Color(1)
+	p.Add(line)
+	return nil
+}
+
+// addBudget draws the budget, up to the target, and a line at that.
+func addBudget(p *plot.Plot, law Extrapolate) error {
+	if law.Budget <= 0 {
+		return nil
+	}
+	across, err := plotter.NewLine(plotter.XYs{{X: float64(law.From), Y: law.Budget}, {X: law.lastDrawn(), Y: law.Budget}})
+	if err != nil {
+		return err
+	}
+	across.Color, across.Width = budgetColor, budgetWidth
+	p.Add(across)
+	p.Legend.Add("budget", across)
+	if law.Target <= 0 {
+		return nil
+	}
+	up, err := plotter.NewLine(plotter.XYs{{X: law.Target, Y: p.Y.Min}, {X: law.Target, Y: p.Y.Max}})
+	if err != nil {
+		return err
+	}
+	up.Color, up.Dashes = targetColor, []vg.Length{dashLength, dashSpace}
+	p.Add(up)
+	p.Legend.Add("target", up)
+	return nil
+}
--- /dev/null
+++ b/internal/scale/report.go
@@ -0,0 +1,135 @@
+package scale
+
+import (
+	"slices"
+	"time"
+)
+
+// Report is what came of a run.
+type Report struct {
+	Scenario     Scenario      `json:"scenario"` // its seed included
+	Machine      Machine       `json:"machine"`
+	Began        time.Time     `json:"began"`
+	Measurements []Measurement `json:"measurements"`
+	Laws         []Extrapolate `json:"laws"`
+	NotMeasured  []Dimension   `json:"dimensions_not_measured"`
+	Stopped      string        `json:"stopped,omitempty"` // why it ended before all was measured
+}
+
+// Extrapolate is a law and what it says of the target.
+type Extrapolate struct {
+	Fit
+	Target   float64 `json:"target,omitempty"`
+	AtTarget float64 `json:"at_target,omitempty"`
+	Low      float64 `json:"low,omitempty"` // and High: 95% of measurements there, if the law holds
+	High     float64 `json:"high,omitempty"`
+	Beyond   float64 `json:"beyond,omitempty"`  // times the largest size measured
+	Budget   float64 `json:"budget,omitempty"`  // 0 for none
+	Reaches  float64 `json:"reaches,omitempty"` // the size at which the law comes to the budget; 0 for never
+}
+
+// noLaw are measures of which none is looked for: a reciprocal of another, and counts of what should be none.
+var noLaw = []Measure{DecisionRate, Refused, ChangesMissed}
+
+// observed are the values of a measure, of one source.
+func observed(all []Measurement, m Measure, source Source) (o observations) {
+	for _, v := range all {
+		if v.Measure == m && v.Source == source {
+			o.sizes, o.values = append(o.sizes, float64(v.Size)), append(o.values, v.Value)
+		}
+	}
+	return o
+}
+
+// Sources are those that were measured, in order.
+func (r *Report) Sources() (all []Source) {
+	for _, v := range r.Measurements {
+		if !slices.Contains(all, v.Source) {
+			all = append(all, v.Source)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Measures are those that were measured, in the order in which they were first.
+func (r *Report) Measures() (all []Measure) {
+	for _, v := range r.Measurements {
+		if !slices.Contains(all, v.Measure) {
+			all = append(all, v.Measure)
+		}
+	}
+	return all
+}
+
+// Sizes are those that were measured, ascending.
+func (r *Report) Sizes() (all []int) {
+	for _, v := range r.Measurements {
+		if !slices.Contains(all, v.Size) {
+			all = append(all, v.Size)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Values are those of a measure at a size, in the order of the runs.
+func (r *Report) Values(m Measure, source Source, size int) (all []float64) {
+	for _, v := range r.Measurements {
+		if v.Measure == m && v.Source == source && v.Size == size {
+			all = append(all, v.Value)
+		}
+	}
+	return all
+}
+
+// fit looks for the law of each measure.
+func (r *Report) fit() {
+	r.NotMeasured = NotMeasured
+	r.Laws = Laws(r.Measurements, r.Scenario.Target, r.Scenario.Budgets)
+}
+
+// Laws are those of each measure, of each source, and what they say of a target; a target of 0 is none. The measurements
+// are of one dimension.
+func Laws(all []Measurement, target float64, budgets []Budget) (laws []Extrapolate) {
+	type series struct {
+		Measure
+		Source
+	}
+	var done []series
+	for _, v := range all {
+		of := series{v.Measure, v.Source}
+		if slices.Contains(done, of) || slices.Contains(noLaw, v.Measure) {
+			continue
+		}
+		done = append(done, of)
+		laws = append(laws, extrapolate(v.Measure, v.Source, observed(all, v.Measure, v.Source), target, budgets))
+	}
+	return laws
+}
+
+func extrapolate(m Measure, source Source, o observations, target float64, budgets []Budget) Extrapolate {
+	f := fitLaw(o)
+	f.Measure, f.Source = m, source
+	e := Extrapolate{Fit: f, Target: target, Budget: budgetOf(m, budgets)}
+	if f.Law == "" || e.Target == 0 {
+		return e
+	}
+	e.AtTarget = f.At(e.Target)
+	e.Low, e.High = f.Between(e.Target)
+	e.Beyond = e.Target / float64(f.To)
+	if e.Budget > 0 {
+		e.Reaches, _ = f.Reaches(e.Budget)
+	}
+	return e
+}
+
+// budgetOf is that of a measure; 0 for none.
+func budgetOf(m Measure, budgets []Budget) float64 {
+	for _, b := range budgets {
+		if b.Measure == m.Name {
+			return b.Most
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/scale/requests.go
@@ -0,0 +1,117 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sloerail/internal/emulator"
+	"sloerail/internal/node"
+	"sloerail/policy"
+)
+
+const (
+	answerTime = 50 * time.Millisecond // that a server takes in the mean; spread by half
+	reportUtil = 0.5                   // of a server's cores are busy, as it reports
+	reportRate = 100.0                 // requests a second that it takes, as it reports
+
+	timingFor   = 400 * time.Millisecond // that steps are timed for,
+	leastTimed  = 200                    // unless they are fewer then,
+	mostTimed   = 50_000                 // or already more
+	timingCheck = 16                     // steps between looks at whether the run was called off
+
+	longestStep       = time.Minute // that a histogram holds
+	significantDigits = 3
+)
+
+// newHistogram holds times in nanoseconds.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longestStep.Nanoseconds(), significantDigits)
+}
+
+// requests are those that come to a hollow node, at a steady rate on the node's clock. An attempt ends well when its
+// server would have answered, so that as many are in flight as at a node that serves.
+type requests struct {
+	node    *node.Hollow
+	rng     *rand.Rand
+	every   time.Duration
+	depth   int // in flight
+	tenants int
+	classes []emulator.Class
+
+	asked, refused int
+	inFlight       []policy.Outcome // oldest first
+}
+
+func newRequests(n *node.Hollow, held Held, rng *rand.Rand) *requests {
+	return &requests{node: n, rng: rng, every: time.Duration(float64(time.Second) / held.Requests),
+		depth: max(1, int(held.Requests*answerTime.Seconds())), tenants: held.Tenants, classes: emulator.Classes()}
+}
+
+// next is one request's decision, and an earlier one's outcome.
+func (r *requests) next() { r.ask(tenantID(r.rng.IntN(r.tenants))) }
+
+func (r *requests) ask(tenant string) {
+	r.node.Advance(r.every)
+	class := r.classes[r.rng.IntN(len(r.classes))]
+	r.asked++
+	id := strconv.Itoa(r.asked)
+	server, sent := r.node.Decide(policy.Request{ID: id, Class: class.Name, Tenant: tenant, ExpiresIn: class.Deadline})
+	if !sent {
+		r.refused++
+		return
+	}
+	took := answerTime/2 + time.Duration(r.rng.Int64N(int64(answerTime)))
+	r.inFlight = append(r.inFlight, policy.Outcome{ID: id, Server: server, Code: policy.OK, Latency: took,
+		Report: []float64{float64(took.Milliseconds()), reportUtil, reportRate}})
+	if len(r.inFlight) > r.depth {
+		r.node.End(r.inFlight[0])
+		r.inFlight = r.inFlight[1:]
+	}
+}
+
+// finish ends what is in flight.
+func (r *requests) finish() {
+	for _, o := range r.inFlight {
+		r.node.End(o)
+	}
+	r.inFlight = nil
+}
+
+// timing is what so many steps took.
+type timing struct {
+	steps int
+	cpu   time.Duration           // of them all, the collector's included
+	each  *hdrhistogram.Histogram // in elapsed time
+}
+
+func (t timing) cpuEach() float64 { return float64(t.cpu) / float64(t.steps) }
+
+// perSecond is how many steps a core takes in a second.
+func (t timing) perSecond() float64 { return float64(t.steps) / t.cpu.Seconds() }
+
+// timeSteps times a step until there are enough of them.
+func timeSteps(ctx context.Context, least int, step func() error) (t timing, err error) {
+	t.each = newHistogram()
+	cpu, began := ownCPU(), time.Now()
+	defer func() { t.cpu = ownCPU() - cpu }()
+	for at := began; t.steps < least || at.Sub(began) < timingFor && t.steps < mostTimed; {
+		if t.steps%timingCheck == 0 && ctx.Err() != nil {
+			return t, ctx.Err()
+		}
+		if err := step(); err != nil {
+			return t, err
+		}
+		now := time.Now()
+		if err := t.each.RecordValue(now.Sub(at).Nanoseconds()); err != nil {
+			return t, fmt.Errorf("a step took %v: %w", now.Sub(at), err)
+		}
+		at = now
+		t.steps++
+	}
+	return t, nil
+}
--- /dev/null
+++ b/internal/scale/run_test.go
@@ -0,0 +1,157 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/xml"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"sloerail/internal/lab"
+	"sloerail/policy"
+)
+
+// small is a scenario that takes little.
+func small(d Dimension, sizes ...int) Scenario {
+	return Scenario{Name: "small", Dimension: d, Sizes: sizes, Runs: 1, Seed: 1, For: lab.Duration{Duration: time.Minute},
+		Span: lab.Duration{Duration: 500 * time.Millisecond}, Target: 1000,
+		Held:    Held{Servers: 20, Tenants: 10, Nodes: 3, Requests: 200, Changes: 1200},
+		Budgets: []Budget{{Heap.Name, 1 << 20}, {InForceP99.Name, 5000}}}
+}
+
+func TestRunMeasuresEachPoint(t *testing.T) {
+	for d, want := range map[Dimension][]Measure{
+		Servers: {DecisionCPU, DecisionP99, ListChangeCPU, StartCPU, Heap, Resident, ListBytes},
+		Tenants: {DecisionCPU, ConfigCPU, Heap, ConfigBytes},
+	} {
+		s := small(d, 10, 20, 40, 80, 160)
+		r, err := Run(t.Context(), s, Options{Most: 40})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := r.Sizes(); !slices.Equal(got, []int{10, 20, 40}) || r.Stopped != "" {
+			t.Errorf("%s: sizes %v, stopped %q", d, got, r.Stopped)
+		}
+		for _, m := range want {
+			for _, size := range r.Sizes() {
+				if v := r.Values(m, Hollow, size); len(v) != 1 || v[0] <= 0 {
+					t.Errorf("%s %d: %s: %v", d, size, m.Name, v)
+				}
+			}
+		}
+	}
+}
+
+func TestWatchersTakeEveryChange(t *testing.T) {
+	r, err := Run(t.Context(), small(Nodes, 1, 3, 4, 5, 6), Options{Most: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, size := range []int{1, 3} {
+		if missed := r.Values(ChangesMissed, Hollow, size); !slices.Equal(missed, []float64{0}) {
+			t.Errorf("%d nodes: %v changes missed", size, missed)
+		}
+		for _, m := range []Measure{InForceP50, InForceLast, ReceivedBytes, SentBytes, SentWrites, ReceivedReads, Heap, RegistryResident} {
+			if v := r.Values(m, Hollow, size); len(v) != 1 || v[0] <= 0 {
+				t.Errorf("%d nodes: %s: %v", size, m.Name, v)
+			}
+		}
+	}
+}
+
+func TestRunThatIsCalledOffKeepsWhatItHas(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(t.Context())
+	r, err := Run(ctx, small(Servers, 10, 20, 40, 80, 160), Options{Progress: func(p Progress) {
+		if p.Done == 2 {
+			cancel(errors.New("interrupted"))
+		}
+	}})
+	if err != nil || !slices.Equal(r.Sizes(), []int{10, 20}) || r.Stopped != "interrupted" {
+		t.Errorf("sizes %v, stopped %q, %v", r.Sizes(), r.Stopped, err)
+	}
+	r, err = Run(t.Context(), small(Servers, 10, 20, 40, 80, 160), Options{For: time.Nanosecond})
+	if err != nil || len(r.Measurements) > 0 || !strings.Contains(r.Stopped, "1ns") {
+		t.Errorf("out of time: %d measurements, stopped %q, %v", len(r.Measurements), r.Stopped, err)
+	}
+}
+
+func TestSeedMakesTheFleet(t *testing.T) {
+	list := func(seed uint64, run int) string {
+		f := newFleet(Held{Servers: 50, Tenants: 2, Nodes: 1}, t.TempDir(), seed, run)
+		return string(encodeList(1, true, f.servers()...))
+	}
+	if list(1, 1) != list(1, 1) {
+		t.Error("the same seed and run made another list")
+	}
+	if list(1, 1) == list(2, 1) || list(1, 1) == list(1, 2) {
+		t.Error("another seed or run made the same list")
+	}
+}
+
+func TestTrackerCountsEachChangeOfTheSpanAtEachNode(t *testing.T) {
+	c := newChangeTracker(2)
+	c.begin(5)
+	c.made(5)
+	c.made(6)
+	take := func(node int, kind policy.ListKind, changes ...int) {
+		l := policy.MemberList{Kind: kind}
+		for _, change := range changes {
+			l.Members = append(l.Members, policy.Member{Cell: changeCell(change)})
+		}
+		c.take(node, l)
+	}
+	take(0, policy.ListReplace, 4)
+	take(0, policy.ListUpdate, 4, 5, 6) // 4 was made before
+	take(1, policy.ListUpdate, 5)
+	if got, missed := c.times().TotalCount(), c.missed(); got != 3 || missed != 1 {
+		t.Errorf("%d in force, %d missed; want 3 and 1", got, missed)
+	}
+	take(1, policy.ListUpdate, 6)
+	if missed := c.missed(); missed != 0 {
+		t.Errorf("%d missed", missed)
+	}
+}
+
+func TestPlotShowsLawsAndBudget(t *testing.T) {
+	r := &Report{Scenario: small(Servers, 10, 20, 40, 80, 160)}
+	for _, size := range r.Scenario.Sizes {
+		for run := 1; run <= 3; run++ {
+			point := NewRecorder(string(Servers), size, run, Hollow)
+			point.Record(Heap, float64(1000+50*size+run))
+			point.Record(Refused, 0)
+			r.Measurements = append(r.Measurements, point.Measurements()...)
+		}
+	}
+	r.fit()
+	if len(r.Laws) != 1 || r.Laws[0].Law != Linear || r.Laws[0].Reaches < 10_000 {
+		t.Fatalf("laws %+v", r.Laws)
+	}
+	var svg bytes.Buffer
+	if err := r.WriteSVG(&svg); err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	for d := xml.NewDecoder(&svg); ; {
+		token, err := d.Token()
+		if errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		if data, ok := token.(xml.CharData); ok {
+			text.Write(data)
+		}
+	}
+	for _, want := range []string{"heap (hollow): linear", "budget", "target"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("the plot lacks %q", want)
+		}
+	}
+	if err := (&Report{}).WriteSVG(io.Discard); err == nil {
+		t.Error("a plot of nothing")
+	}
+}
--- /dev/null
+++ b/internal/scale/scenario.go
@@ -0,0 +1,241 @@
+package scale
+
+import (
+	"bytes"
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"math"
+	"os"
+	"path"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"sloerail/internal/lab"
+)
+
+// Dimension is what grows in a scenario while all else is held.
+type Dimension string
+
+// The dimensions that are measured.
+const (
+	Servers Dimension = "servers" // in the list that a node holds
+	Tenants Dimension = "tenants" // in a node's configuration
+	Nodes   Dimension = "nodes"   // that watch one replica of the list service
+	Changes Dimension = "changes" // of the list, a minute
+)
+
+// NotMeasured are the dimensions of which there is no run yet.
+var NotMeasured = []Dimension{"services", "routes", "restarts", "requests"}
+
+var measuredDimensions = []Dimension{Servers, Tenants, Nodes, Changes}
+
+const (
+	leastSizes = 5 // a slope is claimed of no fewer
+	mostSizes  = 16
+	mostRuns   = 20
+	longest    = time.Hour // that a whole scenario may take
+
+	mostHeldRequests = 100_000   // a second at one node
+	mostTenants      = 1_000_000 // a bound on what a scenario may ask for, beside the machine's memory
+	mostServers      = 1_000_000
+	mostWatchers     = 4000   // that one replica holds, and this process has sockets for
+	mostListed       = 10_000 // that the list service takes
+	mostRate         = 60_000 // changes a minute
+)
+
+// Scenario says what is measured and at which sizes.
+type Scenario struct {
+	Name      string       `toml:"name" json:"name"`
+	What      string       `toml:"what" json:"what"`
+	Dimension Dimension    `toml:"dimension" json:"dimension"`
+	Sizes     []int        `toml:"sizes" json:"sizes"`
+	Runs      int          `toml:"runs" json:"runs"`
+	Seed      uint64       `toml:"seed" json:"seed"`
+	For       lab.Duration `toml:"for" json:"for"`   // the whole scenario takes no longer
+	Span      lab.Duration `toml:"span" json:"span"` // of one point, where time has to pass
+	Held      Held         `toml:"held" json:"held"`
+	Target    float64      `toml:"target" json:"target"` // the size that the laws are reckoned for
+	Budgets   []Budget     `toml:"budgets" json:"budgets"`
+}
+
+// Held are the sizes that don't grow. The one that does is ignored.
+type Held struct {
+	Servers  int     `toml:"servers" json:"servers"`
+	Tenants  int     `toml:"tenants" json:"tenants"`
+	Nodes    int     `toml:"nodes" json:"nodes"`       // among whom quotas are divided; running ones where they watch
+	Requests float64 `toml:"requests" json:"requests"` // a second at a node
+	Changes  float64 `toml:"changes" json:"changes"`   // of the list, a minute
+}
+
+// Budget is what a measure may come to at the target.
+type Budget struct {
+	Measure string  `toml:"measure" json:"measure"`
+	Most    float64 `toml:"most" json:"most"`
+}
+
+//go:embed scenarios/*.toml
+var shipped embed.FS
+
+// Shipped are the names of the scenarios that come with the program.
+func Shipped() (all []string) {
+	files, err := fs.Glob(shipped, "scenarios/*.toml")
+	if err != nil { // the pattern is fixed
+		panic(err)
+	}
+	for _, f := range files {
+		all = append(all, strings.TrimSuffix(path.Base(f), ".toml"))
+	}
+	return all
+}
+
+// Read reads a scenario: one that comes with the program by its name, or a file.
+func Read(name string) (Scenario, error) {
+	if slices.Contains(NotMeasured, Dimension(name)) {
+		return Scenario{}, errNotMeasured(Dimension(name))
+	}
+	raw, err := shipped.ReadFile("scenarios/" + name + ".toml")
+	if err != nil {
+		if raw, err = os.ReadFile(name); errors.Is(err, fs.ErrNotExist) {
+			return Scenario{}, fmt.Errorf("scenario %q: no such file, nor one of %s", name, strings.Join(Shipped(), ", "))
+		}
+	}
+	if err != nil {
+		return Scenario{}, fmt.Errorf("scenario %q: %w", name, err)
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return Scenario{}, fmt.Errorf("scenario %q: %w", name, err)
+	}
+	return s, nil
+}
+
+// Parse reads a scenario strictly: a key that is misspelt would measure something else.
+func Parse(raw []byte) (Scenario, error) {
+	var s Scenario
+	d := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		var strict *toml.StrictMissingError
+		var bad *toml.DecodeError
+		switch {
+		case errors.As(err, &strict) && len(strict.Errors) > 0:
+			return s, fmt.Errorf("unknown key %s", strings.Join(strict.Errors[0].Key(), "."))
+		case errors.As(err, &bad) && len(bad.Key()) > 0:
+			return s, fmt.Errorf("%s: %w", strings.Join(bad.Key(), "."), err)
+		}
+		return s, err
+	}
+	return s, s.Check()
+}
+
+func errNotMeasured(d Dimension) error {
+	return fmt.Errorf("dimension: %s is not measured yet, of the dimensions there are %s", d, dimensions())
+}
+
+func dimensions() string {
+	var all []string
+	for _, d := range measuredDimensions {
+		all = append(all, string(d))
+	}
+	return strings.Join(all, ", ")
+}
+
+// Check says which key makes no sense.
+func (s *Scenario) Check() error {
+	if slices.Contains(NotMeasured, s.Dimension) {
+		return errNotMeasured(s.Dimension)
+	}
+	if !slices.Contains(measuredDimensions, s.Dimension) {
+		return fmt.Errorf("dimension: unknown, want one of %s, got %q", dimensions(), s.Dimension)
+	}
+	if err := s.checkSizes(); err != nil {
+		return err
+	}
+	switch {
+	case s.Name == "":
+		return errors.New("name: missing")
+	case s.Runs < 1 || s.Runs > mostRuns:
+		return fmt.Errorf("runs: want 1 to %d, got %d", mostRuns, s.Runs)
+	case s.For.Duration <= 0 || s.For.Duration > longest:
+		return fmt.Errorf("for: want more than 0 and up to %v, got %v", longest, s.For)
+	case s.timed() && (s.Span.Duration <= 0 || s.Span.Duration > s.For.Duration):
+		return fmt.Errorf("span: want more than 0 and up to for, %v, got %v", s.For, s.Span)
+	case math.IsNaN(s.Target) || math.IsInf(s.Target, 0) || s.Target < 0:
+		return fmt.Errorf("target: want 0 or more, got %v", s.Target)
+	}
+	if err := s.Held.check(s.Dimension); err != nil {
+		return fmt.Errorf("held.%w", err)
+	}
+	for i, b := range s.Budgets {
+		if !slices.ContainsFunc(Measures(), func(m Measure) bool { return m.Name == b.Measure }) {
+			return fmt.Errorf("budgets[%d].measure: there is no measure %q", i, b.Measure)
+		}
+		if !(b.Most > 0) || math.IsInf(b.Most, 0) {
+			return fmt.Errorf("budgets[%d].most: want more than 0, got %v", i, b.Most)
+		}
+	}
+	return nil
+}
+
+// timed tells whether time has to pass at a point.
+func (s *Scenario) timed() bool { return s.Dimension == Nodes || s.Dimension == Changes }
+
+func (s *Scenario) checkSizes() error {
+	if len(s.Sizes) < leastSizes || len(s.Sizes) > mostSizes {
+		return fmt.Errorf("sizes: want %d to %d, got %d", leastSizes, mostSizes, len(s.Sizes))
+	}
+	most := map[Dimension]int{Servers: mostServers, Tenants: mostTenants, Nodes: mostWatchers, Changes: mostRate}[s.Dimension]
+	for i, n := range s.Sizes {
+		switch {
+		case n < 1:
+			return fmt.Errorf("sizes[%d]: want 1 or more, got %d", i, n)
+		case i > 0 && n <= s.Sizes[i-1]:
+			return fmt.Errorf("sizes[%d]: want more than the one before, %d, got %d", i, s.Sizes[i-1], n)
+		case n > most:
+			return fmt.Errorf("sizes[%d]: want at most %d %s, got %d", i, most, s.Dimension, n)
+		}
+	}
+	return nil
+}
+
+// check says which held size makes no sense, leaving out the one that grows.
+func (h Held) check(grows Dimension) error {
+	watched := grows == Nodes || grows == Changes
+	listed := mostServers
+	if watched {
+		listed = mostListed
+	}
+	switch {
+	case grows != Servers && (h.Servers < 1 || h.Servers > listed):
+		return fmt.Errorf("servers: want 1 to %d, got %d", listed, h.Servers)
+	case grows != Tenants && (h.Tenants < 1 || h.Tenants > mostTenants):
+		return fmt.Errorf("tenants: want 1 to %d, got %d", mostTenants, h.Tenants)
+	case grows != Nodes && (h.Nodes < 1 || watched && h.Nodes > mostWatchers):
+		return fmt.Errorf("nodes: want 1 or more, and at most %d where they watch, got %d", mostWatchers, h.Nodes)
+	case grows == Nodes && !(h.Changes > 0 && h.Changes <= mostRate):
+		return fmt.Errorf("changes: want more than 0 and at most %d a minute, got %v", mostRate, h.Changes)
+	case !watched && !(h.Requests > 0 && h.Requests <= mostHeldRequests):
+		return fmt.Errorf("requests: want more than 0 and at most %d a second, got %v", mostHeldRequests, h.Requests)
+	}
+	return nil
+}
+
+// At is the scenario's held sizes with the one that grows set.
+func (s *Scenario) At(size int) Held {
+	h := s.Held
+	switch s.Dimension {
+	case Servers:
+		h.Servers = size
+	case Tenants:
+		h.Tenants = size
+	case Nodes:
+		h.Nodes = size
+	case Changes:
+		h.Changes = float64(size)
+	}
+	return h
+}
--- /dev/null
+++ b/internal/scale/scenario_test.go
@@ -0,0 +1,103 @@
+package scale
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const goodScenario = `
+name = "mine"
+dimension = "servers"
+sizes = [10, 20, 40, 80, 160]
+runs = 3
+seed = 7
+for = "1m"
+target = 1000
+[held]
+tenants = 5
+nodes = 2
+requests = 100
+[[budgets]]
+measure = "heap"
+most = 1000
+`
+
+func TestShippedScenariosAreGood(t *testing.T) {
+	for _, name := range Shipped() {
+		s, err := Read(name)
+		if err != nil {
+			t.Error(err)
+		} else if s.Name != name || s.Runs < 3 {
+			t.Errorf("%s: is named %q, %d runs", name, s.Name, s.Runs)
+		}
+	}
+}
+
+func TestBadScenariosNameTheKey(t *testing.T) {
+	if _, err := Parse([]byte(goodScenario)); err != nil {
+		t.Fatal(err)
+	}
+	for _, bad := range []struct{ was, is, says string }{
+		{"runs = 3", "runz = 3", "unknown key runz"},
+		{"tenants = 5", "tenant = 5", "unknown key held.tenant"},
+		{"runs = 3", "runs = 0", "runs:"},
+		{"runs = 3", `runs = "many"`, "runs:"},
+		{"[10, 20, 40, 80, 160]", "[10, 20, 40, 80]", "sizes: want 5"},
+		{"[10, 20, 40, 80, 160]", "[10, 20, 40, 40, 160]", "sizes[3]: want more"},
+		{"[10, 20, 40, 80, 160]", "[10, 20, 40, 30, 160]", "sizes[3]: want more"},
+		{"[10, 20, 40, 80, 160]", "[0, 20, 40, 80, 160]", "sizes[0]: want 1"},
+		{"[10, 20, 40, 80, 160]", "[-1, 20, 40, 80, 160]", "sizes[0]: want 1"},
+		{"[10, 20, 40, 80, 160]", "[10, 20, 40, 80, 2000000000]", "sizes[4]: want at most"},
+		{`"servers"`, `"routes"`, "dimension: routes is not measured yet"},
+		{`"servers"`, `"colours"`, "dimension: unknown"},
+		{`"servers"`, `"nodes"`, "span:"},
+		{"for = \"1m\"", "for = \"2h\"", "for:"},
+		{"for = \"1m\"", "", "for:"},
+		{"target = 1000", "target = -1", "target:"},
+		{"target = 1000", "target = nan", "target:"},
+		{"tenants = 5", "", "held.tenants:"},
+		{"nodes = 2", "nodes = 0", "held.nodes:"},
+		{"requests = 100", "requests = 0", "held.requests:"},
+		{"requests = 100", "requests = inf", "held.requests:"},
+		{`measure = "heap"`, `measure = "heat"`, "budgets[0].measure:"},
+		{"most = 1000", "most = 0", "budgets[0].most:"},
+		{`name = "mine"`, "", "name:"},
+	} {
+		_, err := Parse([]byte(strings.Replace(goodScenario, bad.was, bad.is, 1)))
+		if err == nil || !strings.HasPrefix(err.Error(), bad.says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v, want %q", bad.is, err, bad.says)
+		}
+	}
+}
+
+func TestReadOfAFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "mine.toml")
+	if err := os.WriteFile(path, []byte(goodScenario), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if s, err := Read(path); err != nil || s.Name != "mine" {
+		t.Errorf("got %q, %v", s.Name, err)
+	}
+	if _, err := Read("nowhere"); err == nil || !strings.Contains(err.Error(), "servers") {
+		t.Errorf("a name that is none: %v", err)
+	}
+	if _, err := Read("routes"); err == nil || !strings.Contains(err.Error(), "not measured yet") {
+		t.Errorf("a dimension that is not measured: %v", err)
+	}
+}
+
+func TestSizesBeyondTheMachine(t *testing.T) {
+	s, err := Parse([]byte(goodScenario))
+	if err != nil {
+		t.Fatal(err)
+	}
+	small := Machine{Memory: uint64(2*s.memoryAt(40)) + 1}
+	if err := s.checkMemory(s.Sizes, small); err == nil || !strings.HasPrefix(err.Error(), "sizes[3]:") {
+		t.Errorf("got %v, want the first size that is too large", err)
+	}
+	if err := s.checkMemory(s.Sizes[:3], small); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/scale/stepped.go
@@ -0,0 +1,175 @@
+package scale
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"sloerail/internal/node"
+	"sloerail/internal/registry"
+)
+
+const (
+	noDiscovery     = "127.0.0.1:9" // of a node that is stepped: its list client is never run
+	leastChanges    = 20            // of the list that are timed, at any size
+	preparedChanges = 400           // that are made ready beforehand, and come in turn
+	warmUpFor       = 2             // times the decisions that every server's kind needs to be known
+)
+
+// point is one size in one run, under way.
+type point struct {
+	scenario Scenario
+	held     Held
+	fleet    *fleet
+	record   *Recorder
+	run      int
+	dir      string
+}
+
+// steppedNode is a hollow node that one goroutine steps, with its list.
+type steppedNode struct {
+	*node.Hollow
+	path    string // of its configuration
+	entries []registry.Entry
+	began   float64 // the heap before there was anything of the node
+}
+
+// newStepped starts a node: configuration, then the list. What that takes is recorded.
+func (p *point) newStepped() (*steppedNode, error) {
+	s := &steppedNode{entries: p.fleet.servers()}
+	list := encodeList(1, true, s.entries...)
+	path, size, err := p.fleet.configuration(0, noDiscovery)
+	if err != nil {
+		return nil, err
+	}
+	s.path, s.began = path, heapInUse()
+	cpu := ownCPU()
+	config, err := load(path)
+	if err != nil {
+		return nil, err
+	}
+	if s.Hollow, err = node.NewHollow(config, nil); err != nil {
+		return nil, err
+	}
+	s.Restore()
+	if err := s.TakeList(list); err != nil {
+		return nil, err
+	}
+	p.record.Record(StartCPU, float64(ownCPU()-cpu))
+	p.record.Record(ListBytes, float64(len(list)))
+	p.record.Record(ConfigBytes, float64(size))
+	return s, nil
+}
+
+// recordMemory records what the node holds.
+func (p *point) recordMemory(s *steppedNode) error {
+	p.record.Record(Heap, heapInUse()-s.began)
+	resident, err := ownResident()
+	p.record.Record(Resident, resident)
+	runtime.KeepAlive(s)
+	return err
+}
+
+// recordDecisions times decisions, once the node knows its servers.
+func (p *point) recordDecisions(ctx context.Context, r *requests) error {
+	step := func() error {
+		r.next()
+		return nil
+	}
+	for range warmUpFor * leastTimed {
+		r.next()
+	}
+	r.asked, r.refused = 0, 0
+	t, err := timeSteps(ctx, leastTimed, step)
+	if err != nil {
+		return err
+	}
+	p.record.Record(DecisionCPU, t.cpuEach())
+	p.record.Record(DecisionP50, float64(t.each.ValueAtQuantile(50)))
+	p.record.Record(DecisionP99, float64(t.each.ValueAtQuantile(99)))
+	p.record.Record(DecisionRate, t.perSecond())
+	p.record.Record(Refused, 100*float64(r.refused)/float64(r.asked))
+	return nil
+}
+
+// recordListChanges times deltas of one server each: it drains, and is back.
+func (p *point) recordListChanges(ctx context.Context, s *steppedNode) error {
+	changes := make([][]byte, 0, preparedChanges)
+	for len(changes) < preparedChanges {
+		entry := s.entries[p.fleet.rng.IntN(len(s.entries))]
+		for _, phase := range []string{registry.Draining, registry.Up} {
+			entry.Phase = phase
+			changes = append(changes, encodeList(int64(2+len(changes)), false, entry))
+		}
+	}
+	next := 0
+	t, err := timeSteps(ctx, leastChanges, func() error {
+		change := changes[next%len(changes)]
+		next++
+		return s.TakeList(change)
+	})
+	if err != nil {
+		return err
+	}
+	p.record.Record(ListChangeCPU, t.cpuEach())
+	p.record.Record(ListChangeP99, float64(t.each.ValueAtQuantile(99)))
+	return nil
+}
+
+// measureServers measures a node by the servers in its list.
+func measureServers(ctx context.Context, p *point) error {
+	s, err := p.newStepped()
+	if err != nil {
+		return err
+	}
+	r := newRequests(s.Hollow, p.held, p.fleet.rng)
+	if err := p.recordDecisions(ctx, r); err != nil {
+		return err
+	}
+	r.finish()
+	if err := p.recordMemory(s); err != nil {
+		return err
+	}
+	return p.recordListChanges(ctx, s)
+}
+
+// measureTenants measures a node by the tenants in its configuration, each of which asks once before decisions are
+// timed.
+func measureTenants(ctx context.Context, p *point) error {
+	s, err := p.newStepped()
+	if err != nil {
+		return err
+	}
+	r := newRequests(s.Hollow, p.held, p.fleet.rng)
+	for i := range p.held.Tenants {
+		if i%timingCheck == 0 && ctx.Err() != nil {
+			return ctx.Err()
+		}
+		r.ask(tenantID(i))
+	}
+	if err := p.recordDecisions(ctx, r); err != nil {
+		return err
+	}
+	r.finish()
+	if err := p.recordMemory(s); err != nil {
+		return err
+	}
+	return p.recordReload(s)
+}
+
+// recordReload has the node read its configuration anew and take it.
+func (p *point) recordReload(s *steppedNode) error {
+	before, err := load(s.path)
+	if err != nil {
+		return err
+	}
+	cpu := ownCPU()
+	config, err := node.Reload(fromFile(s.path), before)
+	if err != nil {
+		return err
+	}
+	s.Reconfigure(config)
+	p.record.Record(ConfigCPU, float64(ownCPU()-cpu))
+	s.Advance(time.Millisecond)
+	return nil
+}
--- /dev/null
+++ b/internal/scale/tracker.go
@@ -0,0 +1,106 @@
+package scale
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sloerail/internal/rig"
+	"sloerail/policy"
+)
+
+// firstChangeCell is the cell by which an entry tells that a change was made, and its number. No server is in it.
+const firstChangeCell = 1 << 40
+
+func changeCell(change int) int64 { return firstChangeCell + int64(change) }
+
+// changeTracker follows changes of the list until each is in force at each node.
+type changeTracker struct {
+	nodes int
+
+	mu        sync.Mutex
+	listed    map[int]bool // nodes that have the whole list
+	first     int          // change that counts
+	began     []time.Time  // of each change that counts
+	inForce   int          // of all changes, at all nodes
+	histogram *hdrhistogram.Histogram
+	err       error
+}
+
+func newChangeTracker(nodes int) *changeTracker {
+	return &changeTracker{nodes: nodes, listed: make(map[int]bool), histogram: newHistogram()}
+}
+
+// begin says which change is the first that counts.
+func (c *changeTracker) begin(first int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.first = first
+}
+
+// made notes that a change is about to be made. They are made in order.
+func (c *changeTracker) made(int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.began = append(c.began, time.Now())
+}
+
+// take notes that a node has taken a list.
+func (c *changeTracker) take(node int, l policy.MemberList) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l.Kind == policy.ListReplace {
+		c.listed[node] = true
+	}
+	if l.Kind != policy.ListUpdate {
+		return
+	}
+	for _, m := range l.Members {
+		change := int(m.Cell-firstChangeCell) - c.first
+		if change < 0 || change >= len(c.began) {
+			continue
+		}
+		c.inForce++
+		if err := c.histogram.RecordValue(now.Sub(c.began[change]).Nanoseconds()); err != nil {
+			c.err = err
+		}
+	}
+}
+
+// awaitLists waits until all nodes have the whole list.
+func (c *changeTracker) awaitLists(ctx context.Context) error {
+	return rig.Await(ctx, "all nodes to have the list", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.listed) == c.nodes || c.err != nil
+	})
+}
+
+// missed counts the changes that are not in force at a node.
+func (c *changeTracker) missed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.began)*c.nodes - c.inForce
+}
+
+// times are those from each change to its being in force at each node.
+func (c *changeTracker) times() *hdrhistogram.Histogram {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return hdrhistogram.Import(c.histogram.Export())
+}
+
+func (c *changeTracker) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.err = err
+}
+
+func (c *changeTracker) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
