--- a/cmd/sloerail/main.go
+++ b/cmd/sloerail/main.go
@@ -33,7 +33,8 @@
 		SilenceUsage:  true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUse, err) })
-	root.AddCommand(newDemo(), newExperiment(), newMembers(), newPlaces(), newRegister(), newRegistry(), newSimulate(), newVersion())
+	root.AddCommand(newDemo(), newExperiment(), newMembers(), newPlaces(), newRegister(), newRegistry(), newScale(),
+		newSimulate(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/cmd/sloerail/scale_test.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"sloerail/internal/scale"
+)
+
+const tinyScenario = `
+name = "tiny"
+dimension = "servers"
+sizes = [5, 10, 20, 40, 80]
+runs = 1
+seed = 7
+for = "1m"
+target = 1000
+[held]
+tenants = 5
+nodes = 2
+requests = 100
+[[budgets]]
+measure = "heap"
+most = 100000000
+`
+
+func writeScenario(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "scenario.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// call runs the program.
+func call(ctx context.Context, args ...string) (status int, out, errs string) {
+	var o, e bytes.Buffer
+	status = run(ctx, args, &o, &e)
+	return status, o.String(), e.String()
+}
+
+func TestScaleRefusesBadUse(t *testing.T) {
+	mistyped := writeScenario(t, strings.Replace(tinyScenario, "runs", "runz", 1))
+	for _, bad := range []struct {
+		args []string
+		says string
+	}{
+		{[]string{"scale", "routes"}, "not measured yet"},
+		{[]string{"scale", "nowhere"}, "no such file"},
+		{[]string{"scale", mistyped}, "unknown key runz"},
+		{[]string{"scale", "servers", "--for", "-1s"}, "for, most"},
+		{[]string{"scale", "servers", "--fro", "1s"}, "unknown flag"},
+	} {
+		status, out, errs := call(t.Context(), bad.args...)
+		if status != 2 || out != "" || !strings.Contains(errs, bad.says) {
+			t.Errorf("%v: status %d, %q", bad.args, status, errs)
+		}
+	}
+}
+
+func TestScaleShowsWhatItMeasured(t *testing.T) {
+	path, plot := writeScenario(t, tinyScenario), filepath.Join(t.TempDir(), "plot.svg")
+	status, out, errs := call(t.Context(), "scale", path, "--seed", "9", "--plot", plot)
+	if status != 0 {
+		t.Fatalf("status %d, %s", status, errs)
+	}
+	for _, want := range []string{"seed 9", "decision CPU", "whole list", "linear", "dimensions not measured: services"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("the output lacks %q:\n%s", want, out)
+		}
+	}
+	if svg, err := os.ReadFile(plot); err != nil || !bytes.Contains(svg, []byte("<svg")) {
+		t.Errorf("the plot: %v", err)
+	}
+	if !strings.Contains(errs, "5 of 5: servers 80, run 1") {
+		t.Errorf("progress: %s", errs)
+	}
+}
+
+func TestScaleThatIsCalledOffShowsWhatItHas(t *testing.T) {
+	path := writeScenario(t, tinyScenario)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	status, out, errs := call(ctx, "scale", path, "--json")
+	var r scale.Report
+	if err := json.Unmarshal([]byte(out), &r); err != nil {
+		t.Fatal(err)
+	}
+	if status != 1 || r.Stopped == "" || !strings.Contains(errs, "stopped") {
+		t.Errorf("status %d, stopped %q, %s", status, r.Stopped, errs)
+	}
+}
+
+func TestScaleListsItsScenarios(t *testing.T) {
+	status, out, _ := call(t.Context(), "scale")
+	if status != 0 || !strings.Contains(out, "tenants") || !strings.Contains(out, "routes     not measured yet") {
+		t.Errorf("status %d:\n%s", status, out)
+	}
+}
