Measure a decision and a list change of the module at 100 to 50,000 servers

The benchmarks play a request with its outcome, and one server's change in the list, for one node, for many nodes, and for many nodes with load reports; one server in a hundred is cold, and where zones are named two classes are bound.

--- /dev/null
+++ b/policy/bench_test.go
@@ -0,0 +1,118 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// benchSizes are the numbers of servers at which the cost of a decision and of a list change is measured.
+var benchSizes = []int{100, 1000, 10000, 50000}
+
+// benchSite is one way in which a deployment is set up, as far as it matters to the cost of a decision.
+type benchSite struct {
+	name  string
+	nodes int
+	told  bool // servers report their load
+	zones bool // the settings name places, and two classes are bound to some of the servers
+}
+
+var benchSites = []benchSite{
+	{name: "one-node", nodes: 1},
+	{name: "many-nodes", nodes: 300, zones: true},
+	{name: "many-nodes-reports", nodes: 300, told: true, zones: true},
+}
+
+func (s benchSite) settings() Settings {
+	set := site(s.nodes)
+	set.Tenants = []Tenant{{Name: "t", Quota: 1e9}}
+	if s.told {
+		set.Report = []string{reportLatency, reportUtil, reportRate}
+	}
+	if s.zones {
+		set.Places = &Places{Region: map[string]string{"a": "north", "b": "north"}, SameRegion: 1, OtherRegion: 3}
+		set.Classes[1].Kinds = []string{"k1", "k2"}
+		set.Classes[2].Zones = []string{"b"}
+	}
+	return set
+}
+
+// benchMembers are n servers of which one in a hundred is cold for the time of the benchmark.
+func benchMembers(n int, now Time) []Member {
+	list := make([]Member, 0, n)
+	for i := range n {
+		m := Member{Server: fmt.Sprintf("s%06d", i), Zone: []string{"a", "b"}[i%2], Kind: fmt.Sprint("k", i%3),
+			Cell: int64(i % 4), Weight: 1}
+		if i%100 == 99 {
+			m.OnlineSince = now
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+const benchStart = time.Hour // on the clock of the node: no server is young by chance
+
+func benchBalancer(tb testing.TB, s benchSite, servers int) *Balancer {
+	tb.Helper()
+	b, err := New(s.settings(), benchStart, 1)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	b.Handle(benchStart, MemberList{Kind: ListRestored, Members: benchMembers(servers, benchStart)})
+	return b
+}
+
+// decide has one request decided on and answered, and returns how many attempts it took.
+func decide(b *Balancer, now Time, id string, classes []string, load []float64) (sent int) {
+	r := Request{ID: id, Class: classes[int(now/ms)%len(classes)], Tenant: "t", ExpiresIn: 600 * ms}
+	for _, a := range b.Handle(now, r) {
+		if a.Kind == Send {
+			sent++
+			b.Handle(now+ms/2, Outcome{ID: id, Server: a.Server, Code: OK, Latency: 20 * ms, Ended: true, Report: load})
+		}
+	}
+	return sent
+}
+
+func forEachBenchSite(b *testing.B, run func(b *testing.B, s benchSite, servers int)) {
+	for _, s := range benchSites {
+		for _, n := range benchSizes {
+			b.Run(fmt.Sprintf("%s/servers=%d", s.name, n), func(b *testing.B) { run(b, s, n) })
+		}
+	}
+}
+
+// BenchmarkDecision is a request, the choice of its server, and the outcome.
+func BenchmarkDecision(b *testing.B) {
+	forEachBenchSite(b, func(b *testing.B, s benchSite, servers int) {
+		balancer := benchBalancer(b, s, servers)
+		classes := []string{"free", "once", "all"}
+		load := report(20, 0.5, 10)
+		now, sent, asked := benchStart, 0, 0
+		for b.Loop() {
+			now += ms
+			asked++
+			sent += decide(balancer, now, "r", classes, load)
+		}
+		if sent < asked/2 {
+			b.Fatalf("%d of %d requests were sent on", sent, asked)
+		}
+	})
+}
+
+// BenchmarkListChange is one server's change in the list: it drains, or is back.
+func BenchmarkListChange(b *testing.B) {
+	forEachBenchSite(b, func(b *testing.B, s benchSite, servers int) {
+		balancer := benchBalancer(b, s, servers)
+		list := benchMembers(servers, benchStart)
+		now, i := benchStart, 0
+		for b.Loop() {
+			now += ms
+			m := &list[i/2*7919%servers] // steps of a prime, so that changes lie anywhere in the order
+			m.Availability = []Availability{Draining, Running}[i%2]
+			balancer.Handle(now, MemberList{Kind: ListUpdate, Members: []Member{*m}})
+			i++
+		}
+	})
+}
