Keep the packing order and the sums over servers by difference

Cause: each request walked all servers for the count of warm ones (warmth), each outcome for the faults of the others (blame), each ejection for the counts of ejected ones (countEjected), each ill answer for the evidence against its place (weigh), and each change of the list sorted all anew (reorder, place). Change: pools.go keeps the order in segments of one cost sorted by id, with where this node's walk of each begins; a change is a binary search in each pool of the server. sums.go counts what a server adds to each sum, in whole units of 2^-40 where it is no count, so that what comes and goes leaves nothing behind; what time alone changes (a server warms up, evidence grows old) stands in heaps by its moment. A trial looks at ejected servers alone, but where load reports end the walk at the first server with room. All is made anew after settings, a change in the number of nodes, or of a quarter of the servers. Not changed: a choice still walks from the front past servers that are full, and all of them where none has room; so does the try of a left place, and the draw of places while one is in trouble. Exceptions by design: sums in units of 2^-40, and beyond 1,024 zones, which aren't judged, a place keeps its share between lists.

--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -52,7 +52,7 @@
 	if nodes == b.fleet.agreed {
 		return
 	}
-	b.fleet.agreed, b.set.Nodes = nodes, nodes
+	b.fleet.agreed, b.set.Nodes, b.stale = nodes, nodes, true
 	b.divide()
 	b.reorder()
 }
--- a/policy/load_test.go
+++ b/policy/load_test.go
@@ -52,7 +52,7 @@
 // they aren't and the node had no room; room that nobody wanted moves nothing.
 func TestWindowFollowsTheBusyPart(t *testing.T) {
 	b := fleet(t, 40, members(40))
-	s, first := b.order[0], b.window()
+	s, first := b.order()[0], b.window()
 	hears(b, s, 30, report(100, 0.3, 10))
 	if b.window() != first {
 		t.Errorf("the window went from %v to %v though it was never full", first, b.window())
@@ -100,10 +100,10 @@
 // trials of many nodes would take from it. So none is tried that lies behind a server with room.
 func TestChokedServerRests(t *testing.T) {
 	b := fleet(t, 40, members(12))
-	for _, s := range b.order {
+	for _, s := range b.order() {
 		hears(b, s, 3, report(100, 0.5, 10))
 	}
-	first, last := b.order[0], b.order[11]
+	first, last := b.order()[0], b.order()[11]
 	hears(b, first, 1, report(900, 1, 3))
 	hears(b, last, 1, report(900, 1, 3))
 	if !first.health.out || !last.health.out {
@@ -121,7 +121,7 @@
 // What can't be a load report moves nothing, and neither does the report of an idle server.
 func TestRubbishReportsMoveNothing(t *testing.T) {
 	b := fleet(t, 40, members(12))
-	s := b.order[0]
+	s := b.order()[0]
 	hears(b, s, 3, report(100, 0.5, 10))
 	limit, window := b.limit(s), b.window()
 	nan, inf := math.NaN(), math.Inf(1)
@@ -186,7 +186,7 @@
 // it is likely worked off, the server is left alone, or all nodes' next attempts choke it.
 func TestServerThatLetAnAttemptTimeOutIsLeftAlone(t *testing.T) {
 	b := fleet(t, 40, members(12))
-	first := b.order[0]
+	first := b.order()[0]
 	b.now += 5 * seconds(first.latency)
 	if s := sentTo(t, b.Handle(b.now, ask("a", "free"))); s != first.Server {
 		t.Fatalf("sent to %s, want %s", s, first.Server)
@@ -208,7 +208,7 @@
 // and what it once said of itself is forgotten.
 func TestSlowServersGetOnlyWhatCanWait(t *testing.T) {
 	b := fleet(t, 40, members(12))
-	s := b.order[0]
+	s := b.order()[0]
 	hears(b, s, 5, report(50, 0.5, 10))
 	short := &request{class: b.ranked[0], worthTo: b.now + 200*ms}
 	long := &request{class: b.ranked[0], worthTo: b.now + 2000*ms}
@@ -233,13 +233,13 @@
 // A choked or cold server is busy whatever the node does; that says nothing of the room at the others.
 func TestWindowDoesNotFollowChokedOrColdServers(t *testing.T) {
 	b := fleet(t, 40, members(12))
-	for _, s := range b.order {
+	for _, s := range b.order() {
 		hears(b, s, 3, report(100, 0.5, 10))
 	}
 	was := b.window()
-	b.order[1].OnlineSince = b.now
-	hears(b, b.order[0], 20, report(900, 1, 3))
-	hears(b, b.order[1], 20, report(100, 1, 3))
+	b.order()[1].OnlineSince = b.now
+	hears(b, b.order()[0], 20, report(900, 1, 3))
+	hears(b, b.order()[1], 20, report(100, 1, 3))
 	if trust := b.window() / b.warmth() * 12 / was; trust < 0.99 {
 		t.Errorf("the window fell to %v of what it was", trust)
 	}
@@ -271,11 +271,11 @@
 // all. Single reports, taken by themselves, moved the window down more than up.
 func TestWindowFollowsTheMeanOfReports(t *testing.T) {
 	b := fleet(t, 40, members(12))
-	hears(b, b.order[0], 5, report(100, 0.5, 10))
+	hears(b, b.order()[0], 5, report(100, 0.5, 10))
 	was := b.window()
 	for i := range 60 {
 		b.wanted = true
-		hears(b, b.order[0], 1, report(100, []float64{0.4, 1}[i%2], 10))
+		hears(b, b.order()[0], 1, report(100, []float64{0.4, 1}[i%2], 10))
 	}
 	if b.window() < was {
 		t.Errorf("the window fell from %v to %v at servers that are 0.7 busy", was, b.window())
--- a/policy/places.go
+++ b/policy/places.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -60,7 +59,7 @@
 	if ill == 0 {
 		step = math.Log((1 - usual - illMore) / (1 - usual))
 	}
-	s.doubt, s.judged = max(-wellMost, min(illMost, s.doubt+step)), b.now
+	b.recordDoubt(s, max(-wellMost, min(illMost, s.doubt+step)))
 	if p.left() {
 		b.scouted(p, ill > 0)
 	} else if ill > 0 || p.share < 1 {
@@ -101,15 +100,10 @@
 // weigh sums what the servers of p say of it. What is left of that without any one kind has to speak against
 // the place too, where it has several.
 func (b *Balancer) weigh(p *place, ill bool) {
-	sum, kinds := 0.0, make(map[string]float64)
-	for _, s := range b.order {
-		if s.place == p && b.now-s.judged <= doubtSpan {
-			sum += s.doubt
-			kinds[s.Kind] += s.doubt
-		}
-	}
+	b.expireDoubts()
+	sum, kinds := p.doubts.float(), p.doubtsByKind
 	for _, of := range kinds {
-		if len(kinds) > 1 && sum-of <= 0 {
+		if len(kinds) > 1 && p.doubts <= of.sum {
 			sum = 0
 		}
 	}
@@ -165,7 +159,7 @@
 			continue
 		}
 		var next *server
-		for _, s := range r.class.open.order {
+		for s := range r.class.open.all {
 			if s.place == p && r.class.Repeat >= s.safest && s.out() == 0 && !s.health.trialOut &&
 				b.coldRoom(s) && (next == nil || s.lastSend < next.lastSend) {
 				next = s
@@ -192,11 +186,7 @@
 func (b *Balancer) comeBack(p *place) {
 	p.until, p.share, p.returning, p.grown, b.troubled = 0, shareFirst, true, b.now, true
 	p.growth = min(growMost, growFirst<<min(max(0, p.times-1), 8))
-	for _, s := range b.order {
-		if s.place == p {
-			s.doubt = min(s.doubt, 0)
-		}
-	}
+	b.clearDoubts(p)
 	b.tell("place %s is well again: its share grows e-fold in %v", p.zone, p.growth)
 }
 
@@ -223,7 +213,7 @@
 		p.shut = p.share < 1 && (len(r.attempts) > 0 || b.rng.Float64() >= p.share)
 		b.troubled = b.troubled || p.share < 1
 	}
-	if !slices.ContainsFunc(r.class.open.order, func(s *server) bool { return !s.place.shut }) {
+	if !r.class.open.contains(func(s *server) bool { return !s.place.shut }) {
 		for _, p := range b.places {
 			p.shut = false
 		}
@@ -234,11 +224,13 @@
 // may cross to it beside, each by one.
 func (b *Balancer) parts(s *server) float64 {
 	if s.place != nil && s.place.cost == 0 {
-		return float64(b.set.Nodes) / b.near
+		return b.partsNear()
 	}
 	return 1
 }
 
+func (b *Balancer) partsNear() float64 { return float64(b.set.Nodes) / b.near }
+
 // countNear works out how many nodes fill the servers near this one: as membership has it, or an even part.
 func (b *Balancer) countNear() {
 	nodes := float64(b.set.Nodes)
@@ -251,18 +243,15 @@
 // them: that is more often the list's fault than theirs. They are let go unless it names them again, well
 // within the grace of the third rule. A place that comes back so does by its small share first.
 func (b *Balancer) ease(gone []*server) {
-	zones := make(map[string]int) // those that stay less those that go
-	for _, s := range b.order {
-		zones[s.Zone]++
-	}
+	leaving := make(map[string]int)
 	for _, s := range gone {
 		if s.Availability == Running {
-			zones[s.Zone] -= 2
+			leaving[s.Zone]++
 		}
 	}
 	for _, s := range gone {
-		if !b.set.EaseLists || zones[s.Zone] >= 0 || s.Availability != Running {
-			delete(b.servers, s.Server)
+		if !b.set.EaseLists || b.zones[s.Zone] >= 2*leaving[s.Zone] || s.Availability != Running {
+			b.drop(s)
 		} else if s.gone == 0 {
 			s.gone = b.now
 			b.do(Action{Kind: SetTimer, Wait: b.easeFor, Token: easeToken})
@@ -272,9 +261,9 @@
 
 // letGo drops the servers that the list has taken away for as long as it is eased.
 func (b *Balancer) letGo() {
-	for id, s := range b.servers {
+	for _, s := range b.servers {
 		if s.gone > 0 && b.now-s.gone >= b.easeFor {
-			delete(b.servers, id)
+			b.drop(s)
 			if s.place != nil {
 				s.place.vanished = true
 			}
--- a/policy/places_test.go
+++ b/policy/places_test.go
@@ -84,7 +84,7 @@
 		t.Error("named again in time, a server is not as before")
 	}
 	b.Handle(3*time.Second, gone(ListUpdate, 4, Draining))
-	for _, s := range b.order {
+	for _, s := range b.order() {
 		if s.Zone == "a" {
 			t.Errorf("%s drains and is still in use", s.Server)
 		}
@@ -103,7 +103,7 @@
 		set.Places.Costs = costs
 		b := start(t, set, zoned(1, "c", "b", "a"))
 		got := ""
-		for _, s := range b.order {
+		for _, s := range b.order() {
 			got += s.Zone
 		}
 		if want == "a(bc)" { // of one cost: by id
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,7 +4,6 @@
 package policy
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -216,7 +215,7 @@
 	crowd, most := b.crowd(), b.crowdMost(r.class)
 	b.choosePlaces(r)
 	var least *server
-	for _, s := range r.class.open.order {
+	for s := range r.class.open.all {
 		if !b.usable(r, s) {
 			continue
 		}
@@ -526,8 +525,6 @@
 		b.giveUp(r)
 		return
 	}
-	b.keepWarmth(true)
-	defer b.keepWarmth(false)
 	s := b.trial(r)
 	if s == nil {
 		s = b.scout(r)
@@ -738,14 +735,11 @@
 // network resets them, would leave no server a threshold and eject as many as may be.
 func (b *Balancer) blame(s *server, code Code) float64 {
 	fault := code == Reset || code == ConnectFailed // an error is a server's own
-	if track(&s.faults, faultGain, fault); !fault || len(b.order) < 2 {
+	others := b.trackFaults(s, fault)
+	if !fault || b.length < 2 {
 		return 1
 	}
-	others := -s.faults
-	for _, o := range b.order {
-		others += o.faults
-	}
-	return max(0, 1-faultTimes*max(0, others)/float64(len(b.order)-1)/s.faults)
+	return max(0, 1-faultTimes*max(0, others)/float64(b.length-1)/s.faults)
 }
 
 // judge moves the breaker of an attempt's server by its outcome.
@@ -755,7 +749,7 @@
 	case h.out && a.trial && code == OK:
 		if h.trials++; h.trials >= trialsNeeded {
 			*h, s.threshold = health{}, b.start()
-			b.countEjected()
+			b.countEjected(s)
 		}
 	case h.out && a.trial: // full too: a hung server turns away what it has no room for
 		b.eject(s)
@@ -781,7 +775,7 @@
 // to are not all taken out while the fleet as a whole looks well.
 func (b *Balancer) mayEject(s *server) bool {
 	for _, c := range b.ranked {
-		if c.permits(s) && float64(c.open.ejected+1) > maxEjected*float64(len(c.open.order)) {
+		if c.permits(s) && float64(c.open.ejected+1) > maxEjected*float64(c.open.length) {
 			return false
 		}
 	}
@@ -792,17 +786,16 @@
 	h := &s.health
 	span := min(ejectMost, ejectFirst<<min(h.times, 10))
 	h.out, h.until, h.trials, h.times = true, b.now+span, 0, h.times+1
-	b.countEjected()
+	b.countEjected(s)
 }
 
 // trial returns an ejected server whose time is up, if r can safely try it out: of the classes that
 // the server is open to, one that may be repeated most freely.
 func (b *Balancer) trial(r *request) *server {
-	open := r.class.open
-	if open.ejected == 0 || len(r.attempts) > 0 {
+	if r.class.open.ejected == 0 || len(r.attempts) > 0 {
 		return nil
 	}
-	for _, s := range open.order {
+	for s := range b.trialWalk(r.class) {
 		h := &s.health
 		if h.out && !h.trialOut && b.now >= h.until && !s.place.left() && r.class.Repeat >= s.safest &&
 			b.coldRoom(s) {
@@ -831,7 +824,7 @@
 	if part >= 1 || b.ceded {
 		return part >= 1
 	}
-	mean := b.doneRate() / float64(max(1, len(b.order)))
+	mean := b.doneRate() / float64(max(1, b.length))
 	if k := b.kinds[s.Kind]; k != nil {
 		mean = k.rate / float64(b.set.Nodes)
 		part = max(part, min(1, utilAim*s.rate/k.rate))
@@ -876,62 +869,42 @@
 	default:
 		b.listFails = 0
 	}
-	named := make(map[string]bool, len(e.Members))
 	var gone []*server
 	for _, m := range e.Members {
 		if s := b.servers[m.Server]; m.Availability != Removed {
-			named[m.Server] = true
 			b.listed(m)
 		} else if s != nil {
 			gone = append(gone, s)
 		}
 	}
-	for id, s := range b.servers { // what a full list lacks is gone
-		if e.Kind != ListUpdate && !named[id] {
-			gone = append(gone, s)
-		}
+	if e.Kind != ListUpdate { // what a whole list lacks is gone
+		gone = append(gone, b.missing(e.Members)...)
 	}
 	b.ease(gone)
 	b.reorder()
 	b.release()
 }
 
-// reorder rebuilds the packing order: by what crossing costs, then by id. Draining servers are left out.
+// reorder follows the list: servers are walked by what crossing costs, then by id, and draining ones aren't.
 func (b *Balancer) reorder() {
-	parts := make(map[float64][]*server) // by what crossing to them costs
-	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
-		s := b.servers[id]
-		if s.place = b.placeOf(s.Zone); s.Availability == Running {
-			cost := b.crossing(s)
-			parts[cost] = append(parts[cost], s)
-		}
-	}
-	b.countNear()
-	b.order = nil
-	for _, cost := range slices.Sorted(maps.Keys(parts)) {
-		b.order = append(b.order, b.stagger(parts[cost])...)
-	}
-	b.place()
-	for _, s := range b.order {
+	for _, s := range b.realign() {
 		if s.threshold == 0 {
 			s.threshold = b.start()
 			s.lastSend = b.now - seconds(b.rng.Float64()*s.latency/s.threshold)
 		}
 	}
-	b.countEjected()
 }
 
 func (b *Balancer) staggered() bool { return b.set.Nodes > manyNodes }
 
-// stagger turns a part of the order so that this node's walk begins at its own place in it, where
-// nodes are many. Steps of the golden ratio lie evenly whichever of the nodes share a zone.
-func (b *Balancer) stagger(part []*server) []*server {
+// walkStart is where this node's walk of n servers of one cost begins: at its own place, where they are many.
+// Steps of the golden ratio lie evenly whichever of the nodes share a zone.
+func (b *Balancer) walkStart(n int) int {
 	if !b.staggered() {
-		return part
+		return 0
 	}
 	_, at := math.Modf(float64(b.set.Node) / math.Phi)
-	k := int(at * float64(len(part)))
-	return slices.Concat(part[k:], part[:k])
+	return int(at * float64(n))
 }
 
 // ---- Replacement: two processes as one node ----
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -39,3 +40,6 @@
 		}
 	}
 }
+
+// order is the pool's servers in packing order.
+func (p *pool) order() []*server { return slices.Collect(p.all) }
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -190,7 +190,7 @@
 
 func TestPacksOwnZoneInIDOrderThenSpills(t *testing.T) {
 	b := start(t, site(1), members(4))
-	for _, s := range b.order {
+	for _, s := range b.order() {
 		s.threshold = 1
 	}
 	var got []string
@@ -352,7 +352,7 @@
 // A request that is held for long tells once that servers had no room, not at each look.
 func TestHeldRequestMovesTheRatesOnce(t *testing.T) {
 	b := start(t, site(1), members(1))
-	s := b.order[0]
+	s := b.order()[0]
 	s.threshold, s.felt, s.inflight = 1, true, 3
 	b.Handle(ms, ask("x", "free"))
 	was := b.pace
@@ -371,7 +371,7 @@
 		set := site(6)
 		set.Node = n
 		b := start(t, set, members(24))
-		firsts[b.order[0].Server] = true
+		firsts[b.order()[0].Server] = true
 	}
 	if len(firsts) < 5 {
 		t.Errorf("6 nodes begin at only %d servers", len(firsts))
@@ -419,7 +419,7 @@
 		t.Errorf("with good answers the scale is %v, want %v", b.pace, paceMost)
 	}
 	for range 20 {
-		b.learn(b.order[0], b.ranked[0], TimedOut, ms, 1)
+		b.learn(b.order()[0], b.ranked[0], TimedOut, ms, 1)
 	}
 	grow()
 	if b.pace > paceShare*(1+paceGrow) {
@@ -434,7 +434,7 @@
 		set.Rules.FallMultiple, set.Rules.ColdShare, set.Rules.ColdFor = multiple, 0.5, time.Hour
 		b := start(t, set, members(1))
 		b.done, b.doneAt, b.now = 100, time.Second, time.Second // a hundred answers a second at one server
-		s := b.order[0]
+		s := b.order()[0]
 		s.OnlineSince = b.now
 		s.cold = coldBudget{last: b.now - 10*ms}
 		b.coldRoom(s)
@@ -449,7 +449,7 @@
 func TestStartIsSharedByFewNodes(t *testing.T) {
 	for nodes := 1; nodes <= manyNodes; nodes++ {
 		b := start(t, site(nodes), members(4))
-		if all := b.order[0].threshold * float64(nodes); math.Abs(all-startFew) > 1e-9 {
+		if all := b.order()[0].threshold * float64(nodes); math.Abs(all-startFew) > 1e-9 {
 			t.Errorf("%d nodes: %v attempts in all, want %v", nodes, all, startFew)
 		}
 	}
@@ -488,7 +488,7 @@
 // for about as long as it was served, and a threshold that still grew would do so until servers choke.
 func TestWaitsAsLongAsTheWorkLowerTheThreshold(t *testing.T) {
 	b := start(t, site(1), members(2))
-	s, c := b.order[0], b.ranked[0]
+	s, c := b.order()[0], b.ranked[0]
 	for _, v := range []struct {
 		part float64 // of the aim
 		grow bool
@@ -507,7 +507,7 @@
 	set := site(1)
 	set.Classes[0].Worth, set.Classes[1].Worth = 1, 5
 	b := start(t, set, members(2))
-	for _, s := range b.order {
+	for _, s := range b.order() {
 		s.threshold, s.felt, s.inflight = 10, true, 12
 	}
 	if sent := of(b.Handle(ms, ask("cheap", "free")), Send); len(sent) != 0 {
@@ -516,7 +516,7 @@
 	if sent := of(b.Handle(ms, ask("dear", "once")), Send); len(sent) != 1 {
 		t.Errorf("the dearest class is not sent, though servers are little over the threshold")
 	}
-	for _, s := range b.order {
+	for _, s := range b.order() {
 		s.inflight = int(crowdLimit * 10)
 	}
 	if sent := of(b.Handle(ms, ask("late", "once")), Send); len(sent) != 0 {
@@ -672,11 +672,11 @@
 func TestFaultsEverywhereBlameNobody(t *testing.T) {
 	drive := func(part func(s *server) float64) *Balancer {
 		b := start(t, site(1), members(10))
-		for _, s := range b.order {
+		for _, s := range b.order() {
 			s.threshold = 10
 		}
 		for i := range 2000 {
-			s := b.order[i%len(b.order)]
+			s := b.order()[i%len(b.order())]
 			b.now += ms
 			code := OK
 			if b.rng.Float64() < part(s) {
@@ -694,7 +694,7 @@
 		if b.pool.ejected > 1 {
 			t.Errorf("%s resets everywhere: %d of 10 servers are ejected", name, b.pool.ejected)
 		}
-		for _, s := range b.order {
+		for _, s := range b.order() {
 			if s.threshold < 8 {
 				t.Errorf("%s resets everywhere: threshold %.1f of 10", name, s.threshold)
 			}
@@ -711,11 +711,11 @@
 	}
 	for _, code := range []Code{Reset, ConnectFailed, ServerError} {
 		b := start(t, site(1), members(10))
-		if got := b.blame(b.order[0], code); got != 1 {
+		if got := b.blame(b.order()[0], code); got != 1 {
 			t.Errorf("a lone fault (%v) counts %v", code, got)
 		}
 	}
-	if b := start(t, site(1), members(1)); b.blame(b.order[0], Reset) != 1 {
+	if b := start(t, site(1), members(1)); b.blame(b.order()[0], Reset) != 1 {
 		t.Error("the only server is not blamed")
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -14,53 +14,61 @@
 
 // Balancer is one node's decisions. It isn't safe for concurrent use. Make one with New.
 type Balancer struct {
-	set       Settings
-	now       Time
-	rng       *rand.Rand
-	out       []Action
-	classes   map[string]*class
-	former    map[string]*class // as they were before the last settings
-	lanes     map[string]*lane  // of all classes ever named,
-	watches   []*lane           // and in the order of their timers
-	tenants   map[string]Limit
-	ranked    []*class // in the order of the settings
-	other     *Limit   // for tenants without a quota; nil: no limit
-	buckets   map[bucketKey]*bucket
-	pace      float64          // scale of all bucket rates
-	dearest   float64          // the most that a class is worth
-	kinds     map[string]*load // what the warm servers of a kind report on average
-	usual     load             // and all warm servers
-	inflight  int              // attempts out at warm servers
-	beside    int              // and those of the node's other process
-	reports   [3]int           // where latency, busy part and rate stand in a report; -1 where they don't
-	busy      float64          // how busy warm servers are by their last reports
-	heardAt   Time             // when the last of those came
-	wanted    bool             // a choice found no room since then
-	trust     float64          // scale of this node's window
-	refused   bool             // a bucket refused since the last choice
-	listFails int              // calls for the list that failed in a row
-	servers   map[string]*server
-	pool          // all servers in service
-	avoided   int // listed servers that drain or are ejected
-	reqs      map[string]*request
-	held      []*request // waiting for a usable server, oldest first
-	holding   bool       // the hold timer is set
-	budget    Budget     // of attempts beyond the first of each request
-	took      []Time     // requests taken in the span of the budget of attempts, oldest first
-	extra     []Time     // attempts beyond a request's first in it
-	done      float64    // answers a second, as of doneAt
-	doneAt    Time
-	ceded     bool // another process of this node has taken over
-	fleet     presence
-	bad       float64       // part of bad answers lately,
-	lost      float64       // and of time-outs and full answers, where nothing is reported
-	starved   float64       // part of the dearest requests lately that found no room
-	places    []*place      // in order of their zones; none where the settings name none
-	troubled  bool          // one of them has less than its whole share,
-	lookFrom  Time          // and since when they are compared
-	easeFor   time.Duration // that servers are kept which a list takes away in a mass
-	near      float64       // nodes near this one, itself included; 0 where not known
-	warm      float64       // the warm servers, while a choice is made; below 0 else
+	set            Settings
+	now            Time
+	rng            *rand.Rand
+	out            []Action
+	classes        map[string]*class
+	former         map[string]*class // as they were before the last settings
+	lanes          map[string]*lane  // of all classes ever named,
+	watches        []*lane           // and in the order of their timers
+	tenants        map[string]Limit
+	ranked         []*class // in the order of the settings
+	other          *Limit   // for tenants without a quota; nil: no limit
+	buckets        map[bucketKey]*bucket
+	pace           float64          // scale of all bucket rates
+	dearest        float64          // the most that a class is worth
+	kinds          map[string]*load // what the warm servers of a kind report on average
+	usual          load             // and all warm servers
+	inflight       int              // attempts out at warm servers
+	beside         int              // and those of the node's other process
+	reports        [3]int           // where latency, busy part and rate stand in a report; -1 where they don't
+	busy           float64          // how busy warm servers are by their last reports
+	heardAt        Time             // when the last of those came
+	wanted         bool             // a choice found no room since then
+	trust          float64          // scale of this node's window
+	refused        bool             // a bucket refused since the last choice
+	listFails      int              // calls for the list that failed in a row
+	servers        map[string]*server
+	pool                           // all servers in service,
+	zones          map[string]int  // how many of them are in each zone,
+	placed         map[*class]bool // and the classes whose pools they are also in
+	changed        []*server       // servers that may stand otherwise in the order, or not at all
+	stale          bool            // the order has to be made anew as a whole
+	avoided        int             // listed servers that drain or are ejected
+	ejectedServers []*server       // those of the order
+	faults         fixed           // sum of the parts of broken connections over the order
+	warmUnjudged   [2]int          // warm servers that are in no judged place: far, and near
+	warming        timeline        // servers that will be warm
+	expiring       timeline        // servers whose evidence will be too old
+	reqs           map[string]*request
+	held           []*request // waiting for a usable server, oldest first
+	holding        bool       // the hold timer is set
+	budget         Budget     // of attempts beyond the first of each request
+	took           []Time     // requests taken in the span of the budget of attempts, oldest first
+	extra          []Time     // attempts beyond a request's first in it
+	done           float64    // answers a second, as of doneAt
+	doneAt         Time
+	ceded          bool // another process of this node has taken over
+	fleet          presence
+	bad            float64       // part of bad answers lately,
+	lost           float64       // and of time-outs and full answers, where nothing is reported
+	starved        float64       // part of the dearest requests lately that found no room
+	places         []*place      // in order of their zones; none where the settings name none
+	troubled       bool          // one of them has less than its whole share,
+	lookFrom       Time          // and since when they are compared
+	easeFor        time.Duration // that servers are kept which a list takes away in a mass
+	near           float64       // nodes near this one, itself included; 0 where not known
 }
 
 // New returns a node's decisions for the given settings. The seed drives its random choices.
@@ -70,7 +78,7 @@
 	}
 	b := &Balancer{
 		now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))), lanes: make(map[string]*lane),
-		buckets: make(map[bucketKey]*bucket), pace: 1, trust: trustFirst, warm: -1,
+		buckets: make(map[bucketKey]*bucket), pace: 1, trust: trustFirst,
 		servers: make(map[string]*server), reqs: make(map[string]*request), kinds: make(map[string]*load),
 	}
 	b.configure(set)
@@ -142,12 +150,6 @@
 	return b.set.Nodes, f.heard, f.known && 2*f.heard <= f.agreed
 }
 
-// pool is a set of servers in packing order.
-type pool struct {
-	order   []*server // own zone first, each part in id order
-	ejected int       // servers of order that are ejected
-}
-
 // class is a request class with what was learned of it.
 type class struct {
 	Class
@@ -180,8 +182,10 @@
 	lastDone  Time    // when it last answered anything
 	latency   float64 // mean latency of its answers, in seconds
 	health    health
-	faults    float64 // part of its answers lately that were broken connections
-	place     *place  // nil where the settings name none
+	faults    float64  // part of its answers lately that were broken connections
+	place     *place   // nil where the settings name none
+	segment   *segment // of the packing order; nil where it isn't in it
+	counted   counted
 	felt      bool    // the threshold was cut at least once, or a report told
 	doubt     float64 // evidence against its place
 	judged    Time    // and when that was last added to
@@ -296,20 +300,24 @@
 // place is a zone as its servers show it.
 type place struct {
 	answers
-	zone, in  string  // and its region
-	cost      float64 // of crossing to it
-	share     float64 // of the requests that would go there by order and room
-	shut      bool    // to the request in hand
-	until     Time    // left, and not tried before; 0 for not left
-	scouted   Time    // when a request last tried it
-	scouts    int     // good tries in a row
-	vanished  bool    // the list took its servers away in a mass
-	returning bool
-	growth    time.Duration // in which the share grows e-fold then
-	grown     Time          // as of when the share is
-	whole     Time          // since when it is whole again
-	times     int           // it was left lately
-	why       string        // it was left last
+	zone, in     string               // and its region
+	judged       bool                 // it is one of those that are judged
+	warm         int                  // its warm servers
+	doubts       fixed                // sum of the evidence of its servers,
+	doubtsByKind map[string]*evidence // and by their kinds
+	cost         float64              // of crossing to it
+	share        float64              // of the requests that would go there by order and room
+	shut         bool                 // to the request in hand
+	until        Time                 // left, and not tried before; 0 for not left
+	scouted      Time                 // when a request last tried it
+	scouts       int                  // good tries in a row
+	vanished     bool                 // the list took its servers away in a mass
+	returning    bool
+	growth       time.Duration // in which the share grows e-fold then
+	grown        Time          // as of when the share is
+	whole        Time          // since when it is whole again
+	times        int           // it was left lately
+	why          string        // it was left last
 }
 
 func (p *place) left() bool   { return p != nil && p.until > 0 }
@@ -334,7 +342,7 @@
 	case len(b.places) >= maxPlaces:
 		return &place{zone: zone, in: b.set.Places.region(zone), share: 1} // served, and not judged
 	}
-	p := &place{zone: zone, in: b.set.Places.region(zone), share: 1}
+	p := &place{zone: zone, in: b.set.Places.region(zone), share: 1, judged: true}
 	b.places = slices.Insert(b.places, i, p)
 	return p
 }
@@ -368,7 +376,7 @@
 		case p.share < 1:
 			s.State = "suspect"
 		}
-		for _, o := range b.order {
+		for o := range b.all {
 			if o.place == p {
 				s.Servers++
 			}
@@ -403,27 +411,6 @@
 	return share + (1-share)*max(0, age.Seconds())/b.set.Rules.ColdFor.Seconds()
 }
 
-// warmth counts the warm servers of places that aren't left, by how many even parts of each this node has.
-func (b *Balancer) warmth() (n float64) {
-	if b.warm >= 0 {
-		return b.warm
-	}
-	for _, s := range b.order {
-		if b.ramp(s) >= 1 && !s.place.left() {
-			n += b.parts(s)
-		}
-	}
-	return n
-}
-
-// keepWarmth keeps the count while a choice goes through all servers, and asks for it at each: counted anew each time,
-// a choice among 200 servers took a node of a quarter of a core some milliseconds.
-func (b *Balancer) keepWarmth(on bool) {
-	if b.warm = -1; on {
-		b.warm = b.warmth()
-	}
-}
-
 // tell has a line written to the log.
 func (b *Balancer) tell(format string, args ...any) {
 	b.do(Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
@@ -433,16 +420,43 @@
 func (b *Balancer) listed(m Member) {
 	s := b.servers[m.Server]
 	if s == nil || s.OnlineSince != m.OnlineSince { // new, or a new process: forget the old one
+		if s != nil {
+			b.changed = append(b.changed, s)
+		}
 		s = &server{latency: b.set.Classes[0].Aim.Seconds() / 4}
 		// A random part of a token, so that nodes who hear of a cold server together don't all send.
 		s.cold = coldBudget{tokens: b.rng.Float64(), last: b.now}
 		b.servers[m.Server] = s
 	}
-	if s.Member, s.gone, s.place = m, 0, b.placeOf(m.Zone); s.place.missed() {
+	p := b.placeOf(m.Zone)
+	if s.Member != m || s.place != p {
+		b.changed = append(b.changed, s)
+	}
+	if s.segment != nil && s.Zone != m.Zone {
+		b.zones[s.Zone]--
+		b.zones[m.Zone]++
+	}
+	if s.Member, s.gone, s.place = m, 0, p; s.place.missed() {
 		b.comeBack(s.place)
 	}
 }
 
+// missing are the servers that a whole list lacks.
+func (b *Balancer) missing(list []Member) (gone []*server) {
+	named := make(map[string]bool, len(list))
+	for _, m := range list {
+		if m.Availability != Removed {
+			named[m.Server] = true
+		}
+	}
+	for id, s := range b.servers {
+		if !named[id] {
+			gone = append(gone, s)
+		}
+	}
+	return gone
+}
+
 // missed tells, once, whether the place's servers had vanished from the list.
 func (p *place) missed() (was bool) {
 	if p != nil {
@@ -538,28 +552,6 @@
 	return b.done * math.Exp(-(b.now-b.doneAt).Seconds()/doneSpan.Seconds())
 }
 
-// place lays down which servers each bound class is open to, in packing order.
-func (b *Balancer) place() {
-	for _, s := range b.order {
-		s.safest = Never
-	}
-	for c := range b.inUse() {
-		bound := len(c.Kinds)+len(c.Zones)+len(c.Regions) > 0
-		if bound {
-			c.open = &pool{}
-		}
-		for _, s := range b.order {
-			if !c.permits(s) {
-				continue
-			}
-			s.safest = max(s.safest, c.Repeat)
-			if bound {
-				c.open.order = append(c.open.order, s)
-			}
-		}
-	}
-}
-
 // settle works out which attempt of r may have run first; one without an outcome may have.
 func (r *request) settle() {
 	r.ranOn = nil
@@ -571,24 +563,6 @@
 	}
 }
 
-// countEjected counts the servers that get no work, in all and of those open to each class.
-func (b *Balancer) countEjected() {
-	b.avoided = 0
-	for _, s := range b.servers {
-		if s.health.out || s.Availability != Running {
-			b.avoided++
-		}
-	}
-	for _, c := range b.ranked {
-		c.open.ejected = 0
-		for _, s := range c.open.order {
-			if s.health.out {
-				c.open.ejected++
-			}
-		}
-	}
-}
-
 // track moves the part of hits lately by one more.
 func track(part *float64, gain float64, hit bool) {
 	*part -= gain * *part
@@ -720,7 +694,8 @@
 		s.health = health{score: v.Score, out: v.Out, until: b.at(v.OutUntil), times: v.Times}
 		s.cold = coldBudget{tokens: v.ColdTokens, last: b.at(v.ColdAt)}
 	}
-	b.countEjected()
+	b.remake(nil)
+	b.stale = true // a threshold that the other process had not set yet is set with the next list
 }
 
 // configure takes over settings. What was learned stays.
@@ -728,7 +703,7 @@
 	if !reflect.DeepEqual(set.Places, b.set.Places) { // they are judged anew
 		b.places = nil
 	}
-	b.set, b.budget = set, defaultBudget
+	b.set, b.budget, b.stale = set, defaultBudget, true
 	b.set.Nodes = b.fleet.configured(set.Nodes)
 	if b.easeFor = easeMost; set.Rules.DrainGrace > 0 {
 		b.easeFor = min(easeMost, set.Rules.DrainGrace/2)
@@ -790,7 +765,9 @@
 		all[c] = true
 	}
 	for _, r := range b.reqs {
-		all[r.class] = true
+		if r.class.index >= 0 { // one that the settings don't name is open to all, and gives no trials
+			all[r.class] = true
+		}
 	}
 	return all
 }
--- /dev/null
+++ b/policy/sums_test.go
@@ -0,0 +1,282 @@
+package policy
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// sumsWorld plays random lists, outcomes and settings at one node, and holds what the node keeps up by difference
+// against the same made anew.
+type sumsWorld struct {
+	b    *Balancer
+	set  Settings
+	now  Time
+	list map[string]Member
+	sent int
+	open []Outcome // of attempts that are answered later
+	good bool      // all answers are good, so that trials succeed
+}
+
+func newSumsWorld(t *rapid.T) *sumsWorld {
+	set := site(rapid.SampledFrom([]int{1, 3, 7, 300}).Draw(t, "nodes"))
+	set.Node = rapid.IntRange(0, set.Nodes-1).Draw(t, "node")
+	set.EaseLists = rapid.Bool().Draw(t, "eases")
+	set.Classes[1].Kinds = []string{"k1"}
+	set.Classes[2].Zones = []string{"b", "c"}
+	if rapid.Bool().Draw(t, "reports") {
+		set.Report = []string{reportLatency, reportUtil, reportRate}
+	}
+	if rapid.Bool().Draw(t, "places") {
+		set.Places = near(1).Places
+		set.Classes[3].Regions = []string{"north"}
+	}
+	w := &sumsWorld{set: set, list: make(map[string]Member)}
+	w.b, _ = New(set, 0, 1)
+	w.event(MemberList{Kind: ListRestored})
+	return w
+}
+
+// event hands an event in and answers most of the attempts that it sends at once, with each code in turn.
+func (w *sumsWorld) event(ev Event) {
+	for _, a := range slices.Clone(w.b.Handle(w.now, ev)) {
+		if a.Kind != Send {
+			continue
+		}
+		w.sent++
+		answer := Outcome{ID: a.ID, Server: a.Server, Attempt: len(w.b.reqs[a.ID].attempts) - 1, Latency: 20 * ms,
+			Report: report(20, 0.5, 10)}
+		if !w.good {
+			answer.Code = Code(w.sent % int(Cancelled))
+		}
+		if answer.Ended = answer.Code == OK; w.sent%5 == 0 {
+			w.open = append(w.open, answer)
+			continue
+		}
+		w.event(answer)
+	}
+}
+
+// change draws a new state of a few servers.
+func (w *sumsWorld) change(t *rapid.T) (changed []Member) {
+	for range rapid.IntRange(1, 4).Draw(t, "changed") {
+		m := Member{Server: fmt.Sprintf("s%02d", rapid.IntRange(0, 39).Draw(t, "server")),
+			Zone:         rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
+			Kind:         rapid.SampledFrom([]string{"k0", "k1"}).Draw(t, "kind"),
+			Availability: rapid.SampledFrom([]Availability{Running, Running, Running, Draining, Removed}).Draw(t, "state"),
+		}
+		if was, known := w.list[m.Server]; known {
+			m.Zone, m.Kind, m.OnlineSince = was.Zone, was.Kind, was.OnlineSince
+		}
+		if rapid.IntRange(0, 2).Draw(t, "restarted") == 0 {
+			m.OnlineSince = w.now
+		}
+		if w.list[m.Server] = m; m.Availability == Removed {
+			delete(w.list, m.Server)
+		}
+		changed = append(changed, m)
+	}
+	return changed
+}
+
+// step plays one event, and tells whether the order was brought in line with the list by it, and no request was
+// released and ended after that, whose class need not be reckoned with any more.
+func (w *sumsWorld) step(t *rapid.T) (aligned bool) {
+	w.now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait")) * ms
+	event, inHand := rapid.IntRange(0, 11).Draw(t, "event"), len(w.b.reqs)
+	switch event {
+	case 0, 1, 2:
+		w.event(MemberList{Kind: ListUpdate, Members: w.change(t)})
+	case 3:
+		w.change(t)
+		var all []Member
+		for _, id := range slices.Sorted(maps.Keys(w.list)) {
+			all = append(all, w.list[id])
+		}
+		w.event(MemberList{Kind: ListReplace, Members: all})
+	case 4:
+		w.event(Fleet{Heard: rapid.IntRange(1, 9).Draw(t, "heard"), Near: rapid.IntRange(0, 1).Draw(t, "near")})
+		w.event(Timer{Token: fleetToken})
+	case 5:
+		w.set.Rules.ColdFor = time.Duration(rapid.IntRange(0, 12).Draw(t, "cold for")) * time.Second
+		w.set.Classes = slices.Clone(w.set.Classes)
+		w.set.Classes[1].Kinds = []string{rapid.SampledFrom([]string{"k0", "k1"}).Draw(t, "bound to")}
+		w.set.Classes[0].Repeat = rapid.SampledFrom([]Repeat{Never, Free}).Draw(t, "repeat")
+		w.event(w.set)
+	case 6:
+		w.event(Timer{Token: easeToken})
+	case 7:
+		w.b.Learn(w.now, w.b.Knowledge(w.now))
+	case 8:
+		for _, answer := range w.open {
+			w.event(answer)
+		}
+		w.open = nil
+	case 9:
+		if b := w.b; b.length > 0 {
+			b.eject(b.order()[rapid.IntRange(0, b.length-1).Draw(t, "ejected")])
+		}
+	default:
+		w.good = rapid.Bool().Draw(t, "good")
+		for i := range rapid.IntRange(1, 12).Draw(t, "requests") {
+			w.event(ask(fmt.Sprint("r", w.now, i), w.set.Classes[i%len(w.set.Classes)].Name))
+		}
+	}
+	return (event <= 3 || event == 5) && len(w.b.reqs) == inHand
+}
+
+// checkOrder holds the packing order and the pools of bound classes against ones made anew.
+func checkOrder(t *rapid.T, b *Balancer, aligned bool) {
+	byCost := make(map[float64][]*server)
+	zones := make(map[string]int)
+	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
+		if s := b.servers[id]; s.Availability == Running {
+			byCost[b.crossing(s)] = append(byCost[b.crossing(s)], s)
+			zones[s.Zone]++
+		}
+	}
+	var order []*server
+	for _, cost := range slices.Sorted(maps.Keys(byCost)) {
+		part := byCost[cost]
+		k := 0
+		if b.set.Nodes > manyNodes {
+			_, at := math.Modf(float64(b.set.Node) / math.Phi)
+			k = int(at * float64(len(part)))
+		}
+		order = append(append(order, part[k:]...), part[:k]...)
+	}
+	if !slices.Equal(b.order(), order) || b.length != len(order) {
+		t.Fatalf("the order of %d servers isn't the one made anew of %d", b.length, len(order))
+	}
+	safest := make(map[*server]Repeat)
+	for c := range b.inUse() {
+		var open []*server
+		ejected := 0
+		for _, s := range order {
+			if !c.permits(s) {
+				continue
+			}
+			open = append(open, s)
+			safest[s] = max(safest[s], c.Repeat)
+			if s.health.out && b.classes[c.Name] == c {
+				ejected++
+			}
+		}
+		if !slices.Equal(c.open.order(), open) || c.open.length != len(open) {
+			t.Fatalf("%s is open to %d servers, made anew to %d", c.Name, c.open.length, len(open))
+		}
+		if c.open.ejected != ejected && (c.bound() || b.classes[c.Name] == c) {
+			t.Fatalf("%s counts %d ejected servers, made anew %d", c.Name, c.open.ejected, ejected)
+		}
+	}
+	for i, s := range order {
+		if aligned && (s.safest != safest[s] || s.threshold == 0) {
+			t.Fatalf("%s: safest class %v, anew %v; threshold %v", s.Server, s.safest, safest[s], s.threshold)
+		}
+		if i > 0 && (!order[i-1].before(s) || s.before(order[i-1])) {
+			t.Fatalf("%s isn't held to stand before %s", order[i-1].Server, s.Server)
+		}
+	}
+	for zone, n := range b.zones {
+		if n != zones[zone] {
+			t.Fatalf("%d servers in zone %s, anew %d", n, zone, zones[zone])
+		}
+	}
+}
+
+// checkSums holds the sums over the order against ones made anew.
+func checkSums(t *rapid.T, b *Balancer) {
+	warm, faults := 0.0, fixed(0)
+	type kindOf struct {
+		place *place
+		kind  string
+	}
+	doubts := make(map[kindOf]evidence)
+	for s := range b.all {
+		if b.ramp(s) >= 1 && !s.place.left() {
+			warm += b.parts(s)
+		}
+		faults += toFixed(s.faults)
+		if s.place != nil && b.now-s.judged <= doubtSpan {
+			of := doubts[kindOf{s.place, s.Kind}]
+			doubts[kindOf{s.place, s.Kind}] = evidence{of.sum + toFixed(s.doubt), of.servers + 1}
+		}
+	}
+	if got := b.warmth(); math.Abs(got-warm) > 1e-9*warm {
+		t.Fatalf("the warm servers count %v, anew %v", got, warm)
+	}
+	if b.faults != faults {
+		t.Fatalf("the faults sum up to %v, anew %v", b.faults, faults)
+	}
+	b.expireDoubts()
+	kept := make(map[kindOf]evidence)
+	for _, p := range b.places {
+		sum := fixed(0)
+		for kind, of := range p.doubtsByKind {
+			kept[kindOf{p, kind}] = *of
+			sum += of.sum
+		}
+		if sum != p.doubts {
+			t.Fatalf("evidence against %s: %v, by kinds %v", p.zone, p.doubts, sum)
+		}
+	}
+	if !maps.Equal(kept, doubts) {
+		t.Fatalf("evidence %v, anew %v", kept, doubts)
+	}
+	avoided, ejected := 0, 0
+	for _, s := range b.servers {
+		if s.health.out || s.Availability != Running {
+			avoided++
+		}
+		if s.health.out && s.segment != nil {
+			ejected++
+		}
+	}
+	if b.avoided != avoided || len(b.ejectedServers) != ejected {
+		t.Fatalf("%d avoided, %d ejected; anew %d, %d", b.avoided, len(b.ejectedServers), avoided, ejected)
+	}
+}
+
+// What is kept up by difference is what it would be if it were made anew, whatever happens.
+func TestSumsAreThoseMadeAnew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSumsWorld(t)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			checkOrder(t, w.b, w.step(t))
+			checkSums(t, w.b)
+		}
+	})
+}
+
+// A server's trials are for the freest class that is in use: with the last request of a class of former settings
+// that class goes, and one change of the list has the next one tried.
+func TestTrialsFollowTheClassesInUse(t *testing.T) {
+	set := site(1)
+	b := start(t, set, members(4))
+	first := sentTo(t, b.Handle(ms, ask("open", "free")))
+	strict := site(1)
+	strict.Classes[0].Repeat = Never
+	b.Handle(2*ms, strict)
+	b.Handle(3*ms, strict) // the former settings are strict by now, and the open request is older
+	list := members(4)
+	change := func(i int) *server {
+		list[i].Weight++
+		b.Handle(b.now+ms, MemberList{Kind: ListUpdate, Members: list[i : i+1]})
+		return b.servers[list[i].Server]
+	}
+	if s := change(2); s.safest != Free {
+		t.Errorf("while a free request is open, its servers' trials are for class %v", s.safest)
+	}
+	b.Handle(b.now+ms, outcome("open", 0, first, OK, ms))
+	change(2)
+	for _, s := range b.order() {
+		if s.safest != Guarded {
+			t.Errorf("once it is over, the trials of %s are for class %v, want %v", s.Server, s.safest, Guarded)
+		}
+	}
+}
