Drop buckets that time alone has filled

Cause: a bucket was kept for each tenant and class ever seen. From 4,096 on all further ones shared a single bucket: of 50,000 tenants that ask once each, a millisecond apart, 45,440 were refused. Change: a new bucket is full, so one that has refilled says nothing (buckets.go). Each request looks at two buckets in turn, and drops one if the time since its last refill fills it from empty at the least pace that the rates may yet have: its next refill would then make it full as of that moment, whatever it held, which is what a new one is. So dropping is exact while the tenant's limit stands; after a change of limits a dropped one begins full by the new limit, as one never seen does. A process that ceded refills and drops none, and a bucket that it makes anew has half of the burst, for the process that takes over makes one too (before, a tenant that neither had seen got one burst of each). Ruled out: dropping what is full by its tokens at the present pace: the pace may fall before the next request, and a half that is handed over would not be full. Tests: TestDroppedBucketsChangeNoDecision against a model that keeps all (also 3,000 draws); five mutants are caught.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -76,14 +76,11 @@
 		return true, 0
 	}
 	l.PerWindow *= b.pace
+	b.dropBuckets()
 	if b.buckets[key] == nil && len(b.buckets) >= maxBuckets {
 		key = bucketKey{}
 	}
-	k := b.buckets[key]
-	if k == nil {
-		k = &bucket{tokens: l.Burst, last: b.now}
-		b.buckets[key] = k
-	}
+	k := b.bucketOf(key, l.Burst)
 	if !b.ceded {
 		k.refill(b.now, l.perSecond(), l.Burst)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -26,6 +26,7 @@
 	ranked         []*class // in the order of the settings
 	other          *Limit   // for tenants without a quota; nil: no limit
 	buckets        map[bucketKey]*bucket
+	ring           bucketRing
 	pace           float64          // scale of all bucket rates
 	dearest        float64          // the most that a class is worth
 	kinds          map[string]*load // what the warm servers of a kind report on average
@@ -226,6 +227,7 @@
 
 // bucket holds whole tokens and the time they were last added.
 type bucket struct {
+	key    bucketKey
 	tokens int64
 	last   Time
 }
@@ -673,7 +675,8 @@
 	b.pace, b.trust, b.busy, b.bad, b.done = k.Pace, k.Trust, k.Busy, k.Bad, k.Done
 	b.heardAt, b.doneAt = b.at(k.HeardAt), b.at(k.DoneAt)
 	for _, v := range k.Buckets {
-		b.buckets[bucketKey{v.Tenant, v.Class}] = &bucket{tokens: v.Tokens, last: b.at(v.Last)}
+		bucket := b.bucketOf(bucketKey{v.Tenant, v.Class}, 0)
+		bucket.tokens, bucket.last = v.Tokens, b.at(v.Last)
 	}
 	for _, c := range b.ranked {
 		if known, ok := k.Classes[c.Name]; ok {
