Forget requests that have left the budget's span, also while none is repeated

Change: each request trims them. A longer span in new settings counts what came within the former one.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -107,6 +107,7 @@
 	b.due(r)
 	b.reqs[r.ID] = r
 	b.took = append(b.took, b.now)
+	b.trimBudget()
 	if ok, wait := b.admit(e.Tenant, e.Class); !ok {
 		b.refuse(r, wait)
 		return
@@ -557,13 +558,7 @@
 	if b.ceded {
 		return false
 	}
-	from := b.now - b.budget.Span
-	for len(b.took) > 0 && b.took[0] <= from {
-		b.took = b.took[1:]
-	}
-	for len(b.extra) > 0 && b.extra[0] < from {
-		b.extra = b.extra[1:]
-	}
+	b.trimBudget()
 	return float64(len(b.extra)+1) <= b.budget.Least+b.budget.Share*float64(len(b.took))-1e-9 // of rounding
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -522,6 +522,17 @@
 	}
 }
 
+// trimBudget forgets what has left the span of the budget of attempts.
+func (b *Balancer) trimBudget() {
+	from := b.now - b.budget.Span
+	for len(b.took) > 0 && b.took[0] <= from {
+		b.took = b.took[1:]
+	}
+	for len(b.extra) > 0 && b.extra[0] < from {
+		b.extra = b.extra[1:]
+	}
+}
+
 // release tries all held requests again.
 func (b *Balancer) release() {
 	held := b.held
