Give each tenant of the settings a bucket of its own, however many ask

Cause: the bound on buckets (4,096) is meant for names that clients make up, and took tenants of the settings too: of 12,288 with a quota each, asking at the same time, 4,099 had their first request admitted, for the others shared one bucket and its one limit. Change: the bound counts for tenants without a quota alone; those with one are as many as the settings name. TestTenantsWithQuotasShareNoBucket fails without it.

--- a/policy/buckets_test.go
+++ b/policy/buckets_test.go
@@ -142,6 +142,38 @@
 	}
 }
 
+// Tenants that the settings name have buckets of their own, however many ask at once; of those that clients name
+// freely, further ones share a bucket.
+func TestTenantsWithQuotasShareNoBucket(t *testing.T) {
+	const tenants = 3 * maxBuckets
+	set := site(1)
+	set.Tenants = nil
+	for i := range tenants {
+		set.Tenants = append(set.Tenants, Tenant{Name: fmt.Sprint("told", i), Quota: 1})
+	}
+	b := start(t, set, members(1))
+	for _, c := range []struct {
+		name string
+		want func(admitted int) bool
+	}{
+		{"told", func(admitted int) bool { return admitted == tenants }},
+		{"free", func(admitted int) bool { return admitted < maxBuckets }},
+	} {
+		admitted := 0
+		for i := range tenants {
+			if ok, _ := b.admit(fmt.Sprint(c.name, i), "free"); ok {
+				admitted++
+			}
+		}
+		if !c.want(admitted) {
+			t.Errorf("%d of %d first requests of tenants called %s are admitted", admitted, tenants, c.name)
+		}
+	}
+	if most := tenants + 1; len(b.buckets) > most {
+		t.Errorf("%d buckets are kept, want at most %d", len(b.buckets), most)
+	}
+}
+
 // BenchmarkTenantsSeenOnce gives the bytes that 800,000 tenants leave behind.
 func BenchmarkTenantsSeenOnce(b *testing.B) {
 	for b.Loop() {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,7 @@
 	rateWindow = time.Second // of limits made from quotas; also the retry-after of a quota of zero
 	burst      = 0.5         // seconds of a quota's rate in its bucket: the bursts within a share
 	minBurst   = 3           // tokens, so that a sliver of a quota still passes a few at once
-	maxBuckets = 4096        // where clients name tenants freely; the rest share one bucket
+	maxBuckets = 4096        // where clients name tenants freely; further ones without a quota share one
 	// refillLoss makes up for the fractions lost in whole-token refill, which let Poisson arrivals pass
 	// only up to ln 2 of the rate. Far above it 1/(1/r + 1/a) still passes, of refill r and arrivals a.
 	refillLoss = 1 / math.Ln2
@@ -77,7 +77,8 @@
 	}
 	l.PerWindow *= b.pace
 	b.dropBuckets()
-	if b.buckets[key] == nil && len(b.buckets) >= maxBuckets {
+	_, told := b.tenants[tenant]
+	if !told && b.buckets[key] == nil && len(b.buckets) >= maxBuckets {
 		key = bucketKey{}
 	}
 	k := b.bucketOf(key, l.Burst)
