Repeat failed calls for the list soon enough for what counts as told after 6 s

A trace of the calls: all six nodes' watches had opened within 60 ms of each other at 2.09 s, where a change had ended the ones before, and fell silent at 2.82 s with the change in them. All were given up at 7.09 to 7.15 s, in time. The service takes 0.35 s for each new call and turns away what would wait for over 2 s: five were answered between 7.44 and 8.82 s, the sixth got a 503 at 7.155 s. Its module then waited for 3.24 s less the service's 0.36 s, called at 10.04 s and heard at 10.39 s.

At fault: askAgain and askMost in policy.go (2 s and 4 s on the mean, so up to 3 s and 6 s). They date from when a failed call relaxed the clock. Now a change counts as told 6 s after the service has it and can be reached, whatever failed, and 1 to 3 s after one refusal is too much. Ruled out: a watch given up too late (7.15 s of 8.82 s), a call that the service kept too long (none over 2.1 s), a lost wish between failure and call.

A call that is turned away costs the service nothing that the trace shows: the others' answers keep their pace of 0.35 s. The spread of the first calls of many starting nodes stays.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,6 +4,7 @@
 package policy
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -849,12 +850,10 @@
 
 // ---- List: following the servers ----
 
-const (
-	// askAgain is the mean wait before a failed call for the list is repeated, spread among nodes and doubled
-	// by each further failure: calls by all nodes at a steady rate would keep the one service overbooked.
-	askAgain = 2 * time.Second
-	askMost  = 4 * time.Second // what a node isn't told counts as told a few seconds later
-)
+// askAgain is the mean wait before a failed call for the list is repeated, spread among nodes and doubled by
+// each further failure up to askMost: a change counts as told 6 s after the service has it and can be reached
+// (sooner where the settings say so), and a call that it turns away then has to leave time for further ones.
+const askAgain, askMost = 500 * time.Millisecond, time.Second
 
 func (b *Balancer) askList() { b.do(Action{Kind: WatchList, On: true}) }
 
@@ -866,11 +865,12 @@
 func (b *Balancer) onList(e MemberList) {
 	switch {
 	case e.Kind == ListUnavailable:
-		b.askIn(time.Duration((0.5 + b.rng.Float64()) * float64(min(askMost, askAgain<<min(b.listFails, 8)))))
+		most := min(askMost, cmp.Or(b.set.Rules.AskWithin/4, askMost))
+		b.askIn(time.Duration((0.5 + b.rng.Float64()) * float64(min(most, askAgain<<min(b.listFails, 8)))))
 		b.listFails++
 		return
 	case e.Kind == ListRestored && b.set.Subscribe && b.staggered(): // many nodes may be starting at once
-		b.askIn(time.Duration(b.rng.Float64() * float64(min(askAgain, b.set.Rules.DrainGrace))))
+		b.askIn(time.Duration(b.rng.Float64() * float64(min(2*askMost, b.set.Rules.DrainGrace))))
 	case e.Kind == ListRestored && b.set.Subscribe:
 		b.askList()
 	default:
