Give a silent watch up after half of the time in which what it misses counts as told

The six nodes' calls come within 60 ms, as one change had ended all earlier watches; the service takes 0.35 s for each, so that the last one waits for 1.7 s and one is turned away. With a call that is out in vain when the service returns, 5 s of the 6 are gone likewise, and turns of up to 2 s come on top. Ruled out as a cause: that the service counts the watches' steady calls; the trace shows 0.5 ms for each.

At fault: watchWait and watchGrace in discovery.go. The times now follow from the 6 s, or from mustAskIn where that is less: half for a call that falls silent, a quarter of that as its wait, so that beyond the wait a turn of 2 s still fits. They stand in a file of their own.

told_test.go has a server begin to drain at the end of an outage (refused, reset, turned away, silent, half answered; seconds and, in virtual time, many minutes), with calls turned away or kept waiting at the return.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -16,13 +16,6 @@
 )
 
 const (
-	// A watch that falls silent misses what counts as told 6 s after the silence began, and 2 s after its wait
-	// was over. It is given up a second before either, so that the call in its place can bring that in time.
-	// A call that the service has no time for fails within 2 s: one that it still answers is not given up.
-	watchWait  = 3 * time.Second
-	watchGrace = 2 * time.Second
-	// A call for the whole list has no wait. After a move, what it brings counts as told 4 s after the signal.
-	wholeTime  = 2500 * time.Millisecond
 	backoffMin = 25 * time.Millisecond
 	// backoffMax guards the rule on drains: what a pushed list's agent has counts as told, also while
 	// the node pauses after a failed call.
@@ -129,6 +122,7 @@
 	client    *http.Client
 	kept      *keeper // nil for none
 	subscribe bool    // watch only when the module has asked, and tell it of failures
+	times     callTimes
 	revision  int64
 	asks      chan bool   // the module's newest wish to be kept told
 	moves     chan target // the newest, where the configuration names another
@@ -140,6 +134,7 @@
 type target struct {
 	addr      string
 	subscribe bool
+	times     callTimes
 }
 
 var (
@@ -162,12 +157,13 @@
 	urls := registryURLs(c.Discovery)
 	return &discovery{
 		urls: urls, at: int(c.Seed % uint64(len(urls))), kept: newKeeper(c), subscribe: c.Settings.Subscribe,
-		rng: rand.New(rand.NewPCG(c.Seed, 0xd1)), revision: c.Known.Revision, asks: make(chan bool, 1),
+		times: newCallTimes(c.Settings),
+		rng:   rand.New(rand.NewPCG(c.Seed, 0xd1)), revision: c.Known.Revision, asks: make(chan bool, 1),
 		moves: make(chan target, 1), tell: tell,
 		client: &http.Client{
 			// A Transport of its own, so neither a proxy nor the requests share its connection.
 			Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1,
-				DialContext: c.dialer(watchGrace)},
+				DialContext: c.dialer(queueTime)},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
@@ -199,7 +195,7 @@
 		slog.Info("discovery: moved", "address", to.addr)
 		d.urls, d.at, d.revision = urls, d.at%len(urls), wholeList
 	}
-	d.subscribe = to.subscribe
+	d.subscribe, d.times = to.subscribe, to.times
 	d.client.CloseIdleConnections()
 }
 
@@ -311,16 +307,16 @@
 // patience is how long the next call may take.
 func (d *discovery) patience() time.Duration {
 	if d.revision == wholeList {
-		return wholeTime
+		return d.times.whole
 	}
-	return watchWait + watchGrace
+	return d.times.patience
 }
 
 // fetch reads one answer.
 func (d *discovery) fetch(ctx context.Context) (list, error) {
 	url := d.urls[d.at]
 	if d.revision != wholeList {
-		url += fmt.Sprintf("?index=%d&wait=%d", d.revision, watchWait.Milliseconds())
+		url += fmt.Sprintf("?index=%d&wait=%d", d.revision, d.times.wait.Milliseconds())
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -149,6 +149,7 @@
 // whose revisions may be others, and watches there.
 func TestDiscoveryMoves(t *testing.T) {
 	bubble(t, func(t *testing.T) {
+		times := newCallTimes(policy.Settings{})
 		for _, subscribe := range []bool{false, true} {
 			d, told, queries := watched(t, subscribe)
 			if subscribe {
@@ -163,11 +164,11 @@
 					return
 				}
 				<-r.Context().Done()
-			}), subscribe})
+			}), subscribe, times})
 			if n := receive(t, "the list", told); n.kind != policy.ListReplace || n.members[0].Server != "s9" {
 				t.Errorf("subscribe %v: news %+v", subscribe, n)
 			}
-			for _, want := range []string{"", fmt.Sprint("index=3&wait=", watchWait.Milliseconds())} {
+			for _, want := range []string{"", fmt.Sprint("index=3&wait=", times.wait.Milliseconds())} {
 				if got := receive(t, "a call to the new address", moved); got != want {
 					t.Errorf("subscribe %v: asked for %q, want %q", subscribe, got, want)
 				}
@@ -192,7 +193,7 @@
 				<-r.Context().Done()
 			}
 			_, _ = io.WriteString(w, `{"revision":3,"complete":true,"members":[`+entry("s9", "up")+`]}`)
-		}), true})
+		}), true, newCallTimes(policy.Settings{})})
 		if n := receive(t, "the list", told); n.kind != policy.ListReplace {
 			t.Errorf("news %+v", n)
 		}
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -102,13 +102,16 @@
 	asked            int
 }
 
-func newLeavingTest(t *testing.T, subscribe bool) *leavingTest {
+func newLeavingTest(t *testing.T, subscribe bool, adjust ...func(*Config)) *leavingTest {
 	t.Helper()
 	l := &leavingTest{T: t, changes: make(chan Change, 1)}
 	l.first = httpServer(t, l.leaving.ServeHTTP)
 	l.Config = testConfig(t, knownList(l.first, httpServer(t, l.staying.ServeHTTP)))
 	l.Discovery, l.calls = listService(t)
 	l.Settings.Subscribe = subscribe
+	for _, f := range adjust {
+		f(&l.Config)
+	}
 	l.node, _ = startNodeAt(t, l.Config, Listeners{Clients: listen(t)}, l.changes)
 	return l
 }
@@ -166,11 +169,7 @@
 				l := newLeavingTest(t, subscribe)
 				silent := receive(t, "the watch that falls silent", l.calls)
 				if half {
-					silent.serve <- func(w http.ResponseWriter, r *http.Request) {
-						_, _ = io.WriteString(w, `{"revision":8,"compl`)
-						_ = http.NewResponseController(w).Flush()
-						<-r.Context().Done()
-					}
+					silent.serve <- answerHalf
 				}
 				l.drains(silent.at.Add(max(6*time.Second, silent.wait(t)+2*time.Second)), l.calls, l.change)
 			})
@@ -182,14 +181,8 @@
 // has counts as told at once, whether a watch is open or not, and when the service is back; else as it is written.
 func TestBrokenWatchKeepsDrains(t *testing.T) {
 	breaks := map[string]http.HandlerFunc{
-		"reset": func(w http.ResponseWriter, _ *http.Request) {
-			c, _, err := http.NewResponseController(w).Hijack()
-			if err == nil {
-				_ = c.(*net.TCPConn).SetLinger(0)
-				c.Close()
-			}
-		},
-		"refused": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"reset":   resetCall,
+		"refused": turnAway,
 		"rubbish": func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, `{"revision":8,"members":[{}]}`)
 		},
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -100,7 +100,7 @@
 		names = append(names, class.Name)
 	}
 	l.terms.Store(l.terms.Load().after(c.Settings.Classes, time.Now()))
-	if to := (target{c.Discovery, c.Settings.Subscribe}); to != l.target {
+	if to := (newTarget(c)); to != l.target {
 		l.target = to
 		l.disc.move(to)
 	}
