--- a/internal/node/hollow.go
+++ b/internal/node/hollow.go
@@ -34,7 +34,7 @@
 // to seen, unless that is nil, by the goroutine that took it.
 func NewHollow(c Config, seen func(policy.MemberList)) (*Hollow, error) {
 	h := &Hollow{config: c, traffic: new(traffic)}
-	dial := c.dialer(watchGrace)
+	dial := c.dialer(queueTime)
 	c.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
