Set measurements of real processes beside hollow nodes, with their ratio

Change: Options.Beside is called for each point; the report has the ratio of each measure that both have, and the command a table of them. With it: the law is drawn dashed beyond the sizes that it was fitted over; a run whose time ends after its last point counts as whole; what the list clients of hollow nodes log below an error is not shown, for at a busy machine it filled the screen. Measured: TestWhatIsMeasuredBesideHasItsRatio and the package's others with -race.

--- a/cmd/sloerail/scale.go
+++ b/cmd/sloerail/scale.go
@@ -79,7 +79,7 @@
 	if cmd.Flags().Changed("seed") {
 		s.Seed = flags.seed
 	}
-	slog.SetLogLoggerLevel(slog.LevelWarn) // many nodes in one process would each tell that they start
+	slog.SetLogLoggerLevel(slog.LevelError) // many nodes in one process would each tell what befalls them
 	options := flags.Options
 	options.Progress = scaleProgress(cmd.ErrOrStderr(), s.Dimension)
 	report, err := scale.Run(cmd.Context(), s, options)
@@ -148,6 +148,7 @@
 		r.Began.Format("2006-01-02 15:04:05 UTC"), r.Machine.Cores, float64(r.Machine.Memory)/1e9, r.Machine.Go)
 	fmt.Fprintf(out, "held: %s\n", heldOf(s))
 	printValues(out, r)
+	printRatios(out, r)
 	printLaws(out, r)
 	var missing []string
 	for _, d := range r.NotMeasured {
@@ -228,6 +229,18 @@
 	return strconv.FormatFloat(v, 'g', 3, 64)
 }
 
+// printRatios is the table of what was measured of processes beside hollow nodes; none where there is nothing.
+func printRatios(out io.Writer, r *scale.Report) {
+	if len(r.Ratios) == 0 {
+		return
+	}
+	t := newTable(out, "measure", "unit", string(r.Scenario.Dimension), "hollow", "process", "process / hollow")
+	for _, v := range r.Ratios {
+		t.AppendRow(table.Row{v.Name, string(v.Unit), v.Size, short(v.Hollow), short(v.Process), fmt.Sprintf("%.2f", v.Ratio)})
+	}
+	t.Render()
+}
+
 // printLaws is the table of laws and what they say of the target.
 func printLaws(out io.Writer, r *scale.Report) {
 	t := newTable(out, "measure", "unit", "of", "law", "formula", "residual rms, worst", "over sizes",
--- a/internal/node/hollow.go
+++ b/internal/node/hollow.go
@@ -137,6 +137,12 @@
 	return listed
 }
 
+// Avoided counts those of them that get no work now.
+func (h *Hollow) Avoided() int {
+	_, avoided := h.loop.module.Servers()
+	return avoided
+}
+
 // Traffic is what passed so far.
 func (h *Hollow) Traffic() Traffic {
 	return Traffic{Sent: h.traffic.sent.Load(), Received: h.traffic.received.Load(), Calls: h.traffic.calls.Load(),
--- a/internal/scale/plot.go
+++ b/internal/scale/plot.go
@@ -106,15 +106,26 @@
 	return min(largestTargetDrawn, max(float64(e.To), e.Target))
 }
 
-// addLaw draws the law; none where none fits.
+// addLaw draws the law, dashed beyond the sizes that it was fitted over; none where none fits.
 func addLaw(p *plot.Plot, law Extrapolate) error {
 	if law.Law == "" {
 		p.Title.Text += ": " + string(law.Why)
 		return nil
 	}
 	p.Title.Text += ": " + string(law.Law)
+	if err := addCurve(p, law, float64(law.From), float64(law.To), nil); err != nil {
+		return err
+	}
+	if law.Target <= float64(law.To) {
+		return nil
+	}
+	return addCurve(p, law, float64(law.To), law.lastDrawn(), []vg.Length{dashLength, dashSpace})
+}
+
+// addCurve draws the law from one size to another.
+func addCurve(p *plot.Plot, law Extrapolate, from, to float64, dashes []vg.Length) error {
 	var curve plotter.XYs
-	low, high := math.Log(float64(law.From)), math.Log(law.lastDrawn())
+	low, high := math.Log(from), math.Log(to)
 	for i := range curvePoints {
 		n := math.Exp(low + (high-low)*float64(i)/(curvePoints-1))
 		if at := law.At(n); at > smallestDrawn {
@@ -125,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	line.Color = plotutil.Color(1)
+	line.Color, line.Dashes = plotutil.Color(1), dashes
 	p.Add(line)
 	return nil
 }
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"gonum.org/v1/gonum/stat"
 )
 
 // Report is what came of a run.
@@ -11,6 +13,7 @@
 	Machine      Machine       `json:"machine"`
 	Began        time.Time     `json:"began"`
 	Measurements []Measurement `json:"measurements"`
+	Ratios       []Ratio       `json:"ratios,omitempty"` // of processes to hollow nodes
 	Laws         []Extrapolate `json:"laws"`
 	NotMeasured  []Dimension   `json:"dimensions_not_measured"`
 	Stopped      string        `json:"stopped,omitempty"` // why it ended before all was measured
@@ -28,6 +31,33 @@
 	Reaches  float64 `json:"reaches,omitempty"` // the size at which the law comes to the budget; 0 for never
 }
 
+// Ratio sets what was measured of a process beside the same of a hollow node, at one size: the means of the runs.
+type Ratio struct {
+	Measure
+	Size    int     `json:"size"`
+	Hollow  float64 `json:"hollow"`
+	Process float64 `json:"process"`
+	Ratio   float64 `json:"ratio"` // of the process to the hollow node
+}
+
+// ratios are those of all measures and sizes that both were measured at.
+func (r *Report) ratios() (all []Ratio) {
+	for _, m := range r.Measures() {
+		for _, size := range r.Sizes() {
+			hollow, process := r.Values(m, Hollow, size), r.Values(m, Process, size)
+			if len(hollow) == 0 || len(process) == 0 {
+				continue
+			}
+			ratio := Ratio{Measure: m, Size: size, Hollow: stat.Mean(hollow, nil), Process: stat.Mean(process, nil)}
+			if ratio.Hollow != 0 {
+				ratio.Ratio = ratio.Process / ratio.Hollow
+				all = append(all, ratio)
+			}
+		}
+	}
+	return all
+}
+
 // noLaw are measures of which none is looked for: a reciprocal of another, and counts of what should be none.
 var noLaw = []Measure{DecisionRate, Refused, ChangesMissed}
 
@@ -86,6 +116,7 @@
 // fit looks for the law of each measure.
 func (r *Report) fit() {
 	r.NotMeasured = NotMeasured
+	r.Ratios = r.ratios()
 	r.Laws = Laws(r.Measurements, r.Scenario.Target, r.Scenario.Budgets)
 }
 
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -18,8 +18,13 @@
 	For      time.Duration  // the whole run takes no longer; 0 for what the scenario says
 	Most     int            // larger sizes are left out; 0 for none
 	Progress func(Progress) // is told of each point before it begins, and of the end; nil for nobody
+	Beside   Beside         // measures the same point otherwise; nil for nothing
 }
 
+// Beside measures a size in one run by other means than hollow nodes, real processes say. Its values stand beside those
+// of the hollow nodes that have the same measure.
+type Beside func(ctx context.Context, s Scenario, size, run int) ([]Measurement, error)
+
 // Progress is how far a run has come.
 type Progress struct {
 	Done, Points int
@@ -93,8 +98,8 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, limit, fmt.Errorf("the time of %v is up", limit))
 	defer cancel()
 	report := &Report{Scenario: s, Machine: machine, Began: time.Now().UTC().Truncate(time.Second)}
-	report.Measurements, err = s.measureAll(ctx, sizes, dir, machine, o.Progress)
-	if ctx.Err() != nil {
+	report.Measurements, err = s.measureAll(ctx, sizes, dir, machine, o)
+	if err != nil && ctx.Err() != nil {
 		report.Stopped, err = context.Cause(ctx).Error(), nil
 	}
 	report.fit()
@@ -102,9 +107,10 @@
 }
 
 // measureAll goes through all sizes in each run, so that what drifts meanwhile falls on all sizes alike.
-func (s *Scenario) measureAll(ctx context.Context, sizes []int, dir string, machine Machine, tell func(Progress)) ([]Measurement, error) {
-	if tell == nil {
-		tell = func(Progress) {}
+func (s *Scenario) measureAll(ctx context.Context, sizes []int, dir string, machine Machine, o Options) ([]Measurement, error) {
+	tell := func(Progress) {}
+	if o.Progress != nil {
+		tell = o.Progress
 	}
 	var all []Measurement
 	progress := Progress{Points: s.Runs * len(sizes)}
@@ -116,6 +122,13 @@
 			if err != nil {
 				return all, fmt.Errorf("%s %d, run %d: %w", s.Dimension, size, run, err)
 			}
+			if o.Beside != nil {
+				beside, err := o.Beside(ctx, *s, size, run)
+				if err != nil {
+					return all, fmt.Errorf("%s %d, run %d, beside: %w", s.Dimension, size, run, err)
+				}
+				got = append(got, beside...)
+			}
 			all = append(all, got...)
 			progress.Done++
 			resident, err := ownResident()
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -79,6 +79,29 @@
 	}
 }
 
+func TestWhatIsMeasuredBesideHasItsRatio(t *testing.T) {
+	atSmallest := func(_ context.Context, s Scenario, size, run int) ([]Measurement, error) {
+		if size > 10 {
+			return nil, nil
+		}
+		beside := NewRecorder(string(s.Dimension), size, run, Process)
+		beside.Record(ConfigBytes, 1e9)
+		return beside.Measurements(), nil
+	}
+	r, err := Run(t.Context(), small(Servers, 10, 20, 40, 80, 160), Options{Most: 20, Beside: atSmallest})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Ratios) != 1 || r.Ratios[0].Size != 10 || r.Ratios[0].Ratio != 1e9/r.Values(ConfigBytes, Hollow, 10)[0] {
+		t.Errorf("ratios %+v", r.Ratios)
+	}
+	failing := func(context.Context, Scenario, int, int) ([]Measurement, error) { return nil, errors.New("no process") }
+	if _, err := Run(t.Context(), small(Servers, 10, 20, 40, 80, 160), Options{Beside: failing}); err == nil ||
+		!strings.Contains(err.Error(), "no process") {
+		t.Errorf("a failure beside: %v", err)
+	}
+}
+
 func TestSeedMakesTheFleet(t *testing.T) {
 	list := func(seed uint64, run int) string {
 		f := newFleet(Held{Servers: 50, Tenants: 2, Nodes: 1}, t.TempDir(), seed, run)
@@ -155,3 +178,20 @@
 		t.Error("a plot of nothing")
 	}
 }
+
+func TestListChangesDrainAndBringBack(t *testing.T) {
+	held := Held{Servers: 10, Tenants: 1, Nodes: 1, Requests: 1}
+	p := &point{held: held, fleet: newFleet(held, t.TempDir(), 1, 1), record: NewRecorder(string(Servers), 10, 1, Hollow)}
+	n, err := p.newStepped()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, change := range p.listChanges(n, 6) {
+		if err := n.TakeList(change); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := n.Avoided(), (i+1)%2; got != want {
+			t.Errorf("after change %d: %d servers avoided, want %d", i, got, want)
+		}
+	}
+}
--- a/internal/scale/stepped.go
+++ b/internal/scale/stepped.go
@@ -29,15 +29,16 @@
 // steppedNode is a hollow node that one goroutine steps, with its list.
 type steppedNode struct {
 	*node.Hollow
-	path    string // of its configuration
-	entries []registry.Entry
-	began   float64 // the heap before there was anything of the node
+	path     string // of its configuration
+	entries  []registry.Entry
+	revision int64
+	began    float64 // the heap before there was anything of the node
 }
 
 // newStepped starts a node: configuration, then the list. What that takes is recorded.
 func (p *point) newStepped() (*steppedNode, error) {
-	s := &steppedNode{entries: p.fleet.servers()}
-	list := encodeList(1, true, s.entries...)
+	s := &steppedNode{entries: p.fleet.servers(), revision: 1}
+	list := encodeList(s.revision, true, s.entries...)
 	path, size, err := p.fleet.configuration(0, noDiscovery)
 	if err != nil {
 		return nil, err
@@ -92,16 +93,23 @@
 	return nil
 }
 
-// recordListChanges times deltas of one server each: it drains, and is back.
-func (p *point) recordListChanges(ctx context.Context, s *steppedNode) error {
-	changes := make([][]byte, 0, preparedChanges)
-	for len(changes) < preparedChanges {
+// listChanges are so many deltas of one server each, drawn at random: it drains, and then it is back.
+func (p *point) listChanges(s *steppedNode, count int) [][]byte {
+	changes := make([][]byte, 0, count)
+	for len(changes) < count {
 		entry := s.entries[p.fleet.rng.IntN(len(s.entries))]
 		for _, phase := range []string{registry.Draining, registry.Up} {
 			entry.Phase = phase
-			changes = append(changes, encodeList(int64(2+len(changes)), false, entry))
+			s.revision++
+			changes = append(changes, encodeList(s.revision, false, entry))
 		}
 	}
+	return changes
+}
+
+// recordListChanges times deltas of one server each.
+func (p *point) recordListChanges(ctx context.Context, s *steppedNode) error {
+	changes := p.listChanges(s, preparedChanges)
 	next := 0
 	t, err := timeSteps(ctx, leastChanges, func() error {
 		change := changes[next%len(changes)]
