Measure real nodes and list replicas by size, beside the hollow ones

Need: a hollow node's slopes are worth something only where a real process has the same ones at common sizes, and memory, processor time and bytes of the programs as they ship were known from single runs alone. Change: internal/scale/process*.go starts wayhold and registry serve over the rig and measures five dimensions: servers known, requests with and without a node in turns, tenants, instances, watchers. A thread's own clock is read, for the process's counts in hundredths of a second.

--- /dev/null
+++ b/internal/scale/process.go
@@ -0,0 +1,250 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/prometheus/procfs"
+
+	"sloerail/internal/rig"
+)
+
+// Measures of real processes beside those that a hollow node has too.
+var (
+	PeakResident    = Measure{"peak resident memory", Bytes}            // the most that the process ever held
+	StartTime       = Measure{"start", Milliseconds}                    // until the node has the list and takes clients
+	ServersListed   = Measure{"servers listed", Count}                  // that the node has once it started
+	ListTaken       = Measure{"list taken from the service", Count}     // 1, or 0 where it came from the node's file
+	ChangeBytes     = Measure{"list change", Bytes}                     // on the wire, for each change
+	ElsewhereCPU    = Measure{"list change elsewhere CPU", Nanoseconds} // of servers that the node's routes don't need
+	ElsewhereBytes  = Measure{"list change elsewhere", Bytes}           // on the wire, for each change
+	RequestCPU      = Measure{"request CPU", Nanoseconds}               // of the node, for each request
+	DirectP50       = Measure{"request without a node, p50", Nanoseconds}
+	DirectP99       = Measure{"request without a node, p99", Nanoseconds}
+	ThroughP50      = Measure{"request through a node, p50", Nanoseconds}
+	ThroughP99      = Measure{"request through a node, p99", Nanoseconds}
+	AddedP50        = Measure{"added to a request, p50", Nanoseconds} // difference of the two medians
+	AddedP99        = Measure{"added to a request, p99", Nanoseconds} // difference of the two 99th percentiles
+	RequestsFailed  = Measure{"requests that failed", Count}
+	RequestsSent    = Measure{"requests through a node", Count}
+	RegisterRate    = Measure{"registrations a second", PerSecond} // by all writers
+	RenewRate       = Measure{"renewals a second", PerSecond}      // by all writers
+	RenewCPU        = Measure{"renewal CPU", Nanoseconds}          // of all replicas, for each renewal
+	WatcherToldP50  = Measure{"watcher told p50", Milliseconds}    // from before the write to the answer read
+	WatcherToldP99  = Measure{"watcher told p99", Milliseconds}    //
+	WatcherToldLast = Measure{"watcher told, last", Milliseconds}  //
+	WatcherCPU      = Measure{"watcher told CPU", Nanoseconds}     // of all replicas, for each watcher and change
+	LeaderResident  = Measure{"leader's resident memory", Bytes}   //
+)
+
+// ProcessSpec says how real processes are measured. Zero values are replaced by what suits the target.
+type ProcessSpec struct {
+	Seed     uint64
+	Window   time.Duration // that a rate is watched for
+	Routes   int           // of the node; each is served by a service of its own
+	Changes  float64       // of the list, a second, while changes are watched
+	Requests float64       // a second, through the node and beside it each
+	Replicas int           // of the list service
+}
+
+const (
+	defaultWindow   = 10 * time.Second
+	defaultRoutes   = 10    // 47,000 routes over 5,100 nodes are 9.2
+	defaultChanges  = 1.0   // a second
+	defaultRequests = 188.0 // 960,000 requests a second over 5,100 nodes
+	defaultReplicas = 1
+	targetNodes     = 5100
+	targetServers   = 150_000
+	serversEach     = 54 // of a service: 150,000 servers in 2,800 services
+	zoneCount       = 20
+)
+
+func (s ProcessSpec) withDefaults() ProcessSpec {
+	if s.Window == 0 {
+		s.Window = defaultWindow
+	}
+	if s.Routes == 0 {
+		s.Routes = defaultRoutes
+	}
+	if s.Changes == 0 {
+		s.Changes = defaultChanges
+	}
+	if s.Requests == 0 {
+		s.Requests = defaultRequests
+	}
+	if s.Replicas == 0 {
+		s.Replicas = defaultReplicas
+	}
+	return s
+}
+
+// Check says which value can't be used.
+func (s ProcessSpec) Check() error {
+	s = s.withDefaults()
+	switch {
+	case s.Window < 100*time.Millisecond || s.Window > 10*time.Minute:
+		return fmt.Errorf("window: want 100 ms to 10 min, got %v", s.Window)
+	case s.Routes < 1 || s.Routes > 1000:
+		return fmt.Errorf("routes: want 1 to 1000, got %d", s.Routes)
+	case !(s.Changes > 0 && s.Changes <= 1000):
+		return fmt.Errorf("changes: want more than 0 and up to 1000 a second, got %v", s.Changes)
+	case !(s.Requests > 0 && s.Requests <= 5000):
+		return fmt.Errorf("requests: want more than 0 and up to 5000 a second, got %v", s.Requests)
+	case s.Replicas != 1 && s.Replicas != 3:
+		return fmt.Errorf("replicas: want 1 or 3, got %d", s.Replicas)
+	}
+	return nil
+}
+
+// ProcessDimension is a dimension that is measured on the programs as they ship, each in a process of its own.
+type ProcessDimension struct {
+	Name    string
+	About   string
+	Sizes   []int
+	Least   int
+	Most    int
+	measure func(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error
+}
+
+// ProcessDimensions are all there are.
+func ProcessDimensions() []ProcessDimension {
+	return []ProcessDimension{
+		{"real-servers", "a node at rest and at changes of the list, by servers known",
+			[]int{10, 1000, 10_000, 50_000, 150_000}, 1, 200_000, measureServers},
+		{"real-requests", "time that a node adds to a request, by servers known",
+			[]int{10, 100, 1000, 10_000, 50_000}, 1, 150_000, measureRequests},
+		{"real-tenants", "a node's memory and its taking of settings, by tenants in them",
+			[]int{100, 1000, 10_000, 100_000, 800_000}, 1, 1_000_000, measureTenants},
+		{"real-registry", "the list service, by instances",
+			[]int{625, 1250, 2500, 5000, 10_000}, 1, 10_000, measureInstances},
+		{"real-watchers", "the list service, by watchers",
+			[]int{100, 250, 500, 1000, 2000}, 1, 4000, measureWatchers},
+	}
+}
+
+// Measure measures one size once. It builds the programs of the module in or above whose folder it runs.
+func (d ProcessDimension) Measure(ctx context.Context, spec ProcessSpec, size, run int) ([]Measurement, error) {
+	if err := spec.Check(); err != nil {
+		return nil, err
+	}
+	if size < d.Least || size > d.Most {
+		return nil, fmt.Errorf("%s: size: want %d to %d, got %d", d.Name, d.Least, d.Most, size)
+	}
+	dir, err := os.MkdirTemp("", "sloerail-scale-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	r, err := rig.New(dir, spec.Seed)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	rec := NewRecorder(d.Name, size, run, Process)
+	for _, program := range []string{"cmd/wayhold", "cmd/sloerail"} { // else a start would be timed with its build
+		if _, err := rig.Build(program); err != nil {
+			return nil, err
+		}
+	}
+	if err := d.measure(ctx, r, spec.withDefaults(), size, rec); err != nil {
+		return nil, fmt.Errorf("%s, size %d: %w", d.Name, size, err)
+	}
+	return rec.Measurements(), nil
+}
+
+// usage is what a process has used and holds.
+type usage struct {
+	cpu            time.Duration
+	resident, peak float64 // bytes
+}
+
+func usageOf(pid int) (usage, error) {
+	p, err := procfs.NewProc(pid)
+	if err != nil {
+		return usage{}, err
+	}
+	status, err := p.NewStatus()
+	if err != nil {
+		return usage{}, err
+	}
+	threads, err := procfs.AllThreads(pid)
+	if err != nil {
+		return usage{}, err
+	}
+	u := usage{resident: float64(status.VmRSS), peak: float64(status.VmHWM)}
+	for _, thread := range threads { // its own clock counts nanoseconds, where the process's counts hundredths of a second
+		times, err := thread.Schedstat()
+		if errors.Is(err, fs.ErrNotExist) {
+			continue // it has just ended
+		}
+		if err != nil {
+			return usage{}, err
+		}
+		u.cpu += time.Duration(times.RunningNanoseconds)
+	}
+	return u, nil
+}
+
+// cpuOf is what these processes have used together.
+func cpuOf(pids ...int) (sum time.Duration, err error) {
+	for _, pid := range pids {
+		u, err := usageOf(pid)
+		if err != nil {
+			return 0, err
+		}
+		sum += u.cpu
+	}
+	return sum, nil
+}
+
+// sleep waits for a while, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+const statsTime = 2 * time.Second
+
+// figure reads one figure of a node's second address.
+func figure(ctx context.Context, control, name string) (float64, error) {
+	ctx, cancel := context.WithTimeout(ctx, statsTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control+"/stats", nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	return readFigure(resp.Body, name)
+}
+
+var errNoFigure = errors.New("no such figure")
+
+// readFigure finds a figure in the Prometheus text format.
+func readFigure(text io.Reader, name string) (float64, error) {
+	lines := bufio.NewScanner(text)
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			return strconv.ParseFloat(value, 64)
+		}
+	}
+	return 0, errors.Join(lines.Err(), fmt.Errorf("%s: %w", name, errNoFigure))
+}
--- /dev/null
+++ b/internal/scale/process_list.go
@@ -0,0 +1,120 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sloerail/internal/emulator"
+	"sloerail/internal/rig"
+)
+
+const (
+	listServicePort = 8500
+	longestWait     = time.Minute // of a watch
+)
+
+// listService is the emulator's list on a socket, with as many servers as a run asks for.
+type listService struct {
+	address string
+	bytes   atomic.Int64 // of answers, bodies alone
+	answers atomic.Int64
+	server  *http.Server
+
+	mu      sync.Mutex
+	list    *emulator.List
+	changed chan struct{} // closed at a change
+}
+
+// serverName, serviceOf and zoneOf say how the servers of a run are laid out: a service's servers follow each
+// other, spread over all zones.
+func serverName(i int) string   { return fmt.Sprintf("server-%06d", i) }
+func serviceOf(i int) string    { return fmt.Sprintf("service-%04d", i/serversEach) }
+func zoneOf(i int) string       { return fmt.Sprintf("zone-%02d", i%zoneCount) }
+func serviceCount(n int) int    { return (n + serversEach - 1) / serversEach }
+func routeService(i int) string { return fmt.Sprintf("service-%04d", i) }
+
+// startList serves a list of n servers; address says where each of them is.
+func startList(r *rig.Rig, n int, address func(i int) string) (*listService, error) {
+	s := &listService{list: emulator.NewList(), changed: make(chan struct{})}
+	for i := range n {
+		s.list.Set(emulator.Entry{ID: serverName(i), HostPort: address(i), Locality: zoneOf(i), Flavor: serviceOf(i),
+			Cell: int64(i / 100), Phase: emulator.Up, Size: 1})
+	}
+	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", r.Host(), listServicePort))
+	if err != nil {
+		return nil, err
+	}
+	s.address = ln.Addr().String()
+	s.server = &http.Server{Handler: s}
+	go func() { _ = s.server.Serve(ln) }()
+	return s, nil
+}
+
+func (s *listService) close() { s.server.Close() }
+
+// whole is the list as it is.
+func (s *listService) whole() emulator.Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list.Whole()
+}
+
+// set changes one server's phase, and tells all watches.
+func (s *listService) set(i int, phase string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.Phase(serverName(i), phase)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP answers a call for the list, which may wait for a change.
+func (s *listService) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	index, err := strconv.ParseInt(req.URL.Query().Get("index"), 10, 64)
+	watch := err == nil
+	ms, _ := strconv.ParseInt(req.URL.Query().Get("wait"), 10, 64)
+	until := time.NewTimer(min(longestWait, time.Duration(ms)*time.Millisecond))
+	defer until.Stop()
+	for {
+		answer, changed, news := s.since(index, watch)
+		if news {
+			s.write(w, answer)
+			return
+		}
+		select {
+		case <-changed:
+		case <-until.C:
+			s.write(w, answer)
+			return
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *listService) since(index int64, watch bool) (emulator.Answer, <-chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !watch {
+		return s.list.Whole(), nil, true
+	}
+	answer, news := s.list.Since(index)
+	return answer, s.changed, news
+}
+
+func (s *listService) write(w http.ResponseWriter, answer emulator.Answer) {
+	body, err := json.Marshal(answer)
+	if err != nil { // plain fields always can be written
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	n, _ := w.Write(body)
+	s.bytes.Add(int64(n))
+	s.answers.Add(1)
+}
--- /dev/null
+++ b/internal/scale/process_registry.go
@@ -0,0 +1,274 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sloerail/internal/registry"
+	"sloerail/internal/rig"
+)
+
+const (
+	registryWriters  = 32 // half of the commands that a replica takes at a time
+	watchedInstances = 2000
+	watchedChanges   = 20
+	fewWatchers      = 50
+	mostRenewals     = 1000             // that are timed
+	instanceLease    = 10 * time.Minute // none runs out during a run
+	watchFor         = 30 * time.Second
+	longestTold      = time.Minute
+)
+
+// registryRun is a list service of real replicas under measurement.
+type registryRun struct {
+	*rig.Registry
+	leader string
+}
+
+func startRegistry(ctx context.Context, r *rig.Rig, replicas int) (*registryRun, error) {
+	g, err := r.NewRegistry(replicas)
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range g.Names {
+		if err := g.Start(name); err != nil {
+			return nil, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	leader, err := g.AwaitLeader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &registryRun{g, leader}, nil
+}
+
+func (g *registryRun) pids() (all []int) {
+	for _, name := range g.Names {
+		all = append(all, g.Process(name).PID())
+	}
+	return all
+}
+
+// instance is an instance of the list as it registers; mark tells one registration from another.
+func instance(i, mark int) map[string]any {
+	return map[string]any{"host_port": fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255), "locality": zoneOf(i),
+		"flavor": serviceOf(i), "cell": i / 100, "lease_ms": instanceLease.Milliseconds(), "up_since_ms": mark}
+}
+
+// writeAll has all writers together make one write for each of n instances, and returns their rate.
+func (g *registryRun) writeAll(ctx context.Context, n int, write func(c *registry.Client, i int) error) (rate float64, err error) {
+	errs := make([]error, registryWriters)
+	var all sync.WaitGroup
+	began := time.Now()
+	for w := range registryWriters {
+		all.Go(func() {
+			c := registry.NewClient([]string{g.Listen(g.leader)})
+			for i := w; i < n && errs[w] == nil && ctx.Err() == nil; i += registryWriters {
+				errs[w] = write(c, i)
+			}
+		})
+	}
+	all.Wait()
+	return float64(n) / time.Since(began).Seconds(), errors.Join(errors.Join(errs...), ctx.Err())
+}
+
+func (g *registryRun) registerAll(ctx context.Context, n int) (rate float64, err error) {
+	return g.writeAll(ctx, n, func(c *registry.Client, i int) error {
+		return c.Do(ctx, http.MethodPut, "/registry/instances/"+serverName(i), instance(i, 1), nil, 0)
+	})
+}
+
+func (g *registryRun) renewAll(ctx context.Context, n int) (rate float64, err error) {
+	return g.writeAll(ctx, n, func(c *registry.Client, i int) error {
+		return c.Do(ctx, http.MethodPut, "/registry/instances/"+serverName(i)+"/lease", nil, nil, 0)
+	})
+}
+
+// measureInstances measures the list service with so many instances and a few watchers.
+func measureInstances(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
+	g, err := startRegistry(ctx, r, spec.Replicas)
+	if err != nil {
+		return err
+	}
+	rate, err := g.registerAll(ctx, size)
+	if err != nil {
+		return err
+	}
+	rec.Record(RegisterRate, rate)
+	before, err := cpuOf(g.pids()...)
+	if err != nil {
+		return err
+	}
+	renewals := min(size, mostRenewals)
+	if rate, err = g.renewAll(ctx, renewals); err != nil {
+		return err
+	}
+	after, err := cpuOf(g.pids()...)
+	if err != nil {
+		return err
+	}
+	rec.Record(RenewRate, rate)
+	rec.Record(RenewCPU, float64(after-before)/float64(renewals))
+	if err := measureWholeList(ctx, g, rec); err != nil {
+		return err
+	}
+	if err := g.watchTold(ctx, fewWatchers, rec); err != nil {
+		return err
+	}
+	return g.recordRest(ctx, spec, rec)
+}
+
+// measureWholeList notes how large the list is as a node is given it.
+func measureWholeList(ctx context.Context, g *registryRun, rec *Recorder) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+g.Listen(g.leader)+"/registry/instances", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	n, err := io.Copy(io.Discard, resp.Body)
+	rec.Record(ListBytes, float64(n))
+	return err
+}
+
+// measureWatchers measures the list service with a common number of instances and so many watchers.
+func measureWatchers(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
+	g, err := startRegistry(ctx, r, spec.Replicas)
+	if err != nil {
+		return err
+	}
+	if _, err := g.registerAll(ctx, watchedInstances); err != nil {
+		return err
+	}
+	if err := g.watchTold(ctx, size, rec); err != nil {
+		return err
+	}
+	return g.recordRest(ctx, spec, rec)
+}
+
+// recordRest watches replicas that have nothing to do but to hold watches.
+func (g *registryRun) recordRest(ctx context.Context, spec ProcessSpec, rec *Recorder) error {
+	began := time.Now()
+	before, err := cpuOf(g.pids()...)
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, spec.Window); err != nil {
+		return err
+	}
+	after, err := cpuOf(g.pids()...)
+	if err != nil {
+		return err
+	}
+	rec.Record(RegistryCPU, 100*(after-before).Seconds()/time.Since(began).Seconds()/float64(len(g.Names)))
+	u, err := usageOf(g.Process(g.leader).PID())
+	if err != nil {
+		return err
+	}
+	rec.Record(LeaderResident, u.resident)
+	rec.Record(PeakResident, u.peak)
+	return nil
+}
+
+// watchers are callers of the list service that follow one instance.
+type watchers struct {
+	mu    sync.Mutex
+	sent  time.Time // the last write,
+	mark  int64     // its mark,
+	told  int       // and how many watchers were told of it
+	ready int
+	late  *hdrhistogram.Histogram
+}
+
+// watchTold makes changes under so many watchers, and notes when each was told.
+func (g *registryRun) watchTold(ctx context.Context, n int, rec *Recorder) error {
+	under, stop := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer stop()
+	w := &watchers{late: hdrhistogram.New(1, longestTold.Microseconds(), histogramDigit)}
+	for i := range n {
+		all.Go(func() { w.follow(under, registry.NewClient([]string{g.Listen(g.Names[i%len(g.Names)])})) })
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	count := func(of *int, want int) func() bool {
+		return func() bool { w.mu.Lock(); defer w.mu.Unlock(); return *of >= want }
+	}
+	if err := rig.Await(ctx, "all watchers", count(&w.ready, n)); err != nil {
+		return err
+	}
+	c := registry.NewClient([]string{g.Listen(g.leader)})
+	before, err := cpuOf(g.pids()...)
+	if err != nil {
+		return err
+	}
+	for change := range watchedChanges {
+		w.begin(int64(change + 100))
+		if err := c.Do(ctx, http.MethodPut, "/registry/instances/"+serverName(0), instance(0, change+100), nil, 0); err != nil {
+			return err
+		}
+		if err := rig.Await(ctx, "all to be told", count(&w.told, n)); err != nil {
+			return err
+		}
+	}
+	after, err := cpuOf(g.pids()...)
+	if err != nil {
+		return err
+	}
+	rec.Record(WatcherCPU, float64(after-before)/float64(n*watchedChanges))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for m, quantile := range map[Measure]float64{WatcherToldP50: 50, WatcherToldP99: 99, WatcherToldLast: 100} {
+		rec.Record(m, float64(w.late.ValueAtQuantile(quantile))/1000)
+	}
+	return nil
+}
+
+func (w *watchers) begin(mark int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sent, w.mark, w.told = time.Now(), mark, 0
+}
+
+// follow watches the list until ctx ends.
+func (w *watchers) follow(ctx context.Context, c *registry.Client) {
+	at := int64(-1)
+	for first := true; ctx.Err() == nil; {
+		var l registry.List
+		path := fmt.Sprintf("/registry/instances?index=%d&wait=%d", at, watchFor.Milliseconds())
+		if c.Watch(ctx, path, watchFor, &l) != nil {
+			continue
+		}
+		at = l.Revision
+		w.note(l, first)
+		first = false
+	}
+}
+
+func (w *watchers) note(l registry.List, first bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if first {
+		w.ready++
+		return
+	}
+	for _, e := range l.Members {
+		if e.UpSince == w.mark {
+			w.told++
+			_ = w.late.RecordValue(time.Since(w.sent).Microseconds())
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/process_servers.go
@@ -0,0 +1,248 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"syscall"
+	"time"
+
+	"sloerail/internal/emulator"
+	"sloerail/internal/rig"
+)
+
+const (
+	nodeMemoryMB  = 1024             // so that the collector isn't what is measured
+	takeListIn    = 15 * time.Second // or the node is held not to take it
+	settleTime    = 3 * time.Second  // after a start, before anything is watched
+	lookEvery     = 20 * time.Millisecond
+	manyTenants   = 10
+	quotaOfAll    = 1e9 // requests a second: no bucket refuses
+	listedFigure  = "app_registry_entries"
+	takenFigure   = "app_cfg_accepted_total"
+	nodeDeadline  = 2 * time.Second
+	nodeAim       = time.Second
+	readyTime     = 60 * time.Second
+	nodeDescripts = 4096
+)
+
+// nodesBefore is how many nodes stand before one server, where each node reaches the servers of its routes alone and
+// all servers are reached alike: 18 for ten routes.
+func nodesBefore(spec ProcessSpec) int {
+	return max(1, targetNodes*spec.Routes*serversEach/targetServers)
+}
+
+// nodeSettings are those of a node of the target's fleet whose routes need so many of the services there are.
+func nodeSettings(spec ProcessSpec, services, tenants int) map[string]any {
+	var classes []emulator.Class
+	for i := range spec.Routes {
+		classes = append(classes, emulator.Class{Name: routeName(i), Aim: nodeAim, Deadline: nodeDeadline,
+			Worth: 1, Repeat: emulator.Free})
+	}
+	var all []emulator.Tenant
+	for i := range tenants {
+		all = append(all, emulator.Tenant{Name: tenantName(i), Share: 1 / float64(tenants)})
+	}
+	settings := rig.Settings(0, nodesBefore(spec), zoneOf(0), classes, all, quotaOfAll)
+	for i, route := range settings["services"].([]map[string]any) {
+		route["servedOn"] = []string{routeService(i % services)}
+	}
+	return settings
+}
+
+func routeName(i int) string { return fmt.Sprintf("route-%04d", i) }
+
+func tenantName(i int) string { return fmt.Sprintf("tenant-%06d", i) }
+
+// startNode starts a node that takes its list from a service. Where that list is beyond what it takes, the list
+// stands in its file.
+func startNode(ctx context.Context, r *rig.Rig, list *listService, settings map[string]any, rec *Recorder) (*rig.Node, error) {
+	want := len(list.whole().Members)
+	for attempt, known := range []any{nil, list.whole()} {
+		n, err := r.Node(rig.NodeSpec{Name: fmt.Sprint("node-", attempt), Discovery: list.address, Known: known,
+			MemoryMB: nodeMemoryMB, Sockets: nodeDescripts, Settings: settings})
+		if err != nil {
+			return nil, err
+		}
+		took, listed, err := startAndList(ctx, n, want)
+		if err != nil {
+			return nil, err
+		}
+		if listed < want && known == nil {
+			n.Process().Kill()
+			continue
+		}
+		u, err := usageOf(n.Process().PID())
+		if err != nil {
+			return nil, err
+		}
+		rec.Record(ListTaken, float64(1-attempt))
+		rec.Record(ServersListed, float64(listed))
+		rec.Record(StartTime, float64(took.Milliseconds()))
+		rec.Record(StartCPU, float64(u.cpu))
+		return n, nil
+	}
+	return nil, fmt.Errorf("a node takes no list of %d servers, from the service or from its file", want)
+}
+
+// startAndList starts a node, and waits until it takes clients and has its list.
+func startAndList(ctx context.Context, n *rig.Node, want int) (took time.Duration, listed int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	began := time.Now()
+	if _, err := n.Start(); err != nil {
+		return 0, 0, err
+	}
+	if err := n.Ready(ctx); err != nil {
+		return 0, 0, err
+	}
+	for end := time.Now().Add(takeListIn); listed < want && time.Now().Before(end); {
+		if entries, err := figure(ctx, n.Control(), listedFigure); err == nil {
+			listed = int(entries)
+		}
+		if err := sleep(ctx, lookEvery); err != nil {
+			return 0, 0, err
+		}
+	}
+	return time.Since(began), listed, nil
+}
+
+// measureServers measures a node at rest, and at changes of its list, with so many servers known.
+func measureServers(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
+	list, err := startList(r, size, func(i int) string { return fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255) })
+	if err != nil {
+		return err
+	}
+	defer list.close()
+	before := list.bytes.Load()
+	n, err := startNode(ctx, r, list, nodeSettings(spec, serviceCount(size), manyTenants), rec)
+	if err != nil {
+		return err
+	}
+	rec.Record(ListBytes, float64(list.bytes.Load()-before))
+	runtime.GC() // of the list service, which shares this machine
+	if err := sleep(ctx, settleTime); err != nil {
+		return err
+	}
+	if err := watchRest(ctx, spec, n, list, rec); err != nil {
+		return err
+	}
+	own := changesOf{cpu: ListChangeCPU, bytes: ChangeBytes, first: 0, count: min(spec.Routes, serviceCount(size))}
+	if err := watchChanges(ctx, spec, n, list, own, rec); err != nil {
+		return err
+	}
+	elsewhere := changesOf{ElsewhereCPU, ElsewhereBytes, spec.Routes, serviceCount(size) - spec.Routes}
+	if elsewhere.count <= 0 {
+		return nil
+	}
+	return watchChanges(ctx, spec, n, list, elsewhere, rec)
+}
+
+// watchRest watches a node that has nothing to do.
+func watchRest(ctx context.Context, spec ProcessSpec, n *rig.Node, list *listService, rec *Recorder) error {
+	pid := n.Process().PID()
+	began, bytes, answers := time.Now(), list.bytes.Load(), list.answers.Load()
+	before, err := usageOf(pid)
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, spec.Window); err != nil {
+		return err
+	}
+	after, err := usageOf(pid)
+	if err != nil {
+		return err
+	}
+	span := time.Since(began).Seconds()
+	rec.Record(ControlCPU, 100*(after.cpu-before.cpu).Seconds()/span)
+	rec.Record(ReceivedBytes, float64(list.bytes.Load()-bytes)/span)
+	rec.Record(ReceivedReads, float64(list.answers.Load()-answers)/span)
+	rec.Record(Resident, after.resident)
+	rec.Record(PeakResident, after.peak)
+	return nil
+}
+
+// changesOf are changes of the first server of each of some services.
+type changesOf struct {
+	cpu, bytes   Measure
+	first, count int // services
+}
+
+// watchChanges has servers drain and come back one by one, at a rate that the node keeps up with.
+func watchChanges(ctx context.Context, spec ProcessSpec, n *rig.Node, list *listService, of changesOf, rec *Recorder) error {
+	pid := n.Process().PID()
+	bytes := list.bytes.Load()
+	before, err := usageOf(pid)
+	if err != nil {
+		return err
+	}
+	changes := max(1, int(spec.Changes*spec.Window.Seconds()))
+	for i := range changes {
+		phase := emulator.Draining
+		if i%2 == 1 {
+			phase = emulator.Up
+		}
+		list.set((of.first+i/2%of.count)*serversEach, phase)
+		if err := sleep(ctx, time.Duration(float64(time.Second)/spec.Changes)); err != nil {
+			return err
+		}
+	}
+	after, err := usageOf(pid)
+	if err != nil {
+		return err
+	}
+	rec.Record(of.cpu, float64(after.cpu-before.cpu)/float64(changes))
+	rec.Record(of.bytes, float64(list.bytes.Load()-bytes)/float64(changes))
+	return nil
+}
+
+// measureTenants measures a node at rest whose settings name so many tenants, and its taking of them anew.
+func measureTenants(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
+	list, err := startList(r, spec.Routes, func(int) string { return "10.0.0.1:9000" })
+	if err != nil {
+		return err
+	}
+	defer list.close()
+	settings := nodeSettings(spec, 1, size)
+	raw, err := json.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	rec.Record(ConfigBytes, float64(len(raw)))
+	n, err := startNode(ctx, r, list, settings, rec)
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, settleTime); err != nil {
+		return err
+	}
+	if err := watchRest(ctx, spec, n, list, rec); err != nil {
+		return err
+	}
+	pid := n.Process().PID()
+	before, err := usageOf(pid)
+	if err != nil {
+		return err
+	}
+	taken, err := figure(ctx, n.Control(), takenFigure)
+	if err != nil {
+		return err
+	}
+	n.Process().Signal(syscall.SIGHUP)
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	err = rig.Await(ctx, "the settings to be taken", func() bool {
+		now, err := figure(ctx, n.Control(), takenFigure)
+		return err == nil && now > taken
+	})
+	if err != nil {
+		return err
+	}
+	after, err := usageOf(pid)
+	if err != nil {
+		return err
+	}
+	rec.Record(ConfigCPU, float64(after.cpu-before.cpu))
+	return nil
+}
