--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -119,15 +119,15 @@
 func ProcessDimensions() []ProcessDimension {
 	return []ProcessDimension{
 		{"real-servers", "a node at rest and at changes of the list, by servers known",
-			[]int{10, 1000, 10_000, 50_000, 150_000}, 1, 200_000, measureServers},
+			[]int{10, 1000, 10_000, 50_000, 150_000}, 1, 200_000, measureRealServers},
 		{"real-requests", "time that a node adds to a request, by servers known",
-			[]int{10, 100, 1000, 10_000, 50_000}, 1, 150_000, measureRequests},
+			[]int{10, 100, 1000, 10_000, 50_000}, 1, 150_000, measureRealRequests},
 		{"real-tenants", "a node's memory and its taking of settings, by tenants in them",
-			[]int{100, 1000, 10_000, 100_000, 800_000}, 1, 1_000_000, measureTenants},
+			[]int{100, 1000, 10_000, 100_000, 800_000}, 1, 1_000_000, measureRealTenants},
 		{"real-registry", "the list service, by instances",
-			[]int{625, 1250, 2500, 5000, 10_000}, 1, 10_000, measureInstances},
+			[]int{625, 1250, 2500, 5000, 10_000}, 1, 10_000, measureRealInstances},
 		{"real-watchers", "the list service, by watchers",
-			[]int{100, 250, 500, 1000, 2000}, 1, 4000, measureWatchers},
+			[]int{100, 250, 500, 1000, 2000}, 1, 4000, measureRealWatchers},
 	}
 }
 
@@ -194,8 +194,8 @@
 	return u, nil
 }
 
-// cpuOf is what these processes have used together.
-func cpuOf(pids ...int) (sum time.Duration, err error) {
+// cpuOfAll is what these processes have used together.
+func cpuOfAll(pids ...int) (sum time.Duration, err error) {
 	for _, pid := range pids {
 		u, err := usageOf(pid)
 		if err != nil {
--- a/internal/scale/process_registry.go
+++ b/internal/scale/process_registry.go
@@ -93,8 +93,8 @@
 	})
 }
 
-// measureInstances measures the list service with so many instances and a few watchers.
-func measureInstances(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
+// measureRealInstances measures the list service with so many instances and a few watchers.
+func measureRealInstances(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
 	g, err := startRegistry(ctx, r, spec.Replicas)
 	if err != nil {
 		return err
@@ -104,7 +104,7 @@
 		return err
 	}
 	rec.Record(RegisterRate, rate)
-	before, err := cpuOf(g.pids()...)
+	before, err := cpuOfAll(g.pids()...)
 	if err != nil {
 		return err
 	}
@@ -112,7 +112,7 @@
 	if rate, err = g.renewAll(ctx, renewals); err != nil {
 		return err
 	}
-	after, err := cpuOf(g.pids()...)
+	after, err := cpuOfAll(g.pids()...)
 	if err != nil {
 		return err
 	}
@@ -143,8 +143,8 @@
 	return err
 }
 
-// measureWatchers measures the list service with a common number of instances and so many watchers.
-func measureWatchers(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
+// measureRealWatchers measures the list service with a common number of instances and so many watchers.
+func measureRealWatchers(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
 	g, err := startRegistry(ctx, r, spec.Replicas)
 	if err != nil {
 		return err
@@ -161,14 +161,14 @@
 // recordRest watches replicas that have nothing to do but to hold watches.
 func (g *registryRun) recordRest(ctx context.Context, spec ProcessSpec, rec *Recorder) error {
 	began := time.Now()
-	before, err := cpuOf(g.pids()...)
+	before, err := cpuOfAll(g.pids()...)
 	if err != nil {
 		return err
 	}
 	if err := sleep(ctx, spec.Window); err != nil {
 		return err
 	}
-	after, err := cpuOf(g.pids()...)
+	after, err := cpuOfAll(g.pids()...)
 	if err != nil {
 		return err
 	}
@@ -211,7 +211,7 @@
 		return err
 	}
 	c := registry.NewClient([]string{g.Listen(g.leader)})
-	before, err := cpuOf(g.pids()...)
+	before, err := cpuOfAll(g.pids()...)
 	if err != nil {
 		return err
 	}
@@ -224,7 +224,7 @@
 			return err
 		}
 	}
-	after, err := cpuOf(g.pids()...)
+	after, err := cpuOfAll(g.pids()...)
 	if err != nil {
 		return err
 	}
--- a/internal/scale/process_requests.go
+++ b/internal/scale/process_requests.go
@@ -109,10 +109,10 @@
 	w.firstErr = nil
 }
 
-// measureRequests measures what a node that knows so many servers adds to a request: the same clients ask the same
+// measureRealRequests measures what a node that knows so many servers adds to a request: the same clients ask the same
 // servers straight and through the node, one request after the other in turns, so that whatever else the machine
 // does is in both.
-func measureRequests(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
+func measureRealRequests(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
 	addresses, end, err := startServers(r)
 	if err != nil {
 		return err
--- a/internal/scale/process_servers.go
+++ b/internal/scale/process_servers.go
@@ -13,18 +13,18 @@
 )
 
 const (
-	nodeMemoryMB  = 1024             // so that the collector isn't what is measured
-	takeListIn    = 15 * time.Second // or the node is held not to take it
-	settleTime    = 3 * time.Second  // after a start, before anything is watched
-	lookEvery     = 20 * time.Millisecond
-	manyTenants   = 10
-	quotaOfAll    = 1e9 // requests a second: no bucket refuses
-	listedFigure  = "app_registry_entries"
-	takenFigure   = "app_cfg_accepted_total"
-	nodeDeadline  = 2 * time.Second
-	nodeAim       = time.Second
-	readyTime     = 60 * time.Second
-	nodeDescripts = 4096
+	realNodeMemoryMB = 1024             // so that the collector isn't what is measured
+	takeListIn       = 15 * time.Second // or the node is held not to take it
+	settleTime       = 3 * time.Second  // after a start, before anything is watched
+	lookEvery        = 20 * time.Millisecond
+	manyTenants      = 10
+	quotaOfAll       = 1e9 // requests a second: no bucket refuses
+	listedFigure     = "app_registry_entries"
+	takenFigure      = "app_cfg_accepted_total"
+	nodeDeadline     = 2 * time.Second
+	nodeAim          = time.Second
+	readyTime        = 60 * time.Second
+	nodeDescripts    = 4096
 )
 
 // nodesBefore is how many nodes stand before one server, where each node reaches the servers of its routes alone and
@@ -61,7 +61,7 @@
 	want := len(list.whole().Members)
 	for attempt, known := range []any{nil, list.whole()} {
 		n, err := r.Node(rig.NodeSpec{Name: fmt.Sprint("node-", attempt), Discovery: list.address, Known: known,
-			MemoryMB: nodeMemoryMB, Sockets: nodeDescripts, Settings: settings})
+			MemoryMB: realNodeMemoryMB, Sockets: nodeDescripts, Settings: settings})
 		if err != nil {
 			return nil, err
 		}
@@ -108,8 +108,8 @@
 	return time.Since(began), listed, nil
 }
 
-// measureServers measures a node at rest, and at changes of its list, with so many servers known.
-func measureServers(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
+// measureRealServers measures a node at rest, and at changes of its list, with so many servers known.
+func measureRealServers(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
 	list, err := startList(r, size, func(i int) string { return fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255) })
 	if err != nil {
 		return err
@@ -197,8 +197,8 @@
 	return nil
 }
 
-// measureTenants measures a node at rest whose settings name so many tenants, and its taking of them anew.
-func measureTenants(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
+// measureRealTenants measures a node at rest whose settings name so many tenants, and its taking of them anew.
+func measureRealTenants(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error {
 	list, err := startList(r, spec.Routes, func(int) string { return "10.0.0.1:9000" })
 	if err != nil {
 		return err
