--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -46,6 +46,11 @@
 	LeaderResident  = Measure{"leader's resident memory", Bytes}   //
 )
 
+// realMeasures are those that a hollow node doesn't have, in the order of tables.
+func realMeasures() []Measure {
+	return []Measure{PeakResident, StartTime, ServersListed, ListTaken, ChangeBytes, ElsewhereCPU, ElsewhereBytes, RequestCPU, DirectP50, DirectP99, ThroughP50, ThroughP99, AddedP50, AddedP99, RequestsFailed, RequestsSent, RegisterRate, RenewRate, RenewCPU, WatcherToldP50, WatcherToldP99, WatcherToldLast, WatcherCPU, LeaderResident}
+}
+
 // ProcessSpec says how real processes are measured. Zero values are replaced by what suits the target.
 type ProcessSpec struct {
 	Seed     uint64
@@ -107,32 +112,48 @@
 
 // ProcessDimension is a dimension that is measured on the programs as they ship, each in a process of its own.
 type ProcessDimension struct {
-	Name    string
-	About   string
-	Sizes   []int
-	Least   int
-	Most    int
-	measure func(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error
+	Name     Dimension
+	Least    int
+	Most     int
+	replicas int // of the list service; 0 for one
+	measure  func(ctx context.Context, r *rig.Rig, spec ProcessSpec, size int, rec *Recorder) error
 }
 
 // ProcessDimensions are all there are.
 func ProcessDimensions() []ProcessDimension {
 	return []ProcessDimension{
-		{"real-servers", "a node at rest and at changes of the list, by servers known",
-			[]int{10, 1000, 10_000, 50_000, 150_000}, 1, 200_000, measureRealServers},
-		{"real-requests", "time that a node adds to a request, by servers known",
-			[]int{10, 100, 1000, 10_000, 50_000}, 1, 150_000, measureRealRequests},
-		{"real-tenants", "a node's memory and its taking of settings, by tenants in them",
-			[]int{100, 1000, 10_000, 100_000, 800_000}, 1, 1_000_000, measureRealTenants},
-		{"real-registry", "the list service, by instances",
-			[]int{625, 1250, 2500, 5000, 10_000}, 1, 10_000, measureRealInstances},
-		{"real-watchers", "the list service, by watchers",
-			[]int{100, 250, 500, 1000, 2000}, 1, 4000, measureRealWatchers},
+		{Name: "real-servers", Least: 1, Most: 200_000, measure: measureRealServers},
+		{Name: "real-requests", Least: 1, Most: 150_000, measure: measureRealRequests},
+		{Name: "real-tenants", Least: 1, Most: mostTenants, measure: measureRealTenants},
+		{Name: "real-registry", Least: 1, Most: mostListed, measure: measureRealInstances},
+		{Name: "real-registry-3", Least: 1, Most: mostListed, replicas: 3, measure: measureRealInstances},
+		{Name: "real-watchers", Least: 1, Most: mostWatchers, measure: measureRealWatchers},
+		{Name: "real-watchers-3", Least: 1, Most: mostWatchers, replicas: 3, measure: measureRealWatchers},
+	}
+}
+
+// realDimension finds one of them.
+func realDimension(name Dimension) (d ProcessDimension, found bool) {
+	for _, d := range ProcessDimensions() {
+		if d.Name == name {
+			return d, true
+		}
 	}
+	return ProcessDimension{}, false
+}
+
+func realDimensions() (all []Dimension) {
+	for _, d := range ProcessDimensions() {
+		all = append(all, d.Name)
+	}
+	return all
 }
 
 // Measure measures one size once. It builds the programs of the module in or above whose folder it runs.
 func (d ProcessDimension) Measure(ctx context.Context, spec ProcessSpec, size, run int) ([]Measurement, error) {
+	if d.replicas > 0 {
+		spec.Replicas = d.replicas
+	}
 	if err := spec.Check(); err != nil {
 		return nil, err
 	}
@@ -149,7 +170,7 @@
 		return nil, err
 	}
 	defer r.Close()
-	rec := NewRecorder(d.Name, size, run, Process)
+	rec := NewRecorder(string(d.Name), size, run, Process)
 	for _, program := range []string{"cmd/wayhold", "cmd/sloerail"} { // else a start would be timed with its build
 		if _, err := rig.Build(program); err != nil {
 			return nil, err
--- a/internal/scale/process_test.go
+++ b/internal/scale/process_test.go
@@ -23,13 +23,11 @@
 
 func processDimension(t *testing.T, name string) ProcessDimension {
 	t.Helper()
-	for _, d := range ProcessDimensions() {
-		if d.Name == name {
-			return d
-		}
+	d, found := realDimension(Dimension(name))
+	if !found {
+		t.Fatalf("no dimension %q", name)
 	}
-	t.Fatalf("no dimension %q", name)
-	return ProcessDimension{}
+	return d
 }
 
 // measured runs one small point and returns its values by the measure's name.
@@ -158,7 +156,7 @@
 }
 
 func TestRealRegistryTellsAllWatchers(t *testing.T) {
-	got := measured(t, "real-registry", ProcessSpec{Window: 100 * time.Millisecond, Replicas: 3}, 100)
+	got := measured(t, "real-registry-3", ProcessSpec{Window: 100 * time.Millisecond}, 100)
 	for _, m := range []Measure{RegisterRate, RenewRate, RenewCPU, ListBytes, WatcherToldP99, WatcherCPU, LeaderResident} {
 		if !(got[m.Name] > 0) {
 			t.Errorf("%s: %v", m.Name, got[m.Name])
