Write command results through one printer that keeps write errors

Change: internal/output has a Printer that keeps the first error, Show for the choice, and NewTable. Commands return the error. Text, JSON and exit statuses are as before. Measured: go test -race of internal/output and cmd/sloerail passed.

--- a/cmd/sloerail/experiment.go
+++ b/cmd/sloerail/experiment.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"sloerail/internal/lab"
+	"sloerail/internal/output"
 )
 
 var errNotReached = errors.New("not all measures are reached")
@@ -76,17 +76,8 @@
 }
 
 func tellPairs(out io.Writer, pairs []lab.Pair, asJSON bool) error {
-	if asJSON {
-		if err := json.NewEncoder(out).Encode(pairs); err != nil {
-			return err
-		}
-	} else {
-		t := newTable(out, "scenario", "G", "G of the other", "difference (95%)", "p", "rules broken", "by the other")
-		for _, p := range pairs {
-			t.AppendRow(table.Row{p.Scenario, fmt.Sprintf("%.3f", p.OurG), fmt.Sprintf("%.3f", p.TheirG),
-				fmt.Sprintf("%+.4f ±%.4f", p.Mean, p.Half), fmt.Sprintf("%.3f", p.P), p.OurBroken, p.TheirBroken})
-		}
-		t.Render()
+	if err := output.Show(out, pairs, asJSON, func(p *output.Printer) { printPairs(p, pairs) }); err != nil {
+		return err
 	}
 	if n := pairs[len(pairs)-1].OurBroken; n > 0 {
 		return fmt.Errorf("%d rules were broken", n)
@@ -94,6 +85,15 @@
 	return nil
 }
 
+func printPairs(out io.Writer, pairs []lab.Pair) {
+	t := newTable(out, "scenario", "G", "G of the other", "difference (95%)", "p", "rules broken", "by the other")
+	for _, p := range pairs {
+		t.AppendRow(table.Row{p.Scenario, fmt.Sprintf("%.3f", p.OurG), fmt.Sprintf("%.3f", p.TheirG),
+			fmt.Sprintf("%+.4f ±%.4f", p.Mean, p.Half), fmt.Sprintf("%.3f", p.P), p.OurBroken, p.TheirBroken})
+	}
+	t.Render()
+}
+
 func newZonesExperiment() *cobra.Command {
 	var seeds int
 	var first uint64
@@ -123,12 +123,8 @@
 }
 
 func tellRows(out io.Writer, rows []lab.Row, asJSON bool) error {
-	if asJSON {
-		if err := json.NewEncoder(out).Encode(figuresOf(rows)); err != nil {
-			return err
-		}
-	} else {
-		printRows(out, rows)
+	if err := output.Show(out, figuresOf(rows), asJSON, func(p *output.Printer) { printRows(p, rows) }); err != nil {
+		return err
 	}
 	for _, r := range rows {
 		if !r.Reached() {
--- a/cmd/sloerail/main.go
+++ b/cmd/sloerail/main.go
@@ -40,7 +40,10 @@
 func newVersion() *cobra.Command {
 	return &cobra.Command{
 		Use: "version", Short: "Print the version of this build", Args: args(cobra.NoArgs),
-		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), node.Version()) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), node.Version())
+			return err
+		},
 	}
 }
 
--- a/cmd/sloerail/members.go
+++ b/cmd/sloerail/members.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"sloerail/internal/node"
+	"sloerail/internal/output"
 )
 
 const (
@@ -46,7 +47,7 @@
 					return err
 				}
 				if err != nil {
-					fmt.Fprintln(cmd.ErrOrStderr(), "sloerail:", err)
+					cmd.PrintErrln("sloerail:", err)
 				}
 				select {
 				case <-time.After(watchEvery):
@@ -77,12 +78,8 @@
 			all[i] = asked{Address: addr, Error: err.Error()}
 		}
 	})
-	if asJSON {
-		if err := json.NewEncoder(out).Encode(all); err != nil {
-			return err
-		}
-	} else {
-		printMembers(out, all)
+	if err := output.Show(out, all, asJSON, func(p *output.Printer) { printMembers(p, all) }); err != nil {
+		return err
 	}
 	return judgeMembers(all)
 }
@@ -107,21 +104,21 @@
 	return nil
 }
 
-func printMembers(out io.Writer, all []asked) {
+func printMembers(p *output.Printer, all []asked) {
 	for _, a := range all {
 		if a.Error != "" {
-			fmt.Fprintf(out, "%s: %s\n\n", a.Address, a.Error)
+			p.Printf("%s: %s\n\n", a.Address, a.Error)
 			continue
 		}
 		v := a.View
-		fmt.Fprintf(out, "%s: %s hears %d, quotas by %d, view %d%s\n", a.Address, v.Node, v.Heard, v.Agreed, v.View, unusual(v))
-		t := newTable(out, "name", "zone", "state", "for", "incarnation", "version", "address")
+		p.Printf("%s: %s hears %d, quotas by %d, view %d%s\n", a.Address, v.Node, v.Heard, v.Agreed, v.View, unusual(v))
+		t := newTable(p, "name", "zone", "state", "for", "incarnation", "version", "address")
 		for _, m := range v.Members {
 			t.AppendRow(table.Row{m.Name, m.Zone, m.State, (time.Duration(m.SinceMs) * time.Millisecond).Round(time.Second),
 				m.Incarnation, m.Version, m.Address})
 		}
 		t.Render()
-		fmt.Fprintln(out)
+		p.Println()
 	}
 }
 
@@ -156,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	switch {
 	case resp.StatusCode == http.StatusNotFound:
 		return absent
--- a/cmd/sloerail/places.go
+++ b/cmd/sloerail/places.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"sloerail/internal/node"
+	"sloerail/internal/output"
 )
 
 var errNoPlaces = errors.New("its configuration names no places")
@@ -55,12 +55,8 @@
 			silent = append(silent, a.Address)
 		}
 	}
-	if asJSON {
-		if err := json.NewEncoder(out).Encode(all); err != nil {
-			return err
-		}
-	} else {
-		printPlaces(out, all)
+	if err := output.Show(out, all, asJSON, func(p *output.Printer) { printPlaces(p, all) }); err != nil {
+		return err
 	}
 	if len(silent) > 0 {
 		return fmt.Errorf("no places from %s", strings.Join(silent, ", "))
@@ -68,23 +64,23 @@
 	return nil
 }
 
-func printPlaces(out io.Writer, all []placesAt) {
+func printPlaces(p *output.Printer, all []placesAt) {
 	for _, a := range all {
 		if a.Error != "" {
-			fmt.Fprintf(out, "%s: %s\n\n", a.Address, a.Error)
+			p.Printf("%s: %s\n\n", a.Address, a.Error)
 			continue
 		}
-		fmt.Fprintf(out, "%s:\n", a.Address)
-		t := newTable(out, "zone", "region", "cost", "servers", "state", "share", "ill/heard lately", "left lately", "tried in", "left last for")
-		for _, p := range a.Places {
+		p.Printf("%s:\n", a.Address)
+		t := newTable(p, "zone", "region", "cost", "servers", "state", "share", "ill/heard lately", "left lately", "tried in", "left last for")
+		for _, place := range a.Places {
 			tried := ""
-			if p.State == "left" {
-				tried = (time.Duration(p.TriedInMs) * time.Millisecond).Round(100 * time.Millisecond).String()
+			if place.State == "left" {
+				tried = (time.Duration(place.TriedInMs) * time.Millisecond).Round(100 * time.Millisecond).String()
 			}
-			t.AppendRow(table.Row{p.Zone, p.Region, p.Cost, p.Servers, p.State, fmt.Sprintf("%.2f", p.Share),
-				fmt.Sprintf("%.0f/%.0f", p.Ill, p.Heard), p.Left, tried, p.Why})
+			t.AppendRow(table.Row{place.Zone, place.Region, place.Cost, place.Servers, place.State, fmt.Sprintf("%.2f", place.Share),
+				fmt.Sprintf("%.0f/%.0f", place.Ill, place.Heard), place.Left, tried, place.Why})
 		}
 		t.Render()
-		fmt.Fprintln(out)
+		p.Println()
 	}
 }
--- a/cmd/sloerail/registry.go
+++ b/cmd/sloerail/registry.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +10,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
+	"sloerail/internal/output"
 	"sloerail/internal/registry"
 )
 
@@ -95,25 +95,17 @@
 }
 
 func showList(out io.Writer, l registry.List, asJSON bool) error {
-	if asJSON {
-		return json.NewEncoder(out).Encode(l)
-	}
-	fmt.Fprintf(out, "revision %d, complete: %v\n", l.Revision, l.Complete)
-	t := newTable(out, "id", "address", "zone", "kind", "cell", "phase", "size")
-	for _, e := range l.Members {
-		t.AppendRow(table.Row{e.ID, e.HostPort, e.Locality, e.Flavor, e.Cell, e.Phase, e.Size})
-	}
-	t.Render()
-	return nil
+	return output.Show(out, l, asJSON, func(p *output.Printer) {
+		p.Printf("revision %d, complete: %v\n", l.Revision, l.Complete)
+		t := newTable(p, "id", "address", "zone", "kind", "cell", "phase", "size")
+		for _, e := range l.Members {
+			t.AppendRow(table.Row{e.ID, e.HostPort, e.Locality, e.Flavor, e.Cell, e.Phase, e.Size})
+		}
+		t.Render()
+	})
 }
 
-func newTable(out io.Writer, header ...any) table.Writer {
-	t := table.NewWriter()
-	t.SetOutputMirror(out)
-	t.SetStyle(table.StyleLight)
-	t.AppendHeader(header)
-	return t
-}
+func newTable(out io.Writer, header ...any) table.Writer { return output.NewTable(out, header...) }
 
 func newStatus(client func() *registry.Client) *cobra.Command {
 	var asJSON bool
@@ -125,20 +117,10 @@
 			if err := client().Do(cmd.Context(), http.MethodGet, "/registry/status", nil, &s, 0); err != nil {
 				return err
 			}
-			if asJSON {
-				return json.NewEncoder(cmd.OutOrStdout()).Encode(s)
-			}
-			out := cmd.OutOrStdout()
-			fmt.Fprintf(out, "%s: leader %q, epoch %d, revision %d, %d instances, %d watches, age %d ms\n", s.ID, s.Leader,
-				s.Epoch, s.Revision, s.Instances, s.Watches, s.AgeMs)
-			if s.Held {
-				fmt.Fprintln(out, "LEASES RUN OUT IN A MASS: nobody is removed")
-			}
-			t := newTable(out, "replica", "raft", "calls")
-			for _, r := range s.Replicas {
-				t.AppendRow(table.Row{r.ID, r.Raft, r.Calls})
+			err := output.Show(cmd.OutOrStdout(), s, asJSON, func(p *output.Printer) { printStatus(p, s) })
+			if err != nil || asJSON {
+				return err
 			}
-			t.Render()
 			if s.Leader == "" || s.AgeMs < 0 {
 				return fmt.Errorf("%s can't tell that its list is fresh", s.ID)
 			}
@@ -149,6 +131,19 @@
 	return cmd
 }
 
+func printStatus(p *output.Printer, s registry.Status) {
+	p.Printf("%s: leader %q, epoch %d, revision %d, %d instances, %d watches, age %d ms\n", s.ID, s.Leader,
+		s.Epoch, s.Revision, s.Instances, s.Watches, s.AgeMs)
+	if s.Held {
+		p.Println("LEASES RUN OUT IN A MASS: nobody is removed")
+	}
+	t := newTable(p, "replica", "raft", "calls")
+	for _, r := range s.Replicas {
+		t.AppendRow(table.Row{r.ID, r.Raft, r.Calls})
+	}
+	t.Render()
+}
+
 func newAdd(client func() *registry.Client) *cobra.Command {
 	return &cobra.Command{
 		Use: "add ID RAFT CALLS", Short: "Make a replica that runs one of those that keep the list",
--- a/cmd/sloerail/run.go
+++ b/cmd/sloerail/run.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"strings"
+
+	"sloerail/internal/output"
 )
 
 // run is the program: it returns the status to end with.
@@ -14,14 +15,15 @@
 	root.SetArgs(arguments)
 	root.SetOut(out)
 	root.SetErr(errs)
+	complaints := output.NewPrinter(errs) // nothing is left to tell an error of standard error to
 	err := root.ExecuteContext(ctx)
 	switch {
 	case err == nil:
 		return 0
 	case errors.Is(err, errUse) || strings.HasPrefix(err.Error(), "unknown command"):
-		fmt.Fprintf(errs, "sloerail: %v\nsloerail: see 'sloerail --help'\n", err)
+		complaints.Printf("sloerail: %v\nsloerail: see 'sloerail --help'\n", err)
 		return 2
 	}
-	fmt.Fprintln(errs, "sloerail:", err)
+	complaints.Println("sloerail:", err)
 	return 1
 }
--- a/cmd/sloerail/simulate.go
+++ b/cmd/sloerail/simulate.go
@@ -1,13 +1,13 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 
 	"github.com/spf13/cobra"
 
 	"sloerail/internal/lab"
+	"sloerail/internal/output"
 )
 
 func newSimulate() *cobra.Command {
@@ -46,36 +46,37 @@
 }
 
 func listScenarios(out io.Writer) error {
+	p := output.NewPrinter(out)
 	for _, name := range lab.Shipped() {
 		s, err := lab.Read(name)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(out, "%-16s %s\n", name, s.What)
+		p.Printf("%-16s %s\n", name, s.What)
 	}
-	return nil
+	return p.Err()
 }
 
 // tell prints what came of a run. The error says that rules were broken.
 func tell(out io.Writer, o *lab.Outcome, every int, asJSON bool) error {
-	if asJSON {
-		if err := json.NewEncoder(out).Encode(o); err != nil {
-			return err
-		}
-	} else {
-		for _, line := range o.Table(max(1, every)) {
-			fmt.Fprintln(out, line)
-		}
-		for _, m := range o.Marks {
-			fmt.Fprintf(out, "%6.2f s  %s %s\n", m.At, m.Who, m.What)
-		}
-		fmt.Fprintf(out, "rules broken: %d\n", o.Broken)
-		for _, b := range o.BrokenRules {
-			fmt.Fprintln(out, " ", b)
-		}
+	if err := output.Show(out, o, asJSON, func(p *output.Printer) { printOutcome(p, o, every) }); err != nil {
+		return err
 	}
 	if o.Broken > 0 {
 		return fmt.Errorf("%d rules were broken", o.Broken)
 	}
 	return nil
 }
+
+func printOutcome(p *output.Printer, o *lab.Outcome, every int) {
+	for _, line := range o.Table(max(1, every)) {
+		p.Println(line)
+	}
+	for _, m := range o.Marks {
+		p.Printf("%6.2f s  %s %s\n", m.At, m.Who, m.What)
+	}
+	p.Printf("rules broken: %d\n", o.Broken)
+	for _, b := range o.BrokenRules {
+		p.Println(" ", b)
+	}
+}
--- a/internal/rig/demo.go
+++ b/internal/rig/demo.go
@@ -12,6 +12,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"sloerail/internal/emulator"
+	"sloerail/internal/output"
 )
 
 // DemoSpec says what Demo plays.
@@ -40,18 +41,19 @@
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	defer Clean()
 	r, err := New(dir, d.Seed)
 	if err != nil {
 		return err
 	}
 	defer r.Close()
-	fmt.Fprintln(out, "building the node ...")
+	text := output.NewPrinter(out)
+	text.Println("building the node ...")
 	if _, err := Build(nodeProgram); err != nil {
 		return err
 	}
-	p := &play{DemoSpec: d, out: out}
+	p := &play{DemoSpec: d, out: text}
 	if err := p.start(ctx, r); err != nil {
 		return err
 	}
@@ -64,7 +66,7 @@
 // play is a demo under way.
 type play struct {
 	DemoSpec
-	out   io.Writer
+	out   *output.Printer
 	w     *World
 	fleet *Fleet
 	load  *Load
@@ -107,7 +109,7 @@
 }
 
 func (p *play) say(format string, args ...any) {
-	fmt.Fprintf(p.out, "%5.1f s  "+format+"\n", append([]any{time.Since(p.began).Seconds()}, args...)...)
+	p.out.Printf("%5.1f s  "+format+"\n", append([]any{time.Since(p.began).Seconds()}, args...)...)
 }
 
 // run plays the troubles, and shows each second how it goes.
@@ -169,10 +171,7 @@
 
 // tell shows what came of each class, and says which rules were broken.
 func (p *play) tell() error {
-	t := table.NewWriter()
-	t.SetOutputMirror(p.out)
-	t.SetStyle(table.StyleLight)
-	t.AppendHeader(table.Row{"class", "asked", "served in time", "late", "not served"})
+	t := output.NewTable(p.out, "class", "asked", "served in time", "late", "not served")
 	var broken []string
 	var count int
 	p.w.Look(func() {
@@ -185,12 +184,12 @@
 		broken = slices.Clone(broken)
 	})
 	t.Render()
-	fmt.Fprintf(p.out, "rules broken: %d\n", count)
+	p.out.Printf("rules broken: %d\n", count)
 	for _, b := range broken {
-		fmt.Fprintln(p.out, " ", b)
+		p.out.Println(" ", b)
 	}
 	if count > 0 {
 		return fmt.Errorf("%d rules were broken", count)
 	}
-	return nil
+	return p.out.Err()
 }
