Mend the linter's findings in the emulator, lab, member, rig and wire packages

Cause: errcheck found results of Close and RemoveAll dropped without a word, gocyclo nine functions of 16 to 26 paths, staticcheck a switch on one value and a negated conjunction. Change: dropped results are assigned to the blank identifier, long functions are split, no behaviour changes. TestFleetThroughTroubles is a table of steps and keeps its form, with a nolint that says so. The start of a node in the rig's tests stands once, in startReady, with the same checks.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 )
 
@@ -194,8 +195,8 @@
 	}
 	t.answered = true
 	r, sums := t.request, c.Sums[t.Class.Name]
-	switch {
-	case status == 200:
+	switch status {
+	case http.StatusOK:
 		r.served = now
 		if now-r.first <= t.Class.Aim {
 			sums.InTime++
@@ -203,12 +204,12 @@
 			sums.Late++
 		}
 		return
-	case status == 429 || status == 503:
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		sums.Refusals++
 	}
 	again := now + max(c.spec.Wait, retryAfter)
 	// What may have run and must not run twice is the client's to settle, not to send again.
-	harmless := status == 429 || status == 503 || t.Class.Repeat != Never
+	harmless := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || t.Class.Repeat != Never
 	if !harmless || r.tries >= c.spec.Tries || again >= r.first+t.Class.Deadline {
 		sums.Unserved++
 		return
--- a/internal/lab/pair.go
+++ b/internal/lab/pair.go
@@ -78,8 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, simulateFor)
 	defer cancel()
 	raw, err := exec.CommandContext(ctx, program, "simulate", scenario, "--json", "--seed", strconv.FormatUint(seed, 10)).Output()
-	var broken *exec.ExitError
-	if err != nil && !(errors.As(err, &broken) && broken.ExitCode() == 1 && len(raw) > 0) { // 1 says that rules were broken
+	if err != nil && (!rulesBroken(err) || len(raw) == 0) {
 		return nil, fmt.Errorf("%s simulate %s, seed %d: %w", program, scenario, seed, err)
 	}
 	o := new(Outcome)
@@ -89,6 +88,12 @@
 	return o, nil
 }
 
+// rulesBroken tells whether a simulation ended with the status that says so.
+func rulesBroken(err error) bool {
+	var exit *exec.ExitError
+	return errors.As(err, &exit) && exit.ExitCode() == 1
+}
+
 // Pairs plays each scenario with each seed by our program and by another one, on all cores, and sums up each
 // scenario and then all of them.
 func Pairs(ctx context.Context, ours, theirs string, scenarios []string, seeds []uint64) ([]Pair, error) {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -151,22 +151,10 @@
 
 // Check says what makes no sense.
 func (s *Scenario) Check() error {
-	nodes, boxes := 0, 0
-	var zones []string
-	for i, z := range s.Zones {
-		if z.Name == "" || slices.Contains(zones, z.Name) {
-			return fmt.Errorf("zones[%d].name: missing or named twice", i)
-		}
-		if z.Nodes < 0 || z.Boxes < 0 {
-			return fmt.Errorf("zones[%d]: nodes and boxes: want 0 or more", i)
-		}
-		zones, nodes, boxes = append(zones, z.Name), nodes+z.Nodes, boxes+z.Boxes
-	}
+	zones, err := checkZones(s.Zones)
 	switch {
-	case nodes < 1 || nodes > mostNodes:
-		return fmt.Errorf("zones: want 1 to %d nodes in all, got %d", mostNodes, nodes)
-	case boxes < 1 || boxes > mostBoxes:
-		return fmt.Errorf("zones: want 1 to %d boxes in all, got %d", mostBoxes, boxes)
+	case err != nil:
+		return err
 	case s.For.Duration <= 0 || s.For.Duration > longest:
 		return fmt.Errorf("for: want up to %v, got %v", longest, s.For)
 	case !(s.Rate > 0) || s.Rate > 1e5:
@@ -182,16 +170,38 @@
 	return nil
 }
 
+// checkZones returns the names of the zones.
+func checkZones(zones []Zone) (names []string, err error) {
+	nodes, boxes := 0, 0
+	for i, z := range zones {
+		if z.Name == "" || slices.Contains(names, z.Name) {
+			return nil, fmt.Errorf("zones[%d].name: missing or named twice", i)
+		}
+		if z.Nodes < 0 || z.Boxes < 0 {
+			return nil, fmt.Errorf("zones[%d]: nodes and boxes: want 0 or more", i)
+		}
+		names, nodes, boxes = append(names, z.Name), nodes+z.Nodes, boxes+z.Boxes
+	}
+	if nodes < 1 || nodes > mostNodes {
+		return nil, fmt.Errorf("zones: want 1 to %d nodes in all, got %d", mostNodes, nodes)
+	}
+	if boxes < 1 || boxes > mostBoxes {
+		return nil, fmt.Errorf("zones: want 1 to %d boxes in all, got %d", mostBoxes, boxes)
+	}
+	return names, nil
+}
+
 func (f Fault) check(zones []string) error {
 	switch {
 	case !slices.Contains(troubles, f.Do):
 		return fmt.Errorf("do: unknown trouble %q", f.Do)
 	case f.Zone != "" && !slices.Contains(zones, f.Zone):
 		return fmt.Errorf("zone: there is no zone %q", f.Zone)
-	case f.At.Duration < 0 || f.For.Duration < 0:
-		return errors.New("at, for: want 0 or more")
-	case f.Every.Duration < 0 || f.Count < 0 || f.Count > 1 && f.Every.Duration <= f.For.Duration:
-		return errors.New("every, count: want a time longer than for, and 0 or more")
+	}
+	if err := f.checkTimes(); err != nil {
+		return err
+	}
+	switch {
 	case f.Part < 0 || f.Part > 1:
 		return fmt.Errorf("part: want 0 to 1, got %v", f.Part)
 	case f.By < 0 || (f.Do == Slow || f.Do == Load) && f.By == 0:
@@ -200,6 +210,16 @@
 	return nil
 }
 
+func (f Fault) checkTimes() error {
+	if f.At.Duration < 0 || f.For.Duration < 0 {
+		return errors.New("at, for: want 0 or more")
+	}
+	if f.Every.Duration < 0 || f.Count < 0 || f.Count > 1 && f.Every.Duration <= f.For.Duration {
+		return errors.New("every, count: want a time longer than for, and 0 or more")
+	}
+	return nil
+}
+
 // part is what is struck.
 func (f Fault) part() float64 {
 	if f.Part == 0 {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -615,15 +615,7 @@
 func (w *World) strike(f Fault, boxes []*box, on bool) {
 	switch f.Do {
 	case Load:
-		times := 1.0
-		if on {
-			times = f.By
-		}
-		for i, c := range w.crowds {
-			if f.Zone == "" || f.Zone == c.zone {
-				w.come(c, times, uint64(w.count+i))
-			}
-		}
+		w.changeLoad(f, on)
 	case Nodes:
 		w.strikeNodes(f.Zone, on)
 	case Apart:
@@ -653,6 +645,19 @@
 	}
 }
 
+// changeLoad has the clients of a zone, or all, ask several times as much, or as at first.
+func (w *World) changeLoad(f Fault, on bool) {
+	times := 1.0
+	if on {
+		times = f.By
+	}
+	for i, c := range w.crowds {
+		if f.Zone == "" || f.Zone == c.zone {
+			w.come(c, times, uint64(w.count+i))
+		}
+	}
+}
+
 // part cuts zones off, or ends that.
 func (w *World) part(f Fault, on bool) {
 	if on {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -367,14 +367,22 @@
 	var out strings.Builder
 	now := time.Unix(0, 0)
 	l := newLogAdapter(slog.New(slog.NewTextHandler(&out, nil)), func() time.Time { return now }, func(string) {})
+	write := func(i int) {
+		t.Helper()
+		_, err := fmt.Fprintf(l,
+			"[ERR] memberlist: Decrypt packet failed: No installed keys could decrypt the message from=10.0.0.%d:7946", i)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
 	for i := range 1000 {
-		fmt.Fprintf(l, "[ERR] memberlist: Decrypt packet failed: No installed keys could decrypt the message from=10.0.0.%d:7946", i)
+		write(i)
 	}
 	if n := strings.Count(out.String(), "\n"); n != 1 || l.quieted() != 999 {
 		t.Errorf("%d lines, %d quieted", n, l.quieted())
 	}
 	now = now.Add(logSpan)
-	fmt.Fprintf(l, "[ERR] memberlist: Decrypt packet failed: No installed keys could decrypt the message from=10.0.0.1:7946")
+	write(1)
 	if n := strings.Count(out.String(), "\n"); n != 2 {
 		t.Errorf("%d lines after the span", n)
 	}
--- a/internal/member/transport.go
+++ b/internal/member/transport.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	if t.udp, err = net.ListenUDP("udp", at); err != nil {
-		t.tcp.Close()
+		_ = t.tcp.Close()
 		return nil, err
 	}
 	_ = t.udp.SetReadBuffer(socketBuffer) // less is borne: what is lost is sent again
@@ -139,13 +139,13 @@
 		}
 		if t.open.Add(1) > streamsMost { // members call rarely, and come again
 			t.open.Add(-1)
-			conn.Close()
+			_ = conn.Close()
 			continue
 		}
 		select {
 		case t.streams <- &inbound{countedConn: countedConn{conn, t.stats}, open: &t.open}:
 		case <-t.ended:
-			conn.Close()
+			_ = conn.Close()
 		}
 	}
 }
@@ -205,13 +205,13 @@
 func (t *transport) Shutdown() error {
 	t.once.Do(func() {
 		close(t.ended)
-		t.tcp.Close()
-		t.udp.Close()
+		_ = t.tcp.Close()
+		_ = t.udp.Close()
 		t.loops.Wait()
 		for {
 			select {
 			case conn := <-t.streams:
-				conn.Close()
+				_ = conn.Close()
 			default:
 				return
 			}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -24,6 +24,9 @@
 	Dead    State = "dead" // it fell silent
 )
 
+// absent tells whether a member in this state is no longer part of the fleet.
+func (s State) absent() bool { return s == Left || s == Dead }
+
 // Member is one node as another sees it.
 type Member struct {
 	Name        string
@@ -125,7 +128,7 @@
 	}
 	all := slices.SortedFunc(maps.Values(f.members), func(a, b *Member) int { return a.Since.Compare(b.Since) })
 	for _, m := range all {
-		if len(f.members) > mostMembers && (m.State == Left || m.State == Dead) {
+		if len(f.members) > mostMembers && m.State.absent() {
 			delete(f.members, m.Name)
 		}
 	}
@@ -140,32 +143,34 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	was := f.members[n.Name]
-	if was == nil && len(f.members) >= mostMembers && (s == Left || s == Dead) {
+	if was == nil && len(f.members) >= mostMembers && s.absent() {
 		return
 	}
-	same := was != nil && was.Incarnation == about.Incarnation
-	goes := about.Leaving || same && was.goes
-	if goes {
-		s = Left
+	m := about.member(n, s, f.c.now())
+	if about.Leaving || was != nil && was.Incarnation == m.Incarnation && was.goes {
+		m.State, m.goes = Left, true
 	}
-	m := Member{Name: n.Name, Address: net.JoinHostPort(n.Addr.String(), strconv.Itoa(int(n.Port))), Zone: about.Zone,
-		Version: about.Version, Incarnation: about.Incarnation, State: s, Since: f.c.now(), goes: goes}
-	if was != nil {
-		if m.State == was.State && m.Incarnation == was.Incarnation {
-			m.Since = was.Since
-		}
-		if m == *was {
-			return
-		}
+	same := was != nil && was.State == m.State && was.Incarnation == m.Incarnation
+	if same {
+		m.Since = was.Since
+	}
+	if was != nil && m == *was {
+		return
 	}
 	f.members[n.Name] = &m
-	if was == nil || was.State != m.State || was.Incarnation != m.Incarnation {
+	if !same {
 		f.log.member(was, m)
 		f.changedAt, f.unsettled = f.c.now(), settleTimes
 	}
 	f.changed()
 }
 
+// member is who says this, in a state since a time.
+func (a about) member(n *memberlist.Node, s State, since time.Time) Member {
+	return Member{Name: n.Name, Address: net.JoinHostPort(n.Addr.String(), strconv.Itoa(int(n.Port))), Zone: a.Zone,
+		Version: a.Version, Incarnation: a.Incarnation, State: s, Since: since}
+}
+
 // mark changes the state of a member that is there.
 func (f *Fleet) mark(name string, from, to State) {
 	f.mu.Lock()
--- a/internal/rig/discovery_test.go
+++ b/internal/rig/discovery_test.go
@@ -58,12 +58,7 @@
 	n.Spec.Discovery = strings.Join(g.Addresses(), ",")
 	n.Spec.ListFile = n.dir + "/list"
 	drop := listServers(t, w, g, "n0")
-	if _, err := n.Start(); err != nil {
-		t.Fatal(err)
-	}
-	if err := n.Ready(within(t, ctx)); err != nil {
-		t.Fatal(err)
-	}
+	startReady(t, ctx, n)
 	entries := func(want int) {
 		t.Helper()
 		err := Await(within(t, ctx), fmt.Sprint(want, " servers at the node"), func() bool {
@@ -100,12 +95,7 @@
 	before := load.Sums()
 	_ = wait(ctx, 3*time.Second) // longer than a lease
 	n.Kill()                     // and the node itself, with nobody to ask
-	if _, err := n.Start(); err != nil {
-		t.Fatal(err)
-	}
-	if err := n.Ready(within(t, ctx)); err != nil {
-		t.Fatal(err)
-	}
+	startReady(t, ctx, n)
 	entries(4)
 	_ = wait(ctx, time.Second)
 	if after := load.Sums(); after.InTime-before.InTime < 200 {
@@ -142,7 +132,7 @@
 	if err != nil {
 		return ""
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return ""
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -105,7 +105,7 @@
 }
 
 // One fleet of seven lives through one trouble after the other, under load.
-func TestFleetThroughTroubles(t *testing.T) {
+func TestFleetThroughTroubles(t *testing.T) { //nolint:gocyclo // a table of steps, each of which is a short function
 	x := newTrial(t, 7, FleetSpec{}, 120)
 	others := x.Without("n03")
 	for _, step := range []struct {
@@ -369,7 +369,7 @@
 	if err != nil {
 		return
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	tick := time.NewTicker(2 * time.Millisecond)
 	defer tick.Stop()
 	for n := 0; n < 20_000; n++ {
@@ -387,7 +387,7 @@
 		if n%100 == 0 {
 			if s, err := net.DialTimeout("tcp", at, time.Second); err == nil {
 				_, _ = s.Write(b)
-				s.Close()
+				_ = s.Close()
 			}
 		}
 	}
--- a/internal/rig/link.go
+++ b/internal/rig/link.go
@@ -90,7 +90,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
-		c.Close()
+		_ = c.Close()
 		return false
 	}
 	l.all[c] = true
@@ -101,14 +101,14 @@
 	l.mu.Lock()
 	delete(l.all, c)
 	l.mu.Unlock()
-	c.Close()
+	_ = c.Close()
 }
 
 func (l *links) close() {
 	l.mu.Lock()
 	l.closed = true
 	for c := range l.all {
-		c.Close()
+		_ = c.Close()
 	}
 	l.mu.Unlock()
 	l.open.Wait()
@@ -146,7 +146,7 @@
 			select {
 			case places <- struct{}{}:
 			default:
-				conn.Close()
+				_ = conn.Close()
 				continue
 			}
 			l.open.Go(func() {
@@ -210,8 +210,8 @@
 		if f.Reset {
 			_ = from.SetLinger(0)
 			_ = to.SetLinger(0)
-			from.Close()
-			to.Close()
+			_ = from.Close()
+			_ = to.Close()
 			return
 		}
 		time.Sleep(l.delay(f) + f.takes(n))
@@ -221,7 +221,7 @@
 		if n > 0 {
 			if _, werr := to.Write(block[:n]); werr != nil {
 				_ = from.SetLinger(0)
-				from.Close()
+				_ = from.Close()
 				return
 			}
 		}
@@ -231,7 +231,7 @@
 			return
 		case err != nil:
 			_ = to.SetLinger(0)
-			to.Close()
+			_ = to.Close()
 			return
 		}
 	}
@@ -260,12 +260,12 @@
 	}
 	laddr, err := net.ResolveUDPAddr("udp", at)
 	if err != nil {
-		ln.Close()
+		_ = ln.Close()
 		return "", err
 	}
 	conn, err := net.ListenUDP("udp", laddr)
 	if err != nil {
-		ln.Close()
+		_ = ln.Close()
 		return "", err
 	}
 	from := byHost(names)
--- a/internal/rig/measure_test.go
+++ b/internal/rig/measure_test.go
@@ -188,7 +188,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	const n = 200
 	block, began := make([]byte, 4<<10), time.Now()
 	for range n {
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -227,7 +227,7 @@
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode/100 != 2 {
 		return statusError{at + path, resp.StatusCode}
 	}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer log.Close() // the child has its own
+	defer func() { _ = log.Close() }() // the child has its own
 	p := &Process{Name: name, cmd: exec.Command(program, args...), log: log.Name(), done: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
@@ -136,7 +136,7 @@
 	if err != nil {
 		return err.Error()
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	if size, err := f.Seek(0, io.SeekEnd); err == nil {
 		_, _ = f.Seek(max(0, size-logTail), io.SeekStart)
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -124,7 +124,7 @@
 		}
 		r.links.close()
 		close(r.ended)
-		r.guard.Close()
+		_ = r.guard.Close()
 	})
 }
 
@@ -162,7 +162,7 @@
 	cmd := exec.Command("go", "build", "-o", path, "./"+pkg)
 	cmd.Dir = root
 	if out, err := cmd.CombinedOutput(); err != nil {
-		os.RemoveAll(dir)
+		_ = os.RemoveAll(dir)
 		return "", fmt.Errorf("building %s: %w\n%s", pkg, err, out)
 	}
 	built.paths[pkg] = path
@@ -181,7 +181,7 @@
 	built.Lock()
 	defer built.Unlock()
 	for _, dir := range built.dirs {
-		os.RemoveAll(dir)
+		_ = os.RemoveAll(dir)
 	}
 	clear(built.paths)
 	built.dirs = nil
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -78,6 +78,17 @@
 	return all
 }
 
+// startReady starts a process of a node and waits until it takes clients.
+func startReady(t *testing.T, ctx context.Context, n *Node) {
+	t.Helper()
+	if _, err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Ready(within(t, ctx)); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // clean fails the test where a rule was broken or a request turned back.
 func (w *World) clean(t *testing.T) {
 	t.Helper()
@@ -105,12 +116,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := n.Start(); err != nil {
-		t.Fatal(err)
-	}
-	if err := n.Ready(within(t, ctx)); err != nil {
-		t.Fatal(err)
-	}
+	startReady(t, ctx, n)
 	load := w.Clients("c", emulator.ClientSpec{Rate: 150, Classes: quick(), Tenants: tenants, Open: 1,
 		Until: time.Hour}, n)
 	held := make(chan int, 1)
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -135,16 +135,7 @@
 // strike begins a fault, or ends it.
 func (p *scene) strike(ctx context.Context, f lab.Fault, on bool) error {
 	struck := f.Struck(p.boxes)
-	p.w.Look(func() {
-		p.w.book.Mark(p.w.now(), "", f.Says(on))
-		for _, spec := range struck {
-			b := p.w.boxes[spec.ID]
-			if on {
-				p.w.book.Struck += len(b.waits)
-			}
-			f.Hurt(&b.Fault, on)
-		}
-	})
+	p.mark(f, struck, on)
 	hit := func(_ string, b emulator.BoxSpec) bool { return slices.Contains(struck, b) }
 	switch f.Do {
 	case lab.Lost, lab.Cold:
@@ -166,15 +157,36 @@
 	case lab.Nodes:
 		return p.nodes(ctx, f.Zone, on)
 	case lab.Load:
-		for _, z := range p.Zones {
-			if on && (f.Zone == "" || f.Zone == z.Name) { // beside those that ask anyway
-				p.come(z.Name, f.By-1, f.For.Duration)
-			}
+		if on {
+			p.addLoad(f)
 		}
 	}
 	return nil
 }
 
+// mark books that a fault begins or ends, and makes the boxes that it strikes fail or slow.
+func (p *scene) mark(f lab.Fault, struck []emulator.BoxSpec, on bool) {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	p.w.book.Mark(p.w.now(), "", f.Says(on))
+	for _, spec := range struck {
+		b := p.w.boxes[spec.ID]
+		if on {
+			p.w.book.Struck += len(b.waits)
+		}
+		f.Hurt(&b.Fault, on)
+	}
+}
+
+// addLoad has clients come beside those that ask anyway.
+func (p *scene) addLoad(f lab.Fault) {
+	for _, z := range p.Zones {
+		if f.Zone == "" || f.Zone == z.Name {
+			p.come(z.Name, f.By-1, f.For.Duration)
+		}
+	}
+}
+
 // paths sets what is wrong there and back between the nodes of zones and the boxes that are hit.
 func (p *scene) paths(hit func(zone string, b emulator.BoxSpec) bool, there, back Faults) {
 	for zone, nodes := range p.near {
--- a/internal/rig/wire.go
+++ b/internal/rig/wire.go
@@ -37,7 +37,7 @@
 		if err == nil {
 			return status, retryAfter, nil
 		}
-		c.Close()
+		_ = c.Close()
 		if !kept || !errors.Is(err, errCrossed) {
 			return 0, 0, err
 		}
@@ -101,7 +101,7 @@
 	}
 	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	if resp.Close {
-		c.Close()
+		_ = c.Close()
 	} else {
 		c.used = true
 		d.mu.Lock()
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -223,7 +223,7 @@
 	}
 	s := &http.Server{Handler: h}
 	w.parts.Go(func() { _ = s.Serve(ln) })
-	context.AfterFunc(w.ctx, func() { s.Close() })
+	context.AfterFunc(w.ctx, func() { _ = s.Close() })
 	return w.rig.RelayTCP(node, party, ln.Addr().String())
 }
 
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -87,46 +88,54 @@
 		return Line{Kind: Stored}, d.store(f)
 	}
 	l := Line{Kind: Event, Node: f.int(0, "node")}
+	var err error
 	switch name {
 	case "configure":
 		l.Kind, l.Seed = Configure, f.uint(1, "randomSeed")
-		conf := f.need(2, "conf", fastjson.TypeObject)
-		if conf == nil {
-			return l, nil
-		}
-		s, err := settings(conf)
-		if err != nil {
-			return l, fmt.Errorf("conf: %w", err)
-		}
-		l.Settings = s
+		l.Settings, err = f.settings(2)
 	case "shutdown":
 		l.Kind = Shutdown
+	default:
+		l.Event, err = d.event(name, f)
+	}
+	return l, err
+}
+
+// event reads what an instance is told. It is on the path of each request.
+func (d *Decoder) event(name string, f *fields) (policy.Event, error) {
+	switch name {
 	case "ingress":
-		l.Event = f.request()
+		return f.request(), nil
 	case "completed":
-		l.Event = f.outcome()
+		return f.outcome(), nil
 	case "reminder":
-		l.Event = policy.Timer{Token: f.uint(1, "token")}
+		return policy.Timer{Token: f.uint(1, "token")}, nil
 	case "lapsed":
-		l.Event = policy.Lapsed{ID: f.str(1, "ticket")}
+		return policy.Lapsed{ID: f.str(1, "ticket")}, nil
 	case "headers":
-		l.Event = policy.FirstByte{ID: f.str(1, "ticket"), Attempt: f.int(2, "roundNo"),
-			Latency: f.ms(3, "waitTime"), Server: f.name(4, "server")}
+		return policy.FirstByte{ID: f.str(1, "ticket"), Attempt: f.int(2, "roundNo"),
+			Latency: f.ms(3, "waitTime"), Server: f.name(4, "server")}, nil
 	case "healthResult":
-		l.Event = policy.ProbeResult{Latency: f.ms(1, "waitTime"), Code: f.code(2),
-			Server: f.name(3, "server"), Report: f.report(4)}
+		return policy.ProbeResult{Latency: f.ms(1, "waitTime"), Code: f.code(2),
+			Server: f.name(3, "server"), Report: f.report(4)}, nil
 	case "neighbourSays":
-		l.Event = policy.PeerMessage{From: f.int(1, "from"), Body: f.str(2, "body")}
+		return policy.PeerMessage{From: f.int(1, "from"), Body: f.str(2, "body")}, nil
 	case "peersKnown":
-		ev, err := d.members(f)
-		if err != nil {
-			return l, err
-		}
-		l.Event = ev
-	default:
-		return l, fmt.Errorf("unknown message")
+		return d.members(f)
 	}
-	return l, nil
+	return nil, errors.New("unknown message")
+}
+
+// settings reads the configuration of an instance; nil where the field is missing, which f.err tells.
+func (f *fields) settings(i int) (s policy.Settings, err error) {
+	conf := f.need(i, "conf", fastjson.TypeObject)
+	if conf == nil {
+		return s, nil
+	}
+	if s, err = settings(conf); err != nil {
+		return s, fmt.Errorf("conf: %w", err)
+	}
+	return s, nil
 }
 
 func (f *fields) request() policy.Request {
