Know all replicas by their hosts before the first relay of a registry reads them

Cause: NewRegistry wrote the map of hosts to names while the relays that it had started read it (registry.go, 42 and 49): three data races reported in a full run of internal/rig with -race at a load of 44 on 8 cores, in which nine tests that ran beside it were marked. Change: names and hosts are complete before the first relay starts. Measured: with -race, the tests of the registry and of the list service passed.

--- a/internal/rig/registry.go
+++ b/internal/rig/registry.go
@@ -36,21 +36,26 @@
 // NewRegistry makes so many replicas, which Start starts.
 func (r *Rig) NewRegistry(n int) (*Registry, error) {
 	g := &Registry{rig: r, replicas: make(map[string]*replica)}
-	hosts, peers := make(map[string]string), make(map[string]string)
+	names, hosts := make(map[string]string), make([]string, n) // names by host
 	for i := range n {
-		name, host := fmt.Sprint("r", i), r.Host()
-		hosts[host] = name
+		name := fmt.Sprint("r", i)
+		g.Names, hosts[i] = append(g.Names, name), r.Host()
+		names[hosts[i]] = name
+	}
+	peers := make(map[string]string)
+	for i, name := range g.Names {
 		dir, err := r.Dir("registry-" + name)
 		if err != nil {
 			return nil, err
 		}
-		c := registry.Config{ID: name, Listen: fmt.Sprintf("%s:%d", host, listPort),
-			Bind: fmt.Sprintf("%s:%d", host, raftPort), Folder: filepath.Join(dir, "data"), Peers: peers}
-		if c.Raft, err = r.RelayStreams(name, c.Bind, func(host string) string { return hosts[host] }); err != nil {
+		c := registry.Config{ID: name, Listen: fmt.Sprintf("%s:%d", hosts[i], listPort),
+			Bind: fmt.Sprintf("%s:%d", hosts[i], raftPort), Folder: filepath.Join(dir, "data"), Peers: peers}
+		// The relay reads names from here on.
+		if c.Raft, err = r.RelayStreams(name, c.Bind, func(host string) string { return names[host] }); err != nil {
 			return nil, err
 		}
 		peers[name] = c.Raft
-		g.replicas[name], g.Names = &replica{config: c}, append(g.Names, name)
+		g.replicas[name] = &replica{config: c}
 	}
 	return g, nil
 }
