--- a/cmd/sloerail/main.go
+++ b/cmd/sloerail/main.go
@@ -33,14 +33,18 @@
 		SilenceUsage:  true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUse, err) })
-	root.AddCommand(newDemo(), newExperiment(), newMembers(), newPlaces(), newRegister(), newRegistry(), newSimulate(), newVersion())
+	root.AddCommand(newDemo(), newExperiment(), newMembers(), newPlaces(), newRegister(), newRegistry(), newScale(),
+		newSimulate(), newVersion())
 	return root
 }
 
 func newVersion() *cobra.Command {
 	return &cobra.Command{
 		Use: "version", Short: "Print the version of this build", Args: args(cobra.NoArgs),
-		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), node.Version()) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), node.Version())
+			return err
+		},
 	}
 }
 
