Let faults befall the list service in scale runs, and count changes from when they are due

Two scenarios: the leader of three replicas killed; all replicas away and back. The busiest second of calls and bytes after the fault is set against the mean before it. Cause, changes: they were made one after another, so one that the service kept waiting put off the next, and its wait was not counted. They are due at a steady pace now, eight writers make them, and the time runs from when each is due. The rate that was kept stands in the table. A change that a node learns by a whole list counts too.

--- a/internal/node/hollow.go
+++ b/internal/node/hollow.go
@@ -27,6 +27,16 @@
 	Calls, Answers uint64
 }
 
+// Plus is the sum of two.
+func (t Traffic) Plus(o Traffic) Traffic {
+	return Traffic{t.Sent + o.Sent, t.Received + o.Received, t.Calls + o.Calls, t.Answers + o.Answers}
+}
+
+// Since is what passed after an earlier count.
+func (t Traffic) Since(o Traffic) Traffic {
+	return Traffic{t.Sent - o.Sent, t.Received - o.Received, t.Calls - o.Calls, t.Answers - o.Answers}
+}
+
 // traffic counts under way.
 type traffic struct{ sent, received, calls, answers atomic.Uint64 }
 
--- /dev/null
+++ b/internal/scale/faults.go
@@ -0,0 +1,187 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"sloerail/internal/node"
+	"sloerail/internal/registry"
+)
+
+// Fault is what befalls the list service in a scenario, once in each point.
+type Fault string
+
+// The faults. The zero value is none.
+const (
+	LeaderKilled Fault = "leader-killed" // and stays away
+	ReplicasAway Fault = "replicas-away" // all are killed, and started again after a time
+)
+
+var faults = []Fault{LeaderKilled, ReplicasAway}
+
+const (
+	sampleEvery   = time.Second      // traffic is compared by such windows
+	leaderWithin  = 30 * time.Second // of a fault's end, or the point has failed
+	mostReplicas  = 7
+	instancesList = "/registry/instances"
+)
+
+// Measures of a fault.
+var (
+	ReturnCalls    = Measure{"calls at the return, over the mean", Times} // the busiest second, of all nodes
+	ReturnBytes    = Measure{"bytes at the return, over the mean", Times} // received, the same
+	LeaderAgain    = Measure{"leader again", Milliseconds}                // from the leader's end, or the replicas' start
+	ServersRemoved = Measure{"servers removed", Count}                    // from the list, by the fault
+)
+
+// recordFault watches the nodes for the scenario's span while the list service is whole, lets the fault befall it, and
+// compares what the nodes send and receive in as long a span after that with what they did before. Changes are made throughout, but for the time in which there
+// is nobody to take them.
+func (w *watched) recordFault(ctx context.Context, tracker *changeTracker, nodes []*node.Hollow) error {
+	tracker.begin(w.changes)
+	before := w.startSampling(nodes)
+	err := w.changeFor(ctx, w.scenario.Span.Duration, tracker.made)
+	steady := before.stop()
+	if err != nil {
+		return err
+	}
+	after, err := w.befall(ctx, tracker, nodes)
+	if err != nil {
+		return err
+	}
+	w.record.Record(ReturnCalls, overMean(after, steady, func(t node.Traffic) uint64 { return t.Calls }))
+	w.record.Record(ReturnBytes, overMean(after, steady, func(t node.Traffic) uint64 { return t.Received }))
+	var list registry.List
+	if err := w.clients[0].Do(ctx, http.MethodGet, instancesList, nil, &list, 0); err != nil {
+		return err
+	}
+	w.record.Record(ServersRemoved, float64(len(w.entries)-len(list.Members)))
+	return nil
+}
+
+// befall lets the fault happen, and returns the traffic from its end on.
+func (w *watched) befall(ctx context.Context, tracker *changeTracker, nodes []*node.Hollow) (samples []node.Traffic, err error) {
+	leader, err := w.service.AwaitLeader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	back := func() error { return nil }
+	if w.scenario.Fault == LeaderKilled {
+		w.service.Process(leader).Kill()
+	} else {
+		for _, name := range w.service.Names {
+			w.service.Process(name).Kill()
+		}
+		if err := pause(ctx, w.scenario.Away.Duration); err != nil {
+			return nil, err
+		}
+		back = w.startReplicas
+	}
+	sampling, began := w.startSampling(nodes), time.Now()
+	if err = back(); err == nil {
+		err = w.awaitLeader(ctx, began)
+	}
+	if err == nil {
+		err = w.changeFor(ctx, w.scenario.Span.Duration-time.Since(began), tracker.made)
+	}
+	return sampling.stop(), err
+}
+
+// awaitLeader waits for a leader, and records how long that took.
+func (w *watched) awaitLeader(ctx context.Context, began time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, leaderWithin)
+	defer cancel()
+	if _, err := w.service.AwaitLeader(ctx); err != nil {
+		return err
+	}
+	w.record.Record(LeaderAgain, float64(time.Since(began).Milliseconds()))
+	return nil
+}
+
+// startReplicas starts all replicas of the list service.
+func (w *watched) startReplicas() error {
+	for _, name := range w.service.Names {
+		if err := w.service.Start(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sampling takes the traffic of all nodes window by window, until it is stopped.
+type sampling struct {
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	samples []node.Traffic // of each window
+}
+
+func (w *watched) startSampling(nodes []*node.Hollow) *sampling {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &sampling{cancel: cancel}
+	last := trafficOf(nodes)
+	s.running.Go(func() {
+		tick := time.NewTicker(sampleEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				now := trafficOf(nodes)
+				s.samples = append(s.samples, now.Since(last))
+				last = now
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	return s
+}
+
+// stop ends the sampling and returns the whole windows.
+func (s *sampling) stop() []node.Traffic {
+	s.cancel()
+	s.running.Wait()
+	return s.samples
+}
+
+// trafficOf sums up the traffic of nodes.
+func trafficOf(nodes []*node.Hollow) (sum node.Traffic) {
+	for _, n := range nodes {
+		sum = sum.Plus(n.Traffic())
+	}
+	return sum
+}
+
+// overMean is the busiest window over the mean of others; 0 where either are none.
+func overMean(windows, mean []node.Traffic, of func(node.Traffic) uint64) float64 {
+	var most, sum uint64
+	for _, t := range windows {
+		most = max(most, of(t))
+	}
+	for _, t := range mean {
+		sum += of(t)
+	}
+	if sum == 0 {
+		return 0
+	}
+	return float64(most) / (float64(sum) / float64(len(mean)))
+}
+
+// checkFault says what makes no sense of a scenario's fault.
+func (s *Scenario) checkFault() error {
+	switch {
+	case s.Fault == "":
+		return nil
+	case s.Fault != LeaderKilled && s.Fault != ReplicasAway:
+		return fmt.Errorf("fault: unknown, want one of %v, got %q", faults, s.Fault)
+	case !s.timed():
+		return fmt.Errorf("fault: of dimensions %s and %s alone, got %s", Nodes, Changes, s.Dimension)
+	case s.Fault == LeaderKilled && s.Replicas < 3:
+		return fmt.Errorf("replicas: want 3 or more for %s, got %d", s.Fault, s.Replicas)
+	case s.Fault == ReplicasAway && (s.Away.Duration <= 0 || s.Away.Duration > s.For.Duration):
+		return fmt.Errorf("away: want more than 0 and up to for, %v, got %v", s.For, s.Away)
+	}
+	return nil
+}
--- a/internal/scale/measurement.go
+++ b/internal/scale/measurement.go
@@ -27,6 +27,7 @@
 	CorePercent    Unit = "% of a core"
 	Percent        Unit = "%"
 	Count          Unit = "count"
+	Times          Unit = "times"
 )
 
 // Measure is what was measured. Its name is the key by which measurements of different runs, sizes and sources are
@@ -58,7 +59,8 @@
 	SentBytes        = Measure{"sent by a node", BytesPerSecond}      //
 	ReceivedReads    = Measure{"messages to a node", PerSecond}       // of the list service
 	SentWrites       = Measure{"messages from a node", PerSecond}     // of the list service
-	InForceP50       = Measure{"change in force p50", Milliseconds}   // from the write to a node's having taken it
+	ChangeRate       = Measure{"changes a second", PerSecond}         // made and kept, where the service keeps up
+	InForceP50       = Measure{"change in force p50", Milliseconds}   // from when it is due to a node's having taken it
 	InForceP99       = Measure{"change in force p99", Milliseconds}   //
 	InForceLast      = Measure{"change in force, last", Milliseconds} // the latest of all changes at all nodes
 	ChangesMissed    = Measure{"changes missed", Count}               // at a node, not in force when the run ended
@@ -68,7 +70,7 @@
 func Measures() []Measure {
 	return []Measure{DecisionCPU, DecisionP50, DecisionP99, DecisionRate, Refused, ListChangeCPU, ListChangeP99, ConfigCPU,
 		StartCPU, ControlCPU, RegistryCPU, RegistryResident, Heap, Resident, ListBytes, ConfigBytes, ReceivedBytes,
-		SentBytes, ReceivedReads, SentWrites, InForceP50, InForceP99, InForceLast, ChangesMissed}
+		SentBytes, ReceivedReads, SentWrites, ChangeRate, InForceP50, InForceP99, InForceLast, ChangesMissed, ReturnCalls, ReturnBytes, LeaderAgain, ServersRemoved}
 }
 
 // Measurement is one value at one point.
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sloerail/internal/lab"
+	"sloerail/internal/node"
 	"sloerail/policy"
 )
 
@@ -47,6 +48,7 @@
 }
 
 func TestWatchersTakeEveryChange(t *testing.T) {
+	t.Parallel()
 	r, err := Run(t.Context(), small(Nodes, 1, 3, 4, 5, 6), Options{Most: 3})
 	if err != nil {
 		t.Fatal(err)
@@ -63,6 +65,37 @@
 	}
 }
 
+func TestNodesOutliveTheListServiceAndTakeWhatChangesThen(t *testing.T) {
+	t.Parallel()
+	s := small(Nodes, 2, 3, 4, 5, 6)
+	s.Fault, s.Away.Duration, s.Span.Duration = ReplicasAway, 300*time.Millisecond, 2500*time.Millisecond
+	r, err := Run(t.Context(), s, Options{Most: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range []Measure{ChangesMissed, ServersRemoved} {
+		if v := r.Values(m, Hollow, 2); !slices.Equal(v, []float64{0}) {
+			t.Errorf("%s: %v, want none", m.Name, v)
+		}
+	}
+	for _, m := range []Measure{LeaderAgain, ReturnCalls, ReturnBytes, InForceLast} {
+		if v := r.Values(m, Hollow, 2); len(v) != 1 || v[0] <= 0 {
+			t.Errorf("%s: %v", m.Name, v)
+		}
+	}
+}
+
+func TestOverMean(t *testing.T) {
+	calls := func(t node.Traffic) uint64 { return t.Calls }
+	steady := []node.Traffic{{Calls: 10}, {Calls: 20}, {Calls: 30}}
+	if got := overMean([]node.Traffic{{Calls: 5}, {Calls: 50}, {}}, steady, calls); got != 2.5 {
+		t.Errorf("got %v, want 2.5", got)
+	}
+	if got := overMean(steady, nil, calls); got != 0 {
+		t.Errorf("over no mean: %v", got)
+	}
+}
+
 func TestRunThatIsCalledOffKeepsWhatItHas(t *testing.T) {
 	ctx, cancel := context.WithCancelCause(t.Context())
 	r, err := Run(ctx, small(Servers, 10, 20, 40, 80, 160), Options{Progress: func(p Progress) {
@@ -118,8 +151,8 @@
 func TestTrackerCountsEachChangeOfTheSpanAtEachNode(t *testing.T) {
 	c := newChangeTracker(2)
 	c.begin(5)
-	c.made(5)
-	c.made(6)
+	c.made(time.Now())
+	c.made(time.Now())
 	take := func(node int, kind policy.ListKind, changes ...int) {
 		l := policy.MemberList{Kind: kind}
 		for _, change := range changes {
@@ -133,7 +166,7 @@
 	if got, missed := c.times().TotalCount(), c.missed(); got != 3 || missed != 1 {
 		t.Errorf("%d in force, %d missed; want 3 and 1", got, missed)
 	}
-	take(1, policy.ListUpdate, 6)
+	take(1, policy.ListReplace, 5, 6) // a whole list has a change as well, and 5 was in force
 	if missed := c.missed(); missed != 0 {
 		t.Errorf("%d missed", missed)
 	}
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -59,7 +59,10 @@
 	For       lab.Duration `toml:"for" json:"for"`   // the whole scenario takes no longer
 	Span      lab.Duration `toml:"span" json:"span"` // of one point, where time has to pass
 	Held      Held         `toml:"held" json:"held"`
-	Target    float64      `toml:"target" json:"target"` // the size that the laws are reckoned for
+	Replicas  int          `toml:"replicas" json:"replicas"` // of the list service; 0 for 1
+	Fault     Fault        `toml:"fault" json:"fault"`       // of the list service; empty for none
+	Away      lab.Duration `toml:"away" json:"away"`         // how long replicas are away
+	Target    float64      `toml:"target" json:"target"`     // the size that the laws are reckoned for
 	Budgets   []Budget     `toml:"budgets" json:"budgets"`
 }
 
@@ -167,6 +170,12 @@
 	case math.IsNaN(s.Target) || math.IsInf(s.Target, 0) || s.Target < 0:
 		return fmt.Errorf("target: want 0 or more, got %v", s.Target)
 	}
+	if n := s.Replicas; n < 0 || n > mostReplicas || n > 0 && n%2 == 0 {
+		return fmt.Errorf("replicas: want an odd number up to %d, got %d", mostReplicas, n)
+	}
+	if err := s.checkFault(); err != nil {
+		return err
+	}
 	if err := s.Held.check(s.Dimension); err != nil {
 		return fmt.Errorf("held.%w", err)
 	}
--- a/internal/scale/scenario_test.go
+++ b/internal/scale/scenario_test.go
@@ -64,6 +64,11 @@
 		{`measure = "heap"`, `measure = "heat"`, "budgets[0].measure:"},
 		{"most = 1000", "most = 0", "budgets[0].most:"},
 		{`name = "mine"`, "", "name:"},
+		{"runs = 3", "runs = 3\nreplicas = 2", "replicas: want an odd number"},
+		{"runs = 3", "runs = 3\nfault = \"flood\"", "fault: unknown"},
+		{"runs = 3", "runs = 3\nfault = \"leader-killed\"", "fault: of dimensions nodes and changes alone"},
+		{`dimension = "servers"`, "dimension = \"nodes\"\nspan = \"1s\"\nfault = \"leader-killed\"", "replicas: want 3 or more"},
+		{`dimension = "servers"`, "dimension = \"nodes\"\nspan = \"1s\"\nfault = \"replicas-away\"", "away:"},
 	} {
 		_, err := Parse([]byte(strings.Replace(goodScenario, bad.was, bad.is, 1)))
 		if err == nil || !strings.HasPrefix(err.Error(), bad.says) || strings.Contains(err.Error(), "\n") {
--- a/internal/scale/tracker.go
+++ b/internal/scale/tracker.go
@@ -24,13 +24,16 @@
 	listed    map[int]bool // nodes that have the whole list
 	first     int          // change that counts
 	began     []time.Time  // of each change that counts
-	inForce   int          // of all changes, at all nodes
+	inForce   map[nodeChange]bool
 	histogram *hdrhistogram.Histogram
 	err       error
 }
 
+// nodeChange is a change at a node.
+type nodeChange struct{ node, change int }
+
 func newChangeTracker(nodes int) *changeTracker {
-	return &changeTracker{nodes: nodes, listed: make(map[int]bool), histogram: newHistogram()}
+	return &changeTracker{nodes: nodes, listed: make(map[int]bool), inForce: make(map[nodeChange]bool), histogram: newHistogram()}
 }
 
 // begin says which change is the first that counts.
@@ -40,11 +43,11 @@
 	c.first = first
 }
 
-// made notes that a change is about to be made. They are made in order.
-func (c *changeTracker) made(int) {
+// made notes that the next change is due.
+func (c *changeTracker) made(due time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.began = append(c.began, time.Now())
+	c.began = append(c.began, due)
 }
 
 // take notes that a node has taken a list.
@@ -55,15 +58,13 @@
 	if l.Kind == policy.ListReplace {
 		c.listed[node] = true
 	}
-	if l.Kind != policy.ListUpdate {
-		return
-	}
 	for _, m := range l.Members {
 		change := int(m.Cell-firstChangeCell) - c.first
-		if change < 0 || change >= len(c.began) {
+		at := nodeChange{node, change}
+		if change < 0 || change >= len(c.began) || c.inForce[at] {
 			continue
 		}
-		c.inForce++
+		c.inForce[at] = true
 		if err := c.histogram.RecordValue(now.Sub(c.began[change]).Nanoseconds()); err != nil {
 			c.err = err
 		}
@@ -83,7 +84,7 @@
 func (c *changeTracker) missed() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.began)*c.nodes - c.inForce
+	return len(c.began)*c.nodes - len(c.inForce)
 }
 
 // times are those from each change to its being in force at each node.
--- a/internal/scale/watchers.go
+++ b/internal/scale/watchers.go
@@ -1,10 +1,11 @@
 package scale
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 )
 
 const (
-	writers       = 32               // that register servers at a time
+	writers       = 8                // that register and change servers at a time
 	lease         = 10 * time.Minute // of each server: longer than a point takes
 	settleFor     = time.Second      // after all nodes have the list, before anything is measured
 	overheadFor   = time.Second      // of changes with no node, whose processor time is the measuring's own
@@ -50,7 +51,12 @@
 		return err
 	}
 	p.record.Record(Heap, (heapInUse()-before)/float64(len(nodes)))
-	if err := w.recordSpan(ctx, tracker, nodes, overhead); err != nil {
+	if w.scenario.Fault != "" {
+		err = w.recordFault(ctx, tracker, nodes)
+	} else {
+		err = w.recordSpan(ctx, tracker, nodes, overhead)
+	}
+	if err != nil {
 		return err
 	}
 	return w.recordInForce(ctx, tracker)
@@ -61,7 +67,7 @@
 	*point
 	rig     *rig.Rig
 	service *rig.Registry
-	client  *registry.Client
+	clients []*registry.Client // of the writers
 	entries []registry.Entry
 	changes int // made so far
 }
@@ -83,33 +89,37 @@
 func (w *watched) close() { w.rig.Close() }
 
 func (w *watched) startService(ctx context.Context) (err error) {
-	if w.service, err = w.rig.NewRegistry(1); err != nil {
+	if w.service, err = w.rig.NewRegistry(max(1, w.scenario.Replicas)); err != nil {
 		return err
 	}
-	if err := w.service.Start(replicaName); err != nil {
+	if err := w.startReplicas(); err != nil {
 		return err
 	}
 	if _, err := w.service.AwaitLeader(ctx); err != nil {
 		return err
 	}
-	w.client = registry.NewClient(w.service.Addresses())
+	for range writers {
+		w.clients = append(w.clients, registry.NewClient(w.service.Addresses()))
+	}
 	return w.registerAll(ctx)
 }
 
 // registerAll registers all servers, several at a time.
 func (w *watched) registerAll(ctx context.Context) error {
 	var all sync.WaitGroup
-	failed := make([]error, writers)
-	for i := range writers {
+	failed := make([]error, len(w.clients))
+	for i, client := range w.clients {
 		all.Go(func() {
-			client := registry.NewClient(w.service.Addresses())
-			for at := i; at < len(w.entries) && failed[i] == nil; at += writers {
+			for at := i; at < len(w.entries) && failed[i] == nil; at += len(w.clients) {
 				failed[i] = register(ctx, client, w.entries[at])
 			}
 		})
 	}
 	all.Wait()
-	return errors.Join(failed...)
+	if err := cmp.Or(failed...); err != nil {
+		return fmt.Errorf("registering the servers: %w", err)
+	}
+	return nil
 }
 
 // registration is what the list service takes of an instance.
@@ -129,26 +139,49 @@
 	return client.Do(ctx, http.MethodPut, instancesPath+e.ID, body, nil, 0)
 }
 
-// change changes the next server in turn. Its cell tells the change's number.
-func (w *watched) change(ctx context.Context) error {
-	e := w.entries[w.changes%len(w.entries)]
-	e.Cell = changeCell(w.changes)
-	w.changes++
-	return register(ctx, w.client, e)
+// change changes a server. Its cell tells the change's number.
+func (w *watched) change(ctx context.Context, client *registry.Client, number int) error {
+	e := w.entries[number%len(w.entries)]
+	e.Cell = changeCell(number)
+	return register(ctx, client, e)
 }
 
-// changeFor changes the list for a while, at the held rate. before is told of each change's number.
-func (w *watched) changeFor(ctx context.Context, span time.Duration, before func(change int)) error {
+// changeFor changes the list for a while, at the held rate. before is told of each change when it is due: one that has to
+// wait for those before it is late, and that counts.
+func (w *watched) changeFor(ctx context.Context, span time.Duration, before func(due time.Time)) error {
 	every := time.Duration(float64(time.Minute) / w.held.Changes)
-	began := time.Now()
-	for n := 0; time.Duration(n)*every < span; n++ {
-		if err := pause(ctx, time.Until(began.Add(time.Duration(n)*every))); err != nil {
-			return err
-		}
-		before(w.changes)
-		if err := w.change(ctx); err != nil {
+	began, first := time.Now(), w.changes
+	due := make(chan int, int(span/every)+1) // all of the span, so that nobody waits for the writers
+	var all sync.WaitGroup
+	failed := make([]error, len(w.clients))
+	for i, client := range w.clients {
+		all.Go(func() {
+			for number := range due {
+				failed[i] = cmp.Or(failed[i], w.change(ctx, client, number))
+			}
+		})
+	}
+	err := w.schedule(ctx, began, span, every, func(at time.Time) {
+		before(at)
+		due <- w.changes
+		w.changes++
+	})
+	close(due)
+	all.Wait()
+	if err := cmp.Or(failed...); err != nil {
+		return fmt.Errorf("change %d to %d: %w", first, w.changes-1, err)
+	}
+	return err
+}
+
+// schedule calls do at a steady pace, until the span is over.
+func (w *watched) schedule(ctx context.Context, began time.Time, span, every time.Duration, do func(due time.Time)) error {
+	for at := time.Duration(0); at < span; at += every {
+		due := began.Add(at)
+		if err := pause(ctx, time.Until(due)); err != nil {
 			return err
 		}
+		do(due)
 	}
 	return pause(ctx, time.Until(began.Add(span)))
 }
@@ -156,7 +189,7 @@
 // overhead is the processor time a second that changing the list takes of this process.
 func (w *watched) overhead(ctx context.Context) (float64, error) {
 	cpu, began := ownCPU(), time.Now()
-	if err := w.changeFor(ctx, overheadFor, func(int) {}); err != nil {
+	if err := w.changeFor(ctx, overheadFor, func(time.Time) {}); err != nil {
 		return 0, err
 	}
 	return (ownCPU() - cpu).Seconds() / time.Since(began).Seconds(), nil
@@ -165,7 +198,7 @@
 // startNodes starts the hollow nodes; stop ends them.
 func (w *watched) startNodes(ctx context.Context, tracker *changeTracker) (nodes []*node.Hollow, stop func(), err error) {
 	for i := range w.held.Nodes {
-		path, _, err := w.fleet.configuration(i, w.service.Listen(replicaName))
+		path, _, err := w.fleet.configuration(i, strings.Join(w.service.Addresses(), ","))
 		if err != nil {
 			return nil, nil, err
 		}
@@ -202,11 +235,7 @@
 }
 
 func (w *watched) usage(nodes []*node.Hollow) (u spent, err error) {
-	for _, n := range nodes {
-		t := n.Traffic()
-		u.traffic.Sent, u.traffic.Received = u.traffic.Sent+t.Sent, u.traffic.Received+t.Received
-		u.traffic.Calls, u.traffic.Answers = u.traffic.Calls+t.Calls, u.traffic.Answers+t.Answers
-	}
+	u.traffic = trafficOf(nodes)
 	u.at, u.own = time.Now(), ownCPU()
 	u.replica, err = cpuOf(w.service.Process(replicaName).PID())
 	return u, err
@@ -218,7 +247,8 @@
 	if err != nil {
 		return err
 	}
-	tracker.begin(w.changes)
+	first := w.changes
+	tracker.begin(first)
 	if err := w.changeFor(ctx, w.scenario.Span.Duration, tracker.made); err != nil {
 		return err
 	}
@@ -227,14 +257,16 @@
 		return err
 	}
 	span, n := after.at.Sub(before.at).Seconds(), float64(len(nodes))
-	each := func(after, before uint64) float64 { return float64(after-before) / span / n }
+	each := func(count uint64) float64 { return float64(count) / span / n }
+	passed := after.traffic.Since(before.traffic)
+	w.record.Record(ChangeRate, float64(w.changes-first)/span)
 	own := (after.own-before.own).Seconds()/span - overhead
 	w.record.Record(ControlCPU, 100*max(0, own)/n)
 	w.record.Record(RegistryCPU, 100*(after.replica-before.replica).Seconds()/span)
-	w.record.Record(ReceivedBytes, each(after.traffic.Received, before.traffic.Received))
-	w.record.Record(SentBytes, each(after.traffic.Sent, before.traffic.Sent))
-	w.record.Record(ReceivedReads, each(after.traffic.Answers, before.traffic.Answers))
-	w.record.Record(SentWrites, each(after.traffic.Calls, before.traffic.Calls))
+	w.record.Record(ReceivedBytes, each(passed.Received))
+	w.record.Record(SentBytes, each(passed.Sent))
+	w.record.Record(ReceivedReads, each(passed.Answers))
+	w.record.Record(SentWrites, each(passed.Calls))
 	resident, err := residentOf(w.service.Process(replicaName).PID())
 	if err != nil {
 		return err
