--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -39,6 +39,7 @@
 // What a size may take at most, for the look before it is run: taken from runs, and doubled.
 const (
 	serverMemory   = 4 << 10   // bytes of each server in a list, as text, as read and as known
+	realMemory     = 8 << 10   // of each server, tenant or watcher of a real process, in it and in the measuring
 	tenantMemory   = 6 << 10   // of each tenant in a configuration, the same
 	nodeMemory     = 512 << 10 // of each hollow node, beside those
 	steppedCopies  = 1         // nodes at a time
@@ -47,6 +48,9 @@
 
 // memoryAt is what a point takes at most.
 func (s *Scenario) memoryAt(size int) float64 {
+	if _, isReal := realDimension(s.Dimension); isReal {
+		return baselineMemory + float64(realMemory*size)
+	}
 	h, nodes := s.At(size), steppedCopies
 	if s.timed() {
 		nodes = h.Nodes
@@ -152,6 +156,9 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
+	if d, isReal := realDimension(s.Dimension); isReal {
+		return d.Measure(ctx, ProcessSpec{Seed: s.Seed + uint64(run), Window: s.Span.Duration}, size, run)
+	}
 	held := s.At(size)
 	p := &point{scenario: *s, held: held, fleet: newFleet(held, dir, s.Seed, run), run: run, dir: dir,
 		record: NewRecorder(string(s.Dimension), size, run, Hollow)}
