Read processes and the machine's memory by one library in scale runs

Cause: hollow and real runs read /proc each in their own way, waited by two like functions and named tenants by two. A fault is refused for the dimensions of real processes, which would have ignored it. Measured: the package's tests with -race.

--- a/internal/scale/faults.go
+++ b/internal/scale/faults.go
@@ -75,7 +75,7 @@
 		for _, name := range w.service.Names {
 			w.service.Process(name).Kill()
 		}
-		if err := pause(ctx, w.scenario.Away.Duration); err != nil {
+		if err := sleep(ctx, w.scenario.Away.Duration); err != nil {
 			return nil, err
 		}
 		back = w.startReplicas
@@ -176,7 +176,7 @@
 		return nil
 	case s.Fault != LeaderKilled && s.Fault != ReplicasAway:
 		return fmt.Errorf("fault: unknown, want one of %v, got %q", faults, s.Fault)
-	case !s.timed():
+	case s.Dimension != Nodes && s.Dimension != Changes:
 		return fmt.Errorf("fault: of dimensions %s and %s alone, got %s", Nodes, Changes, s.Dimension)
 	case s.Fault == LeaderKilled && s.Replicas < 3:
 		return fmt.Errorf("replicas: want 3 or more for %s, got %d", s.Fault, s.Replicas)
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -61,14 +61,12 @@
 	return raw
 }
 
-func tenantID(i int) string { return fmt.Sprintf("tenant-%06d", i) }
-
 // configuration writes the file of a node, and returns its path and its size. The node is one of so many; discovery is
 // where it watches the list.
 func (f *fleet) configuration(position int, discovery string) (path string, size int, err error) {
 	tenants := make([]emulator.Tenant, f.held.Tenants)
 	for i := range tenants {
-		tenants[i] = emulator.Tenant{Name: tenantID(i), Share: 1 / float64(len(tenants))}
+		tenants[i] = emulator.Tenant{Name: tenantName(i), Share: 1 / float64(len(tenants))}
 	}
 	zonesOf := make(map[string][]string)
 	for i := range regions * zonesEach {
--- a/internal/scale/requests.go
+++ b/internal/scale/requests.go
@@ -53,7 +53,7 @@
 }
 
 // next is one request's decision, and an earlier one's outcome.
-func (r *requests) next() { r.ask(tenantID(r.rng.IntN(r.tenants))) }
+func (r *requests) next() { r.ask(tenantName(r.rng.IntN(r.tenants))) }
 
 func (r *requests) ask(tenant string) {
 	r.node.Advance(r.every)
--- a/internal/scale/scenario_test.go
+++ b/internal/scale/scenario_test.go
@@ -69,6 +69,7 @@
 		{"runs = 3", "runs = 3\nfault = \"leader-killed\"", "fault: of dimensions nodes and changes alone"},
 		{`dimension = "servers"`, "dimension = \"nodes\"\nspan = \"1s\"\nfault = \"leader-killed\"", "replicas: want 3 or more"},
 		{`dimension = "servers"`, "dimension = \"nodes\"\nspan = \"1s\"\nfault = \"replicas-away\"", "away:"},
+		{`dimension = "servers"`, "dimension = \"real-servers\"\nspan = \"1s\"\nfault = \"replicas-away\"", "fault: of dimensions"},
 	} {
 		_, err := Parse([]byte(strings.Replace(goodScenario, bad.was, bad.is, 1)))
 		if err == nil || !strings.HasPrefix(err.Error(), bad.says) || strings.Contains(err.Error(), "\n") {
--- a/internal/scale/stepped.go
+++ b/internal/scale/stepped.go
@@ -153,7 +153,7 @@
 		if i%timingCheck == 0 && ctx.Err() != nil {
 			return ctx.Err()
 		}
-		r.ask(tenantID(i))
+		r.ask(tenantName(i))
 	}
 	if err := p.recordDecisions(ctx, r); err != nil {
 		return err
--- a/internal/scale/system.go
+++ b/internal/scale/system.go
@@ -1,15 +1,13 @@
 package scale
 
 import (
-	"bufio"
-	"fmt"
+	"errors"
 	"os"
 	"runtime"
 	"runtime/debug"
-	"strconv"
-	"strings"
 	"time"
 
+	"github.com/prometheus/procfs"
 	"golang.org/x/sys/unix"
 )
 
@@ -24,60 +22,22 @@
 }
 
 func thisMachine() (Machine, error) {
-	memory, err := procField("/proc/meminfo", "MemTotal:")
-	return Machine{Cores: runtime.NumCPU(), Memory: memory, Go: runtime.Version()}, err
-}
-
-// procField reads a figure that a file of /proc gives in kilobytes, in bytes.
-func procField(path, field string) (uint64, error) {
-	file, err := os.Open(path)
+	proc, err := procfs.NewDefaultFS()
 	if err != nil {
-		return 0, err
-	}
-	defer file.Close()
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		words := strings.Fields(lines.Text())
-		if len(words) >= 2 && words[0] == field {
-			kilobytes, err := strconv.ParseUint(words[1], 10, 64)
-			return kilobytes << 10, err
-		}
+		return Machine{}, err
 	}
-	return 0, fmt.Errorf("%s: there is no %s", path, field)
-}
-
-// residentOf is the resident memory of a process.
-func residentOf(pid int) (uint64, error) {
-	return procField(fmt.Sprintf("/proc/%d/status", pid), "VmRSS:")
-}
-
-// clockTick is the unit of processor time in /proc, the same on all of Linux's platforms that Go runs on.
-const clockTick = 10 * time.Millisecond
-
-// cpuOf is the processor time that a process has used.
-func cpuOf(pid int) (time.Duration, error) {
-	path := fmt.Sprintf("/proc/%d/stat", pid)
-	raw, err := os.ReadFile(path)
+	memory, err := proc.Meminfo()
 	if err != nil {
-		return 0, err
+		return Machine{}, err
 	}
-	_, after, found := strings.Cut(string(raw), ") ") // the name before may hold anything
-	fields := strings.Fields(after)
-	const user, system = 11, 12
-	if !found || len(fields) <= system {
-		return 0, fmt.Errorf("%s: too few fields", path)
+	if memory.MemTotalBytes == nil {
+		return Machine{}, errNoMemory
 	}
-	var ticks int64
-	for _, field := range []string{fields[user], fields[system]} {
-		n, err := strconv.ParseInt(field, 10, 64)
-		if err != nil {
-			return 0, fmt.Errorf("%s: %w", path, err)
-		}
-		ticks += n
-	}
-	return time.Duration(ticks) * clockTick, nil
+	return Machine{Cores: runtime.NumCPU(), Memory: *memory.MemTotalBytes, Go: runtime.Version()}, nil
 }
 
+var errNoMemory = errors.New("the system doesn't tell how much memory there is")
+
 // ownCPU is the processor time that this process has used, the garbage collector's included.
 func ownCPU() time.Duration {
 	var usage unix.Rusage
@@ -99,6 +59,6 @@
 // ownResident is this process's resident memory, with nothing in it that the system could have back.
 func ownResident() (float64, error) {
 	debug.FreeOSMemory()
-	bytes, err := residentOf(os.Getpid())
-	return float64(bytes), err
+	own, err := usageOf(os.Getpid())
+	return own.resident, err
 }
--- a/internal/scale/watchers.go
+++ b/internal/scale/watchers.go
@@ -47,7 +47,7 @@
 	if err := tracker.awaitLists(ctx); err != nil {
 		return err
 	}
-	if err := pause(ctx, settleFor); err != nil {
+	if err := sleep(ctx, settleFor); err != nil {
 		return err
 	}
 	p.record.Record(Heap, (heapInUse()-before)/float64(len(nodes)))
@@ -178,12 +178,12 @@
 func (w *watched) schedule(ctx context.Context, began time.Time, span, every time.Duration, do func(due time.Time)) error {
 	for at := time.Duration(0); at < span; at += every {
 		due := began.Add(at)
-		if err := pause(ctx, time.Until(due)); err != nil {
+		if err := sleep(ctx, time.Until(due)); err != nil {
 			return err
 		}
 		do(due)
 	}
-	return pause(ctx, time.Until(began.Add(span)))
+	return sleep(ctx, time.Until(began.Add(span)))
 }
 
 // overhead is the processor time a second that changing the list takes of this process.
@@ -229,15 +229,16 @@
 
 // spent is what was used up to a time.
 type spent struct {
-	at           time.Time
-	own, replica time.Duration // processor time
-	traffic      node.Traffic  // of all nodes
+	at      time.Time
+	own     time.Duration // processor time
+	replica usage
+	traffic node.Traffic // of all nodes
 }
 
 func (w *watched) usage(nodes []*node.Hollow) (u spent, err error) {
 	u.traffic = trafficOf(nodes)
 	u.at, u.own = time.Now(), ownCPU()
-	u.replica, err = cpuOf(w.service.Process(replicaName).PID())
+	u.replica, err = usageOf(w.service.Process(replicaName).PID())
 	return u, err
 }
 
@@ -262,16 +263,12 @@
 	w.record.Record(ChangeRate, float64(w.changes-first)/span)
 	own := (after.own-before.own).Seconds()/span - overhead
 	w.record.Record(ControlCPU, 100*max(0, own)/n)
-	w.record.Record(RegistryCPU, 100*(after.replica-before.replica).Seconds()/span)
+	w.record.Record(RegistryCPU, 100*(after.replica.cpu-before.replica.cpu).Seconds()/span)
 	w.record.Record(ReceivedBytes, each(passed.Received))
 	w.record.Record(SentBytes, each(passed.Sent))
 	w.record.Record(ReceivedReads, each(passed.Answers))
 	w.record.Record(SentWrites, each(passed.Calls))
-	resident, err := residentOf(w.service.Process(replicaName).PID())
-	if err != nil {
-		return err
-	}
-	w.record.Record(RegistryResident, float64(resident))
+	w.record.Record(RegistryResident, after.replica.resident)
 	own, err = ownResident()
 	w.record.Record(Resident, own)
 	return err
@@ -297,15 +294,3 @@
 	w.record.Record(ChangesMissed, float64(tracker.missed()))
 	return nil
 }
-
-// pause waits, unless ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(max(0, d))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return ctx.Err()
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
