Answer list calls that name services with these alone, and with a subset of each

A call may name services and a subset: its watch is woken by changes of these services only, and brings what entered, changed and left. An index by service is derived from the state; subsets are chosen outside of the replica's lock, from rings that all watchers share. 150,000 instances may be listed, in place of 10,000.

--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -19,7 +19,7 @@
 	clientTries = 8               // of one write, each at the next address
 	clientLeast = 50 * time.Millisecond
 	clientMost  = 2 * time.Second
-	answerMost  = 16 << 20 // bytes
+	answerMost  = 64 << 20 // bytes
 )
 
 // Client calls the list service at one of several addresses, and goes on to the next where that fails.
@@ -145,7 +145,7 @@
 	e := a.Entry
 	return a.Client.Do(ctx, http.MethodPut, listPath+"/"+e.ID, registration{HostPort: e.HostPort, Locality: e.Locality,
 		Flavor: e.Flavor, Cell: e.Cell, Phase: e.Phase, Size: &e.Size, UpSince: e.UpSince,
-		LeaseMs: a.Lease.Milliseconds()}, nil, 0)
+		LeaseMs: a.Lease.Milliseconds(), Service: e.Service}, nil, 0)
 }
 
 // leave drains the instance, waits, and takes it out.
--- a/internal/registry/http.go
+++ b/internal/registry/http.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -27,6 +28,9 @@
 	staleMost   = 2 * time.Second  // older than that, a replica serves nothing
 	headerEpoch = "X-Registry-Epoch"
 	headerAge   = "X-Registry-Age-Ms" // how old the list may be at most
+
+	headerScoped  = "X-Registry-Scoped"           // the list is of the scope that the call named
+	headerUnknown = "X-Registry-Unknown-Services" // those of the scope of which nothing is known
 )
 
 // ServerConfig bounds a replica's side for callers.
@@ -42,6 +46,7 @@
 	watches chan struct{}
 	reads   chan struct{}
 	writes  chan struct{}
+	choices chan struct{} // scoped lists that are made at a time
 	stats   Stats
 }
 
@@ -60,7 +65,7 @@
 		c.Watches = 4096
 	}
 	return &Server{r: r, c: c, watches: make(chan struct{}, c.Watches), reads: make(chan struct{}, mostReads),
-		writes: make(chan struct{}, mostWrites)}
+		writes: make(chan struct{}, mostWrites), choices: make(chan struct{}, runtime.GOMAXPROCS(0))}
 }
 
 // HTTP is an HTTP server for it, whose slow callers are dropped.
@@ -123,6 +128,15 @@
 		http.Error(w, "index, wait: want whole numbers", http.StatusBadRequest)
 		return
 	}
+	scope, err := parseScope(query)
+	if err != nil {
+		s.bad(w, err)
+		return
+	}
+	if scope != nil && !watch {
+		s.tellScoped(w, c, scope, -1, true)
+		return
+	}
 	if !watch {
 		s.tell(w, c, func(*State) (int64, bool) { return -1, true })
 		return
@@ -134,6 +148,10 @@
 	defer func() { <-s.watches; s.stats.Watches.Add(-1) }()
 	until := time.NewTimer(min(mostWait, max(0, time.Duration(ms)*time.Millisecond)))
 	defer until.Stop()
+	if scope != nil {
+		s.watchScoped(w, req, c, scope, index, until.C)
+		return
+	}
 	for {
 		news := s.r.Wait() // before looking, so that no change is missed
 		told := s.tell(w, c, func(st *State) (int64, bool) { return index, index != st.Revision })
@@ -174,23 +192,35 @@
 	if !now {
 		return false
 	}
+	if s.fresh(w) {
+		s.write(w, c, raw, epoch)
+	}
+	return true
+}
+
+// fresh refuses a call where this replica can't tell that its list is fresh enough.
+func (s *Server) fresh(w http.ResponseWriter) bool {
 	age, ok := s.r.Age()
 	if !ok || age > s.c.Stale {
 		s.stats.Stale.Add(1)
 		s.turnAway(w, "this replica can't tell that its list is fresh")
-		return true
+		return false
 	}
+	w.Header().Set(headerAge, strconv.FormatInt(age.Milliseconds(), 10))
+	return true
+}
+
+// write sends a list.
+func (s *Server) write(w http.ResponseWriter, c *http.ResponseController, raw []byte, epoch int64) {
 	if !s.enter(w, s.reads) {
-		return true
+		return
 	}
 	defer func() { <-s.reads }()
 	_ = c.SetWriteDeadline(time.Now().Add(writeGrace))
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(headerEpoch, strconv.FormatInt(epoch, 10))
-	w.Header().Set(headerAge, strconv.FormatInt(age.Milliseconds(), 10))
 	s.stats.Lists.Add(1)
 	_, _ = w.Write(raw)
-	return true
 }
 
 // encode is the list since a revision as text, made once for all who ask. The replica's lock is held.
@@ -222,6 +252,7 @@
 	Size     *float64 `json:"size"`
 	UpSince  int64    `json:"up_since_ms"`
 	LeaseMs  int64    `json:"lease_ms"`
+	Service  string   `json:"service,omitempty"` // left out for services that know no such key
 }
 
 // Answer is what a write is answered with.
@@ -287,7 +318,7 @@
 		return err
 	}
 	e := Entry{ID: id, HostPort: in.HostPort, Locality: in.Locality, Flavor: in.Flavor, Cell: in.Cell, Phase: in.Phase,
-		Size: 1, UpSince: in.UpSince}
+		Size: 1, UpSince: in.UpSince, Service: in.Service}
 	if e.Phase == "" {
 		e.Phase = Up
 	}
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -63,7 +63,8 @@
 	mu      sync.Mutex
 	state   *State
 	changed chan struct{} // closed once there is something new to tell
-	due     *time.Timer   // that closes it; nil while nothing is new
+	scoped  subscriptions // of watches of a part of the list
+	due     *time.Timer   // that tells both; nil while nothing is new
 	ticked  time.Time     // when this replica's last tick as the leader was begun; zero for never
 	freshAt time.Time     // as of when a follower has all that its leader had; zero for never
 	asked   []word        // of the leader, which this replica hasn't got as far as yet, oldest first
@@ -383,6 +384,18 @@
 	return r.changed
 }
 
+// subscribe returns a channel that gets a value after each change of one of the services, until cancel is called.
+func (r *Replica) subscribe(services []string) (news <-chan struct{}, cancel func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.scoped.add(services)
+	return s.news, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.scoped.remove(s)
+	}
+}
+
 // Servers are the replicas by raft's own account, and the leader's id.
 func (r *Replica) Servers() (all []raft.Server, leader string, err error) {
 	f := r.raft.GetConfiguration()
@@ -439,11 +452,21 @@
 			"instances", len(m.state.Instances))
 	}
 	if m.state.Revision != before {
+		m.touch(before)
 		m.news()
 	}
 	return res
 }
 
+// touch notes whose services a command changed, which began at a revision. The lock is held.
+func (m *machine) touch(before int64) {
+	if before < m.state.Floor { // a new epoch, or more changes than are kept
+		m.scoped.touchAll()
+		return
+	}
+	m.scoped.touch(changesAfter(m.state.History, before))
+}
+
 // news tells watches, together with what else comes shortly. The lock is held.
 func (m *machine) news() {
 	clear(m.encoded)
@@ -456,6 +479,7 @@
 		m.due = nil
 		close(m.changed)
 		m.changed = make(chan struct{})
+		m.scoped.wake()
 	})
 }
 
@@ -481,6 +505,7 @@
 	defer m.mu.Unlock()
 	m.state = s
 	(*Replica)(m).reached()
+	m.scoped.touchAll()
 	m.news()
 	return nil
 }
--- /dev/null
+++ b/internal/registry/scope_test.go
@@ -0,0 +1,399 @@
+package registry
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"net/url"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"sloerail/internal/subset"
+)
+
+func serves(id, service string) Command {
+	c := registers(id, 10*time.Second)
+	c.Entry.Service = service
+	return c
+}
+
+// drawServiceCommand is any command to instances of a few services, also one that moves them from one to another.
+func drawServiceCommand(t *rapid.T) Command {
+	c := drawCommand(t)
+	c.ID = fmt.Sprint("s", rapid.IntRange(0, 11).Draw(t, "instance"))
+	c.Entry.ID = c.ID
+	c.Entry.Service = rapid.SampledFrom([]string{"", "a", "a", "a", "b"}).Draw(t, "service")
+	c.Entry.Locality = rapid.SampledFrom([]string{"z0", "z1"}).Draw(t, "zone")
+	if rapid.IntRange(0, 2).Draw(t, "returns") == 0 {
+		c.Phase = Up
+	}
+	if rapid.IntRange(0, 4).Draw(t, "more of what changes lists") > 0 {
+		c.Kind = rapid.SampledFrom([]Kind{Register, Register, Register, SetPhase, Remove}).Draw(t, "kind")
+		c.Request, c.IfMatch = "", 0
+	}
+	return c
+}
+
+// drawScope is a part of the services, whole or by subsets.
+func drawScope(t *rapid.T) *Scope {
+	scope := &Scope{Services: rapid.SampledFrom([][]string{{"a"}, {"a", "b"}, {"b"}, {"a", "none"}}).Draw(t, "scope")}
+	if scope.Size = rapid.IntRange(0, 3).Draw(t, "size"); scope.Size > 0 {
+		scope.Client = subset.Client{Count: rapid.IntRange(1, 5).Draw(t, "nodes"), Zone: "z0"}
+		scope.Client.Position = rapid.IntRange(0, scope.Client.Count-1).Draw(t, "position")
+	}
+	return scope
+}
+
+// scopedWatcher follows a scope by what it is told.
+type scopedWatcher struct {
+	scope *Scope
+	at    int64
+	seen  map[string]Entry
+}
+
+func (w *scopedWatcher) follow(s *State) error {
+	view, err := s.scoped(w.scope, w.at)
+	if err != nil {
+		return err
+	}
+	l, _ := view.list()
+	if l.Complete {
+		clear(w.seen)
+	}
+	for _, e := range l.Members {
+		if w.seen[e.ID] = e; e.Phase == Removed {
+			delete(w.seen, e.ID)
+		}
+	}
+	w.at = l.Revision
+	return nil
+}
+
+// scopedList is what a caller without a revision is told.
+func scopedList(s *State, scope *Scope) (map[string]Entry, error) {
+	view, err := s.scoped(scope, -1)
+	if err != nil {
+		return nil, err
+	}
+	l, _ := view.list()
+	all := make(map[string]Entry)
+	for _, e := range l.Members {
+		all[e.ID] = e
+	}
+	return all, nil
+}
+
+// checkSlots holds that the slots of each service are unique, and that a new instance gets the lowest that is free.
+func checkSlots(t *rapid.T, before, after map[string]Instance) {
+	taken := make(map[string]map[int]string)
+	for id, i := range after {
+		service := i.Entry.Service
+		if taken[service] == nil {
+			taken[service] = make(map[int]string)
+		}
+		if other, ok := taken[service][i.Slot]; ok && service != "" {
+			t.Fatalf("%s and %s both have slot %d of %s", id, other, i.Slot, service)
+		}
+		taken[service][i.Slot] = id
+	}
+	for id, i := range after {
+		was, there := before[id]
+		switch {
+		case i.Entry.Service == "" && i.Slot != 0:
+			t.Fatalf("%s has no service, and slot %d", id, i.Slot)
+		case there && was.Entry.Service == i.Entry.Service && was.Slot != i.Slot:
+			t.Fatalf("%s had slot %d, and now %d", id, was.Slot, i.Slot)
+		case i.Entry.Service != "" && (!there || was.Entry.Service != i.Entry.Service):
+			for slot := range i.Slot {
+				if _, ok := taken[i.Entry.Service][slot]; !ok {
+					t.Fatalf("%s got slot %d of %s, and %d is free", id, i.Slot, i.Entry.Service, slot)
+				}
+			}
+		}
+	}
+}
+
+// Whoever follows a scope by changes has, at each revision, what a fresh list of the scope has; slots are unique,
+// the lowest that is free, and kept; a snapshot is the state in all of this.
+func TestScopedWatchProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState()
+		var watchers []*scopedWatcher
+		for range 4 {
+			watchers = append(watchers, &scopedWatcher{scope: drawScope(t), at: -1, seen: make(map[string]Entry)})
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "commands") {
+			before := maps.Clone(s.Instances)
+			s.Apply(drawServiceCommand(t))
+			checkSlots(t, before, s.Instances)
+			if rapid.IntRange(0, 9).Draw(t, "restored") == 0 {
+				s = reread(t, s)
+			}
+			if oldest := rapid.IntRange(0, 20).Draw(t, "forgets"); oldest > 0 && oldest <= len(s.History)/2 {
+				s.forget(oldest, s.History[oldest-1].Revision)
+			}
+			for _, w := range watchers {
+				if rapid.IntRange(0, 3).Draw(t, "looks") == 0 {
+					w.check(t, s)
+				}
+			}
+		}
+	})
+}
+
+// check has a watcher follow, and holds that it has what a fresh list has.
+func (w *scopedWatcher) check(t *rapid.T, s *State) {
+	want, err := scopedList(s, w.scope)
+	followErr := w.follow(s)
+	if (err == nil) != (followErr == nil) {
+		t.Fatalf("a fresh list: %v; a watcher: %v", err, followErr)
+	}
+	if err != nil {
+		var unknown ErrUnknownServices
+		if !errors.As(err, &unknown) {
+			t.Fatal(err)
+		}
+		return
+	}
+	if diff := cmp.Diff(want, w.seen); diff != "" {
+		t.Fatalf("scope %+v: a watcher differs from a fresh list (-list +watcher): %s", w.scope, diff)
+	}
+}
+
+// reread is a state after its way through a snapshot.
+func reread(t rapid.TB, s *State) *State {
+	t.Helper()
+	var b bytes.Buffer
+	if err := s.Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	back, err := Read(&b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(s.Instances, back.Instances); diff != "" {
+		t.Fatal("a snapshot is not the state:", diff)
+	}
+	return back
+}
+
+// A watcher is told nothing of what happens outside its scope, also when more happened than the history keeps.
+func TestChangesOutsideAScope(t *testing.T) {
+	s := NewState()
+	s.Apply(serves("a0", "a"))
+	s.Apply(serves("b0", "b"))
+	w := &scopedWatcher{scope: &Scope{Services: []string{"a"}}, at: -1, seen: make(map[string]Entry)}
+	if err := w.follow(s); err != nil {
+		t.Fatal(err)
+	}
+	for i := range mostHistory + 10 {
+		s.Apply(Command{Kind: SetPhase, ID: "b0", Phase: []string{Draining, Up}[i%2]})
+	}
+	view, err := s.scoped(w.scope, w.at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l, news := view.list(); news || l.Complete || len(l.Members) != 0 || l.Revision != s.Revision || w.at >= s.Floor {
+		t.Errorf("told %+v, news %v, at revision %d below the floor %d", l, news, w.at, s.Floor)
+	}
+	s.Apply(Command{Kind: SetPhase, ID: "a0", Phase: Draining})
+	if view, err = s.scoped(w.scope, w.at); err != nil {
+		t.Fatal(err)
+	}
+	if l, _ := view.list(); !l.Complete || len(l.Members) != 1 || l.Members[0].Phase != Draining {
+		t.Errorf("a change that the history doesn't reach back from is told as %+v", l)
+	}
+}
+
+// A watcher of the epoch before gets the whole list of its scope, also if nothing in it changed since.
+func TestScopeInANewEpoch(t *testing.T) {
+	s := NewState()
+	at := s.Apply(serves("a0", "a")).Revision
+	s.Apply(Command{Kind: NewEpoch})
+	view, err := s.scoped(&Scope{Services: []string{"a"}}, at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l, news := view.list(); !news || !l.Complete || len(l.Members) != 1 {
+		t.Errorf("told %+v", l)
+	}
+}
+
+// A watcher that the history doesn't reach back to gets the whole list, also if the service that changed is unknown
+// now, and at a replica that has read a snapshot since.
+func TestScopeWithForgottenRemovals(t *testing.T) {
+	for _, gone := range []string{"a1", "b0"} {
+		s := NewState()
+		for id, service := range map[string]string{"a0": "a", "a1": "a", "b0": "b"} {
+			s.Apply(serves(id, service))
+		}
+		w := &scopedWatcher{scope: &Scope{Services: []string{"a", "b"}}, at: -1, seen: make(map[string]Entry)}
+		if err := w.follow(s); err != nil || len(w.seen) != 3 {
+			t.Fatal(err, w.seen)
+		}
+		s.Apply(Command{Kind: Remove, ID: gone})
+		s.forget(len(s.History), s.Revision)
+		if err := w.follow(reread(t, s)); err != nil || len(w.seen) != 2 {
+			t.Errorf("%v; after the end of %s the watcher has %v", err, gone, w.seen)
+		}
+	}
+}
+
+// A server that drains is told so to those whose subset it is in, and what takes its place is told with it; one that
+// leaves the subset because of another's change is told as removed, though it runs on.
+func TestSubsetThroughADrain(t *testing.T) {
+	s := NewState()
+	for i := range 8 {
+		s.Apply(serves(fmt.Sprint("s", i), "a"))
+	}
+	w := &scopedWatcher{scope: &Scope{Services: []string{"a"}, Size: 2, Client: subset.Client{Count: 4}}, at: -1,
+		seen: make(map[string]Entry)}
+	look := func() []string {
+		t.Helper()
+		if err := w.follow(s); err != nil {
+			t.Fatal(err)
+		}
+		return slices.Sorted(maps.Keys(w.seen))
+	}
+	first := look()
+	if len(first) != 2 {
+		t.Fatalf("a subset of 2 has %v", first)
+	}
+	s.Apply(Command{Kind: SetPhase, ID: first[0], Phase: Draining})
+	during := look()
+	if w.seen[first[0]].Phase != Draining || len(during) < 3 {
+		t.Errorf("while %s drains, the watcher has %v", first[0], w.seen)
+	}
+	s.Apply(Command{Kind: Remove, ID: first[0]})
+	if after := look(); len(after) != 2 || slices.Contains(after, first[0]) {
+		t.Errorf("after %s has gone, the watcher has %v", first[0], after)
+	}
+	s.Apply(serves("s9", "a")) // the slot is given anew: all is as at first, but for the id
+	last := look()
+	want := slices.Sorted(slices.Values([]string{"s9", first[1]}))
+	if !slices.Equal(last, want) {
+		t.Errorf("with s9 in the place of %s, the watcher has %v, want %v", first[0], last, want)
+	}
+}
+
+// A snapshot from before there were services is read, and a program from then reads a snapshot of today.
+func TestSnapshotsOfFormerAndNextVersions(t *testing.T) {
+	type formerEntry struct {
+		ID       string  `cbor:"1,keyasint"`
+		HostPort string  `cbor:"2,keyasint"`
+		Locality string  `cbor:"3,keyasint"`
+		Flavor   string  `cbor:"4,keyasint"`
+		Cell     int64   `cbor:"5,keyasint"`
+		Phase    string  `cbor:"6,keyasint"`
+		Size     float64 `cbor:"7,keyasint"`
+		UpSince  int64   `cbor:"8,keyasint"`
+	}
+	type formerInstance struct {
+		Entry   formerEntry   `cbor:"1,keyasint"`
+		Version int64         `cbor:"2,keyasint"`
+		Lease   time.Duration `cbor:"3,keyasint"`
+		Expires time.Duration `cbor:"4,keyasint"`
+	}
+	type formerChange struct {
+		Revision int64       `cbor:"1,keyasint"`
+		Entry    formerEntry `cbor:"2,keyasint"`
+	}
+	type formerImage struct {
+		Revision  int64                     `cbor:"1,keyasint"`
+		Instances map[string]formerInstance `cbor:"3,keyasint"`
+		History   []formerChange            `cbor:"4,keyasint"`
+		Floor     int64                     `cbor:"5,keyasint"`
+	}
+	e := formerEntry{ID: "s0", HostPort: "10.0.0.1:9000", Locality: "a", Phase: Up, Size: 1}
+	revision := int64(1)<<epochBits + 1
+	was := formerImage{Revision: revision, Instances: map[string]formerInstance{"s0": {Entry: e, Version: revision}},
+		History: []formerChange{{revision, e}}, Floor: revision - 1}
+	raw, err := cbor.Marshal(was)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Read(bytes.NewReader(append(head(raw), raw...)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := s.Whole(); len(l.Members) != 1 || l.Members[0].Service != "" {
+		t.Fatalf("a former snapshot is read as %+v", l)
+	}
+	s.Apply(serves("s0", "a")) // its agent now names a service
+	if all, err := scopedList(s, &Scope{Services: []string{"a"}}); err != nil || len(all) != 1 {
+		t.Errorf("%v, %v", all, err)
+	}
+	if raw, err = cbor.Marshal(s.image); err != nil {
+		t.Fatal(err)
+	}
+	var back formerImage
+	if err := cbor.Unmarshal(raw, &back); err != nil || back.Instances["s0"].Entry != e || len(back.History) != 2 {
+		t.Errorf("a former program reads %+v, %v", back, err)
+	}
+}
+
+// A snapshot whose slots don't fit is none.
+func TestSnapshotsWithBadSlots(t *testing.T) {
+	for want, slots := range map[string][2]int{"both have slot 1": {1, 1}, "out of range": {0, mostInstances}} {
+		s := NewState()
+		for i, slot := range slots {
+			id := fmt.Sprint("s", i)
+			s.Instances[id] = Instance{Entry: serves(id, "a").Entry, Slot: slot}
+		}
+		var b bytes.Buffer
+		if err := s.Write(&b); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Read(&b); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("slots %v: %v, want %q", slots, err, want)
+		}
+	}
+}
+
+func TestBadScopesNameTheParameter(t *testing.T) {
+	var names []string
+	for i := range mostScope + 1 {
+		names = append(names, fmt.Sprint("s", i))
+	}
+	for query, want := range map[string]string{
+		"service=":                               "service: want 1 to",
+		"service=a,,b":                           "service: want 1 to",
+		"service=a%20b":                          "service: want printable",
+		"service=" + strings.Join(names, ","):    "service: want 256 names",
+		"subset=2":                               "subset: wants a service",
+		"service=a&position=2":                   "position: wants a subset",
+		"service=a&zone=z":                       "zone: wants a subset",
+		"service=a&subset=0&position=0&nodes=":   "subset: want a whole number from 1",
+		"service=a&subset=x":                     "subset: want",
+		"service=a&subset=2&position=0":          "nodes: want",
+		"service=a&subset=2&nodes=0":             "nodes: want",
+		"service=a&subset=2&nodes=3":             "position: want a whole number from 0 to 2",
+		"service=a&subset=2&nodes=3&position=3":  "position: want",
+		"service=a&subset=2&nodes=3&position=-1": "position: want",
+		"service=a&subset=99999999999999999999":  "subset: want",
+		"service=a&subset=2&nodes=3&position=0&zone=" + strings.Repeat("z", mostText+1): "zone: over",
+	} {
+		values, err := url.ParseQuery(query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := parseScope(values); err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.60s: got %v, want one line that begins %q", query, err, want)
+		}
+	}
+	scope, err := parseScope(url.Values{"service": {"b,a", "a"}, "subset": {"2"}, "nodes": {"3"}, "position": {"1"}, "zone": {"z"}})
+	want := &Scope{Services: []string{"a", "b"}, Size: 2, Client: subset.Client{Position: 1, Count: 3, Zone: "z"}}
+	if diff := cmp.Diff(want, scope); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+	if scope, err := parseScope(url.Values{"index": {"3"}, "other": {"x"}}); scope != nil || err != nil {
+		t.Errorf("a call with no scope: %+v, %v", scope, err)
+	}
+}
--- a/internal/registry/snapshot.go
+++ b/internal/registry/snapshot.go
@@ -20,23 +20,36 @@
 	snapshotMost    = 64 << 20 // bytes
 )
 
+// decoder reads images: the library's own bound on a map's pairs is below that on instances.
+var decoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxMapPairs: mostInstances}.DecMode()
+	if err != nil { // the options are constant
+		panic(err)
+	}
+	return mode
+}()
+
 // Write writes the state so that Read reads it.
 func (s *State) Write(w io.Writer) error {
 	raw, err := cbor.Marshal(s.image)
 	if err != nil {
 		return err
 	}
-	head := bytes.Clone(snapshotMark)
-	head = append(head, snapshotVersion)
-	head = binary.BigEndian.AppendUint64(head, uint64(len(raw)))
-	head = binary.BigEndian.AppendUint64(head, xxhash.Sum64(raw))
-	if _, err := w.Write(head); err != nil {
+	if _, err := w.Write(head(raw)); err != nil {
 		return err
 	}
 	_, err = w.Write(raw)
 	return err
 }
 
+// head is what stands before an encoded image.
+func head(raw []byte) []byte {
+	head := bytes.Clone(snapshotMark)
+	head = append(head, snapshotVersion)
+	head = binary.BigEndian.AppendUint64(head, uint64(len(raw)))
+	return binary.BigEndian.AppendUint64(head, xxhash.Sum64(raw))
+}
+
 // Read reads a state as Write wrote it.
 func Read(r io.Reader) (*State, error) {
 	head := make([]byte, len(snapshotMark)+17)
@@ -62,12 +75,17 @@
 		return nil, fmt.Errorf("snapshot: bytes %d to %d: the hash doesn't fit", len(head), len(head)+int(size))
 	}
 	s := NewState()
-	if err := cbor.Unmarshal(raw, &s.image); err != nil {
+	if err := decoder.Unmarshal(raw, &s.image); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	if s.Instances == nil {
 		s.Instances = make(map[string]Instance)
 	}
+	services, err := newServices(s.image)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	s.services = services
 	if s.Peers == nil {
 		s.Peers = make(map[string]string)
 	}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -26,7 +26,7 @@
 
 // Bounds on what others can make grow.
 const (
-	mostInstances = 10_000
+	mostInstances = 150_000
 	mostHistory   = 4096 // changes kept for watches; older ones get the whole list
 	mostRequests  = 8192 // answers kept for requests that come again
 	mostText      = 256  // bytes of one field
@@ -55,6 +55,7 @@
 	Phase    string  `json:"phase" cbor:"6,keyasint"`
 	Size     float64 `json:"size" cbor:"7,keyasint"`
 	UpSince  int64   `json:"up_since_ms" cbor:"8,keyasint"`
+	Service  string  `json:"service,omitempty" cbor:"9,keyasint,omitempty"` // empty for none
 }
 
 // Check says which field can't be.
@@ -77,6 +78,8 @@
 		return fmt.Errorf("size: want 0 to a million, got %v", e.Size)
 	case e.UpSince < 0 || e.UpSince >= 1<<53:
 		return errors.New("up_since_ms: out of range")
+	case e.Service != "":
+		return checkService(e.Service)
 	}
 	return nil
 }
@@ -86,7 +89,8 @@
 	Entry   Entry         `cbor:"1,keyasint"`
 	Version int64         `cbor:"2,keyasint"` // the revision that last changed it
 	Lease   time.Duration `cbor:"3,keyasint"`
-	Expires time.Duration `cbor:"4,keyasint"` // by the state's clock
+	Expires time.Duration `cbor:"4,keyasint"`           // by the state's clock
+	Slot    int           `cbor:"5,keyasint,omitempty"` // unique within its service, the lowest that was free
 }
 
 // Kind says what a command does.
@@ -136,9 +140,22 @@
 	Revision int64    `cbor:"3,keyasint"`
 }
 
+// change is one change of an instance.
 type change struct {
-	Revision int64 `cbor:"1,keyasint"`
-	Entry    Entry `cbor:"2,keyasint"`
+	Revision int64      `cbor:"1,keyasint"`
+	Entry    Entry      `cbor:"2,keyasint"`           // as it is now; its phase is Removed if it is no more
+	Former   *Placement `cbor:"3,keyasint,omitempty"` // as it was before; nil if it was not there
+}
+
+// services are those that the change touches.
+func (c change) services() (all []string) {
+	if c.Entry.Service != "" {
+		all = append(all, c.Entry.Service)
+	}
+	if c.Former != nil && c.Former.Service != "" && c.Former.Service != c.Entry.Service {
+		all = append(all, c.Former.Service)
+	}
+	return all
 }
 
 type answered struct {
@@ -149,7 +166,8 @@
 // State is the list. The zero value is not usable; make one with NewState. It isn't safe for concurrent use.
 type State struct {
 	image
-	answers map[string]Result // by request
+	answers  map[string]Result // by request
+	services services
 }
 
 // image is what a snapshot holds.
@@ -168,7 +186,7 @@
 
 // NewState is an empty list of the first epoch.
 func NewState() *State {
-	s := &State{answers: make(map[string]Result)}
+	s := &State{answers: make(map[string]Result), services: make(services)}
 	s.Revision, s.Instances, s.Peers = 1<<epochBits, make(map[string]Instance), make(map[string]string)
 	s.Floor = s.Revision
 	return s
@@ -208,7 +226,7 @@
 		s.Expired, s.Held = nil, false
 	case NewEpoch:
 		s.Revision = (s.Epoch() + 1) << epochBits
-		s.History, s.Floor = nil, s.Revision
+		s.forget(len(s.History), s.Revision)
 		s.carryOut(Command{Kind: Lead})
 	case SetPeer:
 		if s.Peers[c.ID] = c.Entry.HostPort; c.Entry.HostPort == "" {
@@ -228,7 +246,8 @@
 	case !there && len(s.Instances) >= mostInstances:
 		return Result{Fault: Full}
 	}
-	i := Instance{Entry: c.Entry, Version: was.Version, Lease: c.Lease, Expires: s.Clock + c.Lease}
+	i := Instance{Entry: c.Entry, Version: was.Version, Lease: c.Lease, Expires: s.Clock + c.Lease,
+		Slot: was.Slot}
 	return s.put(i, !there || was.Entry != c.Entry)
 }
 
@@ -257,7 +276,17 @@
 // put keeps an instance, and tells watches where its entry has changed.
 func (s *State) put(i Instance, told bool) Result {
 	if told {
-		i.Version = s.tell(i.Entry)
+		var former *Placement
+		was, there := s.Instances[i.Entry.ID]
+		if there {
+			former = was.placement()
+		}
+		i.Slot = was.Slot
+		if !there || was.Entry.Service != i.Entry.Service {
+			s.services.release(was.Entry.Service, was.Slot)
+			i.Slot = s.services.take(i.Entry.Service, i.Entry.ID)
+		}
+		i.Version = s.tell(i.Entry, former)
 	}
 	s.Instances[i.Entry.ID] = i
 	return Result{Instance: i}
@@ -265,21 +294,31 @@
 
 func (s *State) drop(i Instance) {
 	delete(s.Instances, i.Entry.ID)
+	s.services.release(i.Entry.Service, i.Slot)
+	former := i.placement()
 	i.Entry.Phase = Removed
-	s.tell(i.Entry)
+	s.tell(i.Entry, former)
 }
 
 // tell makes a revision of a change.
-func (s *State) tell(e Entry) int64 {
+func (s *State) tell(e Entry, former *Placement) int64 {
 	s.Revision++
-	if s.History = append(s.History, change{s.Revision, e}); len(s.History) > mostHistory {
+	c := change{s.Revision, e, former}
+	s.services.note(c)
+	if s.History = append(s.History, c); len(s.History) > mostHistory {
 		cut := len(s.History) - mostHistory/2
-		s.Floor = s.History[cut-1].Revision
-		s.History = slices.Clone(s.History[cut:])
+		s.forget(cut, s.History[cut-1].Revision)
 	}
 	return s.Revision
 }
 
+// forget drops the oldest changes; what a watch at a revision below the floor missed is no longer known.
+func (s *State) forget(oldest int, floor int64) {
+	dropped := s.History[:oldest]
+	s.History, s.Floor = slices.Clone(s.History[oldest:]), floor
+	s.services.forget(dropped, floor)
+}
+
 // tick lets time pass: who hasn't renewed is removed, unless that befalls a mass of them.
 func (s *State) tick(span time.Duration) {
 	s.Clock += span
