Let a node watch only the services that its routes need, and a subset of each

Change: the section "scope" of the configuration adds services, and by position, count and zone of the settings a subset, to each call for the list. It begins with a whole list of its scope, for the scope of the list that it starts with isn't known; a SIGHUP that changes the scope does the same. An answer that is scoped where the list held is not, or the other way round, is not added to it: servers outside of the scope would stay for good, drained or not. A list service that ignores the scope is followed as ever, with one line in the log. Without the section each call is as before, byte for byte (TestCallsWithoutAScope). Measured: go test -race ./internal/node -run 'Scope|Discovery|Config|Reload|Calls|Kept|Loads' passes.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -34,6 +34,7 @@
 	Sockets   int
 	Known     list // the servers as this node last had them, perhaps stale
 	Settings  policy.Settings
+	Scope     string         // what the section "scope" adds to calls for the list; empty for the whole list
 	Fleet     *gossip.Config // this node's part in a fleet; nil for none
 
 	// Figures of the settings that bind the node and not the module.
@@ -134,6 +135,7 @@
 		Settings json.RawMessage `json:"settings"`
 		Fleet    json.RawMessage `json:"fleet"`
 		Places   json.RawMessage `json:"places"`
+		Scope    json.RawMessage `json:"scope"`
 		Ease     bool            `json:"ease_lists"`
 	}
 	if err := unmarshal(raw, &f); err != nil {
@@ -176,6 +178,11 @@
 	if err := nodeLimits(f.Settings, &c); err != nil {
 		return Config{}, err
 	}
+	if len(f.Scope) > 0 {
+		if c.Scope, err = parseScope(f.Scope, c.Settings); err != nil {
+			return Config{}, err
+		}
+	}
 	if len(f.Fleet) > 0 {
 		c.Fleet, err = parseFleet(f.Fleet, c)
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -129,6 +129,7 @@
 	client    *http.Client
 	kept      *keeper // nil for none
 	subscribe bool    // watch only when the module has asked, and tell it of failures
+	scope     scopeState
 	revision  int64
 	asks      chan bool   // the module's newest wish to be kept told
 	moves     chan target // the newest, where the configuration names another
@@ -140,6 +141,7 @@
 type target struct {
 	addr      string
 	subscribe bool
+	scope     string
 }
 
 var (
@@ -159,10 +161,10 @@
 }
 
 func newDiscovery(c Config, tell func(any)) *discovery {
-	urls := registryURLs(c.Discovery)
+	urls, scope := registryURLs(c.Discovery), scopeState{query: c.Scope}
 	return &discovery{
 		urls: urls, at: int(c.Seed % uint64(len(urls))), kept: newKeeper(c), subscribe: c.Settings.Subscribe,
-		rng: rand.New(rand.NewPCG(c.Seed, 0xd1)), revision: c.Known.Revision, asks: make(chan bool, 1),
+		rng: rand.New(rand.NewPCG(c.Seed, 0xd1)), scope: scope, revision: scope.firstRevision(c.Known.Revision), asks: make(chan bool, 1),
 		moves: make(chan target, 1), tell: tell,
 		client: &http.Client{
 			// A Transport of its own, so neither a proxy nor the requests share its connection.
@@ -195,9 +197,10 @@
 
 // moveTo leaves the old address. Its revisions need not be the new one's, so the whole list is fetched.
 func (d *discovery) moveTo(to target) {
-	if urls := registryURLs(to.addr); !slices.Equal(urls, d.urls) {
+	if urls := registryURLs(to.addr); !slices.Equal(urls, d.urls) || to.scope != d.scope.query {
 		slog.Info("discovery: moved", "address", to.addr)
 		d.urls, d.at, d.revision = urls, d.at%len(urls), wholeList
+		d.scope = scopeState{query: to.scope}
 	}
 	d.subscribe = to.subscribe
 	d.client.CloseIdleConnections()
@@ -322,7 +325,7 @@
 	if d.revision != wholeList {
 		url += fmt.Sprintf("?index=%d&wait=%d", d.revision, watchWait.Milliseconds())
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.scope.addTo(url), nil)
 	if err != nil {
 		return list{}, err
 	}
@@ -332,7 +335,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return list{}, fmt.Errorf("answered %s", resp.Status)
+		return list{}, d.scope.refusal(resp)
 	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxListSize+1))
 	if err != nil {
@@ -349,6 +352,10 @@
 	if resp.Header.Get(epochHeader) != "" && l.Revision < d.revision {
 		return list{}, fmt.Errorf("revision %d after %d: a replica that lags", l.Revision, d.revision)
 	}
+	if err := d.scope.check(resp.Header, l.Complete); err != nil {
+		d.revision = wholeList
+		return list{}, err
+	}
 	return l, nil
 }
 
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -163,7 +163,7 @@
 					return
 				}
 				<-r.Context().Done()
-			}), subscribe})
+			}), subscribe, ""})
 			if n := receive(t, "the list", told); n.kind != policy.ListReplace || n.members[0].Server != "s9" {
 				t.Errorf("subscribe %v: news %+v", subscribe, n)
 			}
@@ -192,7 +192,7 @@
 				<-r.Context().Done()
 			}
 			_, _ = io.WriteString(w, `{"revision":3,"complete":true,"members":[`+entry("s9", "up")+`]}`)
-		}), true})
+		}), true, ""})
 		if n := receive(t, "the list", told); n.kind != policy.ListReplace {
 			t.Errorf("news %+v", n)
 		}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -137,7 +137,7 @@
 	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up, fig: fig,
 		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}),
 		requests: make(map[string]*request), members: make(map[string]member)}
-	l.target = target{c.Discovery, c.Settings.Subscribe}
+	l.target = target{c.Discovery, c.Settings.Subscribe, c.Scope}
 	l.terms.Store(newTerms(c.Settings.Classes))
 	l.disc = newDiscovery(c, l.send)
 	return l, nil
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -100,7 +100,7 @@
 		names = append(names, class.Name)
 	}
 	l.terms.Store(l.terms.Load().after(c.Settings.Classes, time.Now()))
-	if to := (target{c.Discovery, c.Settings.Subscribe}); to != l.target {
+	if to := (target{c.Discovery, c.Settings.Subscribe, c.Scope}); to != l.target {
 		l.target = to
 		l.disc.move(to)
 	}
@@ -141,7 +141,7 @@
 // mayLack are the keys that a configuration may be without, as the wire page has it, and what only some
 // entries need.
 var mayLack = []string{"control", "aimStretch", "warmKeys", "passesDeadline", "servedOn", "localitiesOnly",
-	"group", "window", "fleet", "places", "ease_lists", "list_file", "minExtra", "budgetShare", "ratioSpan"}
+	"group", "window", "fleet", "places", "ease_lists", "list_file", "scope", "minExtra", "budgetShare", "ratioSpan"}
 
 // shape is what keys a configuration has: the members of a list of servers are discovery's.
 func shape(raw []byte) (any, error) {
--- /dev/null
+++ b/internal/node/scope_test.go
@@ -0,0 +1,257 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sloerail/policy"
+)
+
+const testScope = "service=a&service=b&subset=20&position=3&nodes=9&zone=z"
+
+// scopedCall is one call that a list service got.
+type scopedCall struct {
+	uri    string
+	header http.Header
+}
+
+// scopedAnswer is what it answers.
+type scopedAnswer struct {
+	status int // 0 for 200
+	header map[string]string
+	body   string
+}
+
+func whole(revision int, entries ...string) string {
+	return strings.Replace(delta(revision, entries...), `"complete":false`, `"complete":true`, 1)
+}
+
+// scopedService plays answers in turn, then holds the rest of the calls.
+func scopedService(t *testing.T, answers ...scopedAnswer) (addr string, calls chan scopedCall) {
+	t.Helper()
+	calls = make(chan scopedCall, 100)
+	next := make(chan scopedAnswer, len(answers))
+	for _, a := range answers {
+		next <- a
+	}
+	addr = httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		calls <- scopedCall{r.URL.RequestURI(), r.Header.Clone()}
+		select {
+		case a := <-next:
+			for name, value := range a.header {
+				w.Header().Set(name, value)
+			}
+			if a.status != 0 {
+				w.WriteHeader(a.status)
+			}
+			_, _ = io.WriteString(w, a.body)
+		default:
+			<-r.Context().Done()
+		}
+	})
+	return addr, calls
+}
+
+// startDiscovery watches with a scope.
+func startDiscovery(t *testing.T, addr, scope string) (d *discovery, told chan news) {
+	t.Helper()
+	c := testConfig(t, knownList("127.0.0.1:9"))
+	c.Discovery, c.Scope = addr, scope
+	told = make(chan news, 100)
+	d = newDiscovery(c, func(ev any) { told <- ev.(news) })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { d.run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); receive(t, "the end of discovery", ended) })
+	return d, told
+}
+
+func wantCalls(t *testing.T, calls chan scopedCall, want ...string) {
+	t.Helper()
+	for i, uri := range want {
+		if got := receive(t, "a call", calls).uri; got != uri {
+			t.Errorf("call %d is for %s, want %s", i, got, uri)
+		}
+	}
+}
+
+func wantNews(t *testing.T, told chan news, kind policy.ListKind, ids ...string) {
+	t.Helper()
+	n := receive(t, "the news", told)
+	var got []string
+	for _, m := range n.members {
+		got = append(got, m.Server)
+	}
+	if diff := cmp.Diff(ids, got); diff != "" || n.kind != kind {
+		t.Errorf("told kind %v: %s", n.kind, diff)
+	}
+}
+
+// watchOf is the URI of a watch from a revision on.
+func watchOf(d *discovery, revision int, scope string) string {
+	uri := fmt.Sprintf("/registry/instances?index=%d&wait=%d", revision, watchWait.Milliseconds())
+	if scope != "" {
+		uri += "&" + scope
+	}
+	return uri
+}
+
+// Without the section, calls for the list are what they were before there was one, byte for byte, whatever the
+// answers' headers say.
+func TestCallsWithoutAScope(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		addr, calls := scopedService(t, scopedAnswer{header: map[string]string{scopedHeader: "true"}, body: delta(8, entry("s9", "up"))})
+		d, told := startDiscovery(t, addr, "")
+		first := receive(t, "a call", calls)
+		if first.uri != watchOf(d, 7, "") {
+			t.Errorf("called %s", first.uri)
+		}
+		if diff := cmp.Diff(http.Header{"User-Agent": {"Go-http-client/1.1"}}, first.header); diff != "" {
+			t.Error("headers:", diff)
+		}
+		wantNews(t, told, policy.ListUpdate, "s9")
+		wantCalls(t, calls, watchOf(d, 8, ""))
+	})
+}
+
+// With a scope the node begins with a whole list of it, and watches in it.
+func TestCallsWithAScope(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		scoped := map[string]string{scopedHeader: "true"}
+		addr, calls := scopedService(t, scopedAnswer{header: scoped, body: whole(30, entry("s1", "up"))},
+			scopedAnswer{header: scoped, body: delta(31, entry("s1", "draining"))}, scopedAnswer{header: scoped, body: delta(40)})
+		d, told := startDiscovery(t, addr, testScope)
+		wantCalls(t, calls, "/registry/instances?"+testScope)
+		wantNews(t, told, policy.ListReplace, "s1")
+		wantCalls(t, calls, watchOf(d, 30, testScope))
+		wantNews(t, told, policy.ListUpdate, "s1")
+		wantCalls(t, calls, watchOf(d, 31, testScope), watchOf(d, 40, testScope))
+		if len(told) != 0 {
+			t.Errorf("told of an answer with nothing new: %+v", <-told)
+		}
+	})
+}
+
+// A list service that ignores the scope is followed as ever. Where one that heeds it takes its place, changes of the
+// scope are not added to the whole list: the list of the scope is called for, and the other way round.
+func TestScopeHeededAndIgnored(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		scoped := map[string]string{scopedHeader: "true"}
+		addr, calls := scopedService(t, scopedAnswer{body: whole(30, entry("s1", "up"), entry("s2", "up"))},
+			scopedAnswer{body: delta(31, entry("s3", "up"))},
+			scopedAnswer{header: scoped, body: delta(32, entry("s4", "up"))},
+			scopedAnswer{header: scoped, body: whole(32, entry("s1", "up"), entry("s4", "up"))},
+			scopedAnswer{body: delta(33, entry("s5", "up"))})
+		d, told := startDiscovery(t, addr, testScope)
+		wantNews(t, told, policy.ListReplace, "s1", "s2")
+		wantNews(t, told, policy.ListUpdate, "s3")
+		wantNews(t, told, policy.ListReplace, "s1", "s4")
+		all := "/registry/instances?" + testScope
+		wantCalls(t, calls, all, watchOf(d, 30, testScope), watchOf(d, 31, testScope), all, watchOf(d, 32, testScope), all)
+		if len(told) != 0 {
+			t.Errorf("told %+v", <-told)
+		}
+	})
+}
+
+// A scope that changes brings a whole list of the new one.
+func TestScopeChanges(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		scoped := map[string]string{scopedHeader: "true"}
+		addr, calls := scopedService(t, scopedAnswer{header: scoped, body: whole(30, entry("s1", "up"))})
+		d, told := startDiscovery(t, addr, testScope)
+		wantNews(t, told, policy.ListReplace, "s1")
+		wantCalls(t, calls, "/registry/instances?"+testScope, watchOf(d, 30, testScope))
+		d.move(target{addr: addr, scope: "service=c"})
+		wantCalls(t, calls, "/registry/instances?service=c")
+		d.move(target{addr: addr})
+		wantCalls(t, calls, "/registry/instances")
+	})
+}
+
+// A refusal of the scope is told with its reason, and the last list stays.
+func TestScopeRefused(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		addr, _ := scopedService(t, scopedAnswer{status: http.StatusNotFound, body: "service: unknown: a, b\n"})
+		c := testConfig(t, knownList("127.0.0.1:9"))
+		c.Discovery, c.Scope = addr, testScope
+		d := newDiscovery(c, func(any) {})
+		_, err := d.watch(context.Background())
+		if want := "answered 404 Not Found: service: unknown: a, b"; err == nil || err.Error() != want {
+			t.Errorf("got %v, want %s", err, want)
+		}
+		d.client.CloseIdleConnections()
+	})
+}
+
+func TestLoadsScope(t *testing.T) {
+	for section, want := range map[string]string{
+		`{"services":["b","a"],"subset":20}`: "nodes=1&position=0&service=a&service=b&subset=20&zone=a",
+		`{"services":["a"]}`:                 "service=a",
+	} {
+		text := strings.Replace(goodConfig, `"seed"`, `"scope":`+section+`,"seed"`, 1)
+		c, err := LoadConfig(configFile(t, text))
+		if err != nil || c.Scope != want {
+			t.Errorf("%s: %q, %v, want %q", section, c.Scope, err, want)
+		}
+	}
+	if c, err := LoadConfig(configFile(t, goodConfig)); err != nil || c.Scope != "" {
+		t.Errorf("without the section: %q, %v", c.Scope, err)
+	}
+}
+
+func TestBadScopeNamesTheField(t *testing.T) {
+	var many, long []string
+	for i := range mostScopeServices + 1 {
+		many = append(many, fmt.Sprintf("%q", fmt.Sprint("s", i)))
+	}
+	for i := range 100 {
+		long = append(long, fmt.Sprintf("%q", fmt.Sprint(strings.Repeat("s", 100), i)))
+	}
+	for section, want := range map[string]string{
+		`{}`:                              "scope.services: names no service",
+		`{"services":[]}`:                 "scope.services: names no service",
+		`{"services":["a",""]}`:           "scope.services[1]: want 1 to",
+		`{"services":["a","b","a"]}`:      `scope.services[2]: "a" is there twice`,
+		`{"services":["a b"]}`:            "scope.services[0]: want printable",
+		`{"services":["a,b"]}`:            "scope.services[0]: want printable",
+		`{"services":["a"],"subset":0}`:   "scope.subset: want 1 to",
+		`{"services":["a"],"subset":-3}`:  "scope.subset: want 1 to",
+		`{"services":["a"],"subset":"x"}`: "scope: json",
+		`{"services":["a"],"subsets":3}`:  "subsets",
+		`{"services":"a"}`:                "scope: json",
+		`[]`:                              "scope: json",
+		`{"services":[` + strings.Join(many, ",") + `]}`: "scope.services: want 256 at most",
+		`{"services":[` + strings.Join(long, ",") + `]}`: "scope.services: want 8192 bytes at most",
+	} {
+		text := strings.Replace(goodConfig, `"seed"`, `"scope":`+section+`,"seed"`, 1)
+		_, err := LoadConfig(configFile(t, text))
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.80s: got %v, want one line that names %q", section, err, want)
+		}
+	}
+}
+
+// The section may come, change and go with a SIGHUP.
+func TestScopeIsReloaded(t *testing.T) {
+	plain := fileText(knownList("127.0.0.1:9"), testSettings)
+	with := strings.Replace(plain, `"seed"`, `"scope":{"services":["a"]},"seed"`, 1)
+	c, reload := loadFile(t, with)
+	if c.Scope != "service=a" {
+		t.Errorf("loaded %q", c.Scope)
+	}
+	for text, want := range map[string]string{plain: "", with: "service=a", strings.Replace(with, `["a"]`, `["b"]`, 1): "service=b"} {
+		if c, err := reload(text); err != nil || c.Scope != want {
+			t.Errorf("reloaded %q, %v, want %q", c.Scope, err, want)
+		}
+	}
+	if _, err := reload(strings.Replace(with, `["a"]`, `[]`, 1)); err == nil || !strings.Contains(err.Error(), "scope.services") {
+		t.Errorf("an empty scope: %v", err)
+	}
+}
