Run a scoped node through troubles over real processes

Change: wayhold with the section "scope" on three replicas that list two services: two servers of its subset are drained, removed and replaced, the leader is killed in between, and a server of the other service goes. The node's list is held to the service's at each step; each box counts what reaches it. The rig's nodes may be given the section.

--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -35,6 +35,7 @@
 	Sockets   int
 	Fleet     map[string]any // the section of that name; nil for none
 	Places    map[string]any // the same
+	Scope     map[string]any // the same
 	EaseLists bool
 	Env       []string
 }
@@ -95,6 +96,9 @@
 	if s.Places != nil {
 		file["places"] = s.Places
 	}
+	if s.Scope != nil {
+		file["scope"] = s.Scope
+	}
 	if s.EaseLists {
 		file["ease_lists"] = true
 	}
--- /dev/null
+++ b/internal/rig/scope_test.go
@@ -0,0 +1,204 @@
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sloerail/internal/emulator"
+	"sloerail/internal/registry"
+)
+
+// scopedTrial is a node that is told a subset of one service, by three replicas that list several.
+type scopedTrial struct {
+	t    *testing.T
+	ctx  context.Context
+	w    *World
+	g    *Registry
+	c    *registry.Client
+	node *Node
+	at   map[string]string // where the node reaches the boxes
+
+	written int64 // the revision of the newest write
+
+	mu      sync.Mutex
+	sent    map[string]int // attempts, by box
+	inScope map[string]bool
+}
+
+// scopedList is the path of the list that the node is to have.
+const scopedList = "/registry/instances?service=a&subset=3&position=0&nodes=1&zone=a"
+
+func newScopedTrial(t *testing.T, servers int) *scopedTrial {
+	r, ctx := newRig(t)
+	g, _ := startRegistry(t, r, ctx, 3)
+	x := &scopedTrial{t: t, ctx: ctx, w: r.NewWorld(*seed, boxes(servers, "a")...), g: g, c: registry.NewClient(g.Addresses()),
+		at: make(map[string]string), sent: make(map[string]int), inScope: make(map[string]bool)}
+	n, err := x.w.AddNode(NodeSpec{Name: "n0", Settings: Settings(0, 1, "a", quick(), tenants, 4000),
+		Scope: map[string]any{"services": []string{"a"}, "subset": 3}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Spec.Known, n.Spec.Discovery, n.Spec.ListFile = nil, strings.Join(g.Addresses(), ","), n.dir+"/list"
+	x.node = n
+	for id, b := range x.w.boxes {
+		if x.at[id], err = x.w.serve("n0", id, x.counted(id, x.w.boxHandler("n0", "a", b))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return x
+}
+
+// counted counts the attempts that reach a box.
+func (x *scopedTrial) counted(id string, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x.mu.Lock()
+		x.sent[id]++
+		x.mu.Unlock()
+		h.ServeHTTP(w, r)
+	})
+}
+
+// write changes an instance in the list.
+func (x *scopedTrial) write(method, id string, body any) {
+	x.t.Helper()
+	var a registry.Answer
+	if err := x.c.Do(within(x.t, x.ctx), method, "/registry/instances/"+id, body, &a, 0); err != nil {
+		x.t.Fatal(err)
+	}
+	x.written = a.Revision
+}
+
+func (x *scopedTrial) register(id, service string) {
+	x.t.Helper()
+	x.write(http.MethodPut, id, map[string]any{"host_port": x.at[id], "locality": "a", "service": service, "lease_ms": 600_000})
+}
+
+// followed waits until the node has what the list has in its scope, and returns that.
+func (x *scopedTrial) followed(what string) (ids []string) {
+	x.t.Helper()
+	err := Await(within(x.t, x.ctx), "the node to have its scope "+what, func() bool {
+		var list registry.List
+		if x.c.Do(x.ctx, http.MethodGet, scopedList, nil, &list, 0) != nil || list.Revision < x.written {
+			return false
+		}
+		ids = ids[:0]
+		for _, e := range list.Members {
+			ids = append(ids, e.ID+" "+e.Phase)
+		}
+		return slices.Equal(ids, x.held())
+	})
+	if err != nil {
+		x.t.Fatal(err, x.held())
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for i, server := range ids {
+		ids[i], _, _ = strings.Cut(server, " ")
+		x.inScope[ids[i]] = true
+	}
+	return ids
+}
+
+// held is what the node has, by the file that it keeps the list in.
+func (x *scopedTrial) held() (servers []string) {
+	raw, err := os.ReadFile(x.node.Spec.ListFile)
+	if err != nil {
+		return nil
+	}
+	_, body, _ := strings.Cut(string(raw), "\n")
+	var list registry.List
+	if json.Unmarshal([]byte(body), &list) != nil {
+		return nil
+	}
+	for _, e := range list.Members {
+		servers = append(servers, e.ID+" "+e.Phase)
+	}
+	return servers
+}
+
+// A node with a scope lives through the death of its list service's leader, the drain and end of servers of its
+// subset, their replacement, and changes elsewhere: requests are served, drains kept, and nothing is ever sent to a
+// server outside of its scope.
+func TestScopedNodeThroughTroubles(t *testing.T) {
+	t.Parallel()
+	x := newScopedTrial(t, 12)
+	for i := range 10 { // two more are there for replacements
+		x.register(fmt.Sprintf("s-%02d", i), []string{"a", "a", "b"}[i%3])
+	}
+	if _, err := x.node.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := x.node.Ready(within(t, x.ctx)); err != nil {
+		t.Fatal(err)
+	}
+	first := x.followed("at its start")
+	if len(first) != 3 {
+		t.Fatalf("a subset of 3 has %v", first)
+	}
+	load := x.w.Clients("c", emulator.ClientSpec{Rate: 80, Classes: quick(), Tenants: tenants, Tries: 2,
+		Wait: 100 * time.Millisecond, Open: 0.6, Until: time.Hour}, x.node)
+	x.replace(first[0], "s-10")
+	leader, err := x.g.AwaitLeader(within(t, x.ctx))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.g.Process(leader).Kill()
+	x.replace(first[1], "s-11") // while nobody leads, and after
+	if err := x.g.Start(leader); err != nil {
+		t.Fatal(err)
+	}
+	x.write(http.MethodDelete, "s-02", nil) // of the other service
+	x.followed("after a change elsewhere")
+	x.finish(load)
+}
+
+// replace drains a server of the node's subset, takes it out, and puts another in its place.
+func (x *scopedTrial) replace(old, next string) {
+	x.t.Helper()
+	x.write(http.MethodPut, old+"/phase", map[string]string{"phase": registry.Draining})
+	if during := x.followed("in the drain of " + old); !slices.Contains(during, old) || len(during) < 4 {
+		x.t.Errorf("while %s drains, the node has %v", old, during)
+	}
+	x.w.Look(func() { x.w.Judge.Told(x.w.now(), "n0", old, emulator.Draining) })
+	x.write(http.MethodDelete, old, nil)
+	x.followed("after the end of " + old)
+	x.register(next, "a")
+	if after := x.followed("with " + next); !slices.Contains(after, next) || len(after) != 3 {
+		x.t.Errorf("with %s in the place of %s, the node has %v", next, old, after)
+	}
+}
+
+// finish ends the load, and holds what was served and sent to what is promised.
+func (x *scopedTrial) finish(load *Load) {
+	x.t.Helper()
+	err := Await(within(x.t, x.ctx), "enough requests", func() bool { return load.Sums().Asked >= 240 })
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	x.w.Look(func() { load.clients.Stop() })
+	if err := load.Wait(within(x.t, x.ctx)); err != nil {
+		x.t.Fatal(err)
+	}
+	x.w.clean(x.t)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for id, n := range x.sent {
+		if !x.inScope[id] {
+			x.t.Errorf("%d attempts went to %s, which was never in scope", n, id)
+		}
+	}
+	sums := load.Sums()
+	if sums.InTime < sums.Asked/2 {
+		x.t.Errorf("clients: %+v", sums)
+	}
+	x.t.Logf("clients: %+v; sent to %v; in scope at any time: %v", sums, x.sent, slices.Sorted(maps.Keys(x.inScope)))
+}
