--- a/cmd/sloerail/registry.go
+++ b/cmd/sloerail/registry.go
@@ -197,6 +197,7 @@
 	f.StringVar(&a.Entry.Locality, "zone", "", "zone that the server is in")
 	f.StringVar(&a.Entry.Flavor, "kind", "", "kind of server")
 	f.Int64Var(&a.Entry.Cell, "cell", 0, "cell (rack) that the server is in")
+	f.StringVar(&a.Entry.Service, "service", "", "service that the server belongs to; empty for none")
 	f.Float64Var(&a.Entry.Size, "size", 1, "size of the server beside others")
 	f.DurationVar(&a.Lease, "lease", registry.LeaseDefault, "without a word for so long, the server leaves the list")
 	f.DurationVar(&drain, "drain", 5*time.Second, "from the drain at SIGTERM to the end")
