--- a/internal/subset/circle.go
+++ b/internal/subset/circle.go
@@ -46,7 +46,7 @@
 	// Two halves of a stretch whose counts differ by no more than imbalanceServers + count/imbalanceShare get the
 	// same length. Beyond that the lengths follow the excess.
 	imbalanceServers = 2
-	imbalanceShare   = 64
+	imbalanceShare   = 128
 
 	keyBits = 64
 )
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -285,6 +285,37 @@
 	}
 }
 
+// TestLostZone holds what remains after the loss of one of three zones: even loads again, and no subset that had lost
+// more than its stated part.
+func TestLostZone(t *testing.T) {
+	for _, zones := range []layout{inTurn(3), inBlocks(3), atRandom(3)} {
+		f := newFleet(900, 600, 20, 0, zones, 1)
+		before := ringAssignment(f)
+		if got := measure(f, before); got.leastOutside < 1.0/outsideShare*2/3 {
+			t.Errorf("zones %s: a subset loses all but %.2f of its servers", zones.name, got.leastOutside)
+		}
+		rest := f
+		rest.servers = slices.DeleteFunc(slices.Clone(f.servers), func(s Server) bool { return s.Zone == zoneName(1) })
+		after := ringAssignment(rest)
+		if got := measure(rest, after); got.most > 1.1+1e-9 {
+			t.Errorf("zones %s: load up to %.3f of even after the loss", zones.name, got.most)
+		}
+		lost := 0
+		for _, slots := range before {
+			for _, slot := range slots {
+				if !slices.ContainsFunc(rest.servers, func(s Server) bool { return s.Slot == slot }) {
+					lost++
+				}
+			}
+		}
+		pairs := moved(before, after)
+		t.Logf("zones %s: %d pairs moved, %d lost", zones.name, pairs, lost)
+		if pairs > 2*lost {
+			t.Errorf("zones %s: %d pairs move for %d that were lost", zones.name, pairs, lost)
+		}
+	}
+}
+
 func BenchmarkNewRing(b *testing.B) {
 	for _, servers := range []int{100, 1000, 20000} {
 		f := newFleet(servers, 5100, 20, 0, inTurn(3), 1)
