Hold what thirty nodes send to cold servers against the budget and chance

Thirty nodes before twelve servers in virtual time, four of which start anew: n told by the settings, membership saying more or fewer, a third of the nodes starting anew, a burst of twice the capacity after a quiet time; with load reports and without; ten seeds each.

--- /dev/null
+++ b/policy/cold_test.go
@@ -0,0 +1,273 @@
+package policy
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// coldFleet plays many nodes before a few servers in virtual time, without sockets, and keeps its own books of what
+// all of them together send to servers that are cold.
+type coldFleet struct {
+	rng     *rand.Rand
+	set     Settings
+	now     Time
+	queue   eventQueue
+	order   int
+	nodes   []*Balancer
+	life    []int // of each node: what was meant for a former process of it is lost
+	heard   int   // nodes that membership tells of; 0 for no membership
+	servers map[string]*coldServer
+	asked   int
+	served  int
+}
+
+// coldServer works on as many requests at once as it has cores, and slower while it is cold.
+type coldServer struct {
+	Member
+	capacity float64 // requests a second when warm
+	free     []Time  // when each of its cores is
+	sent     []Time  // requests that were sent to it while it was cold
+}
+
+type fleetEvent struct {
+	at    Time
+	order int
+	do    func()
+}
+
+type eventQueue []fleetEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(e any)   { *q = append(*q, e.(fleetEvent)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func (f *coldFleet) after(wait time.Duration, do func()) {
+	f.order++
+	heap.Push(&f.queue, fleetEvent{f.now + wait, f.order, do})
+}
+
+// newColdFleet starts nodes that hear of each other where heard says so. The settings may tell another number.
+func newColdFleet(seed uint64, set Settings, nodes, heard int, servers []Member, capacity float64) *coldFleet {
+	f := &coldFleet{rng: rand.New(rand.NewPCG(seed, 7)), set: set, now: time.Hour, heard: heard,
+		nodes: make([]*Balancer, nodes), life: make([]int, nodes), servers: make(map[string]*coldServer)}
+	for _, m := range servers {
+		f.servers[m.Server] = &coldServer{Member: m, capacity: capacity, free: make([]Time, 2)}
+	}
+	for n := range nodes {
+		f.startNode(n)
+	}
+	return f
+}
+
+func (f *coldFleet) list() (all []Member) {
+	for i := range len(f.servers) {
+		all = append(all, f.servers[fmt.Sprintf("s%02d", i)].Member)
+	}
+	return all
+}
+
+func (f *coldFleet) startNode(n int) {
+	set := f.set
+	set.Node = n % set.Nodes
+	f.nodes[n], _ = New(set, f.now, f.rng.Uint64())
+	f.life[n]++
+	f.event(n, MemberList{Kind: ListRestored, Members: f.list()})
+	if f.heard > 0 {
+		f.event(n, Fleet{Heard: f.heard})
+	}
+}
+
+func (f *coldFleet) event(n int, ev Event) {
+	for _, a := range append([]Action(nil), f.nodes[n].Handle(f.now, ev)...) {
+		switch a.Kind {
+		case Send:
+			f.send(n, a)
+		case SetTimer:
+			f.toNode(n, a.Wait, Timer{Token: a.Token})
+		}
+	}
+}
+
+// toNode hands an event in later, if that process of the node still runs then.
+func (f *coldFleet) toNode(n int, wait time.Duration, ev Event) {
+	life := f.life[n]
+	f.after(wait, func() {
+		if f.life[n] == life {
+			f.event(n, ev)
+		}
+	})
+}
+
+// part is what a server can do now of what it can when warm.
+func (f *coldFleet) part(s *coldServer, at Time) float64 {
+	age := at - s.OnlineSince
+	if s.OnlineSince == 0 || age >= f.set.Rules.ColdFor {
+		return 1
+	}
+	return f.set.Rules.ColdShare + (1-f.set.Rules.ColdShare)*age.Seconds()/f.set.Rules.ColdFor.Seconds()
+}
+
+func (f *coldFleet) send(n int, a Action) {
+	s := f.servers[a.Server]
+	part := f.part(s, f.now)
+	if part < 1 {
+		s.sent = append(s.sent, f.now)
+	}
+	core := 0
+	for i := range s.free {
+		if s.free[i] < s.free[core] {
+			core = i
+		}
+	}
+	work := f.rng.ExpFloat64() * float64(len(s.free)) / (s.capacity * part)
+	s.free[core] = max(s.free[core], f.now) + seconds(work)
+	took, code := s.free[core]-f.now, OK
+	if until := a.Until - f.now; took > until {
+		took, code = until, TimedOut
+	} else {
+		f.served++
+	}
+	row := report(took.Seconds()*1000, 0.9, s.capacity*part*0.9)
+	f.toNode(n, took, Outcome{ID: a.ID, Attempt: len(f.nodes[n].reqs[a.ID].attempts) - 1, Server: a.Server, Code: code,
+		Latency: took, Ended: code == OK, Report: row})
+}
+
+// ask has requests come at all nodes together at a rate for a time.
+func (f *coldFleet) ask(rate float64, span time.Duration) {
+	end := f.now + span
+	var next func()
+	next = func() {
+		if f.now >= end {
+			return
+		}
+		f.asked++
+		f.event(f.rng.IntN(len(f.nodes)), Request{ID: fmt.Sprint("r", f.asked), Class: "free", Tenant: "t",
+			ExpiresIn: 2 * time.Second})
+		f.after(seconds(f.rng.ExpFloat64()/rate), next)
+	}
+	f.after(0, next)
+	f.run(span)
+}
+
+func (f *coldFleet) run(span time.Duration) {
+	end := f.now + span
+	for len(f.queue) > 0 && f.queue[0].at <= end {
+		e := heap.Pop(&f.queue).(fleetEvent)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+// restartServers has all nodes hear that servers have started anew.
+func (f *coldFleet) restartServers(ids ...string) {
+	var changed []Member
+	for _, id := range ids {
+		f.servers[id].OnlineSince = f.now
+		changed = append(changed, f.servers[id].Member)
+	}
+	for n := range f.nodes {
+		f.toNode(n, time.Duration(f.rng.IntN(300))*ms, MemberList{Kind: ListUpdate, Members: changed})
+	}
+}
+
+// worstPart is the most that came to a cold server within the time in which it falls, in parts of what it bears then:
+// the budget of N calls, and what is put down to chance.
+func (f *coldFleet) worstPart() (worst float64, sent int) {
+	span := f.set.Rules.FallFor
+	for _, s := range f.servers {
+		sent += len(s.sent)
+		first := 0
+		for i, at := range s.sent {
+			for s.sent[first] < at-span {
+				first++
+			}
+			n := f.set.Rules.FallMultiple * s.capacity * f.part(s, s.sent[first]) * span.Seconds()
+			worst = max(worst, float64(i-first+1)/(n+2*math.Sqrt(n)+2))
+		}
+	}
+	return worst, sent
+}
+
+// coldCase is a way in which the nodes of a fleet know how many they are, and what comes to them.
+type coldCase struct {
+	name        string
+	told, heard int     // nodes by the settings, and by membership (0: there is none)
+	capacity    float64 // requests a second of a warm server
+	restarting  bool    // a third of the nodes start anew while servers are cold
+	idle, burst float64 // load once servers are cold, and after that, in parts of the capacity of the warm ones
+}
+
+const (
+	coldNodes = 30
+	warmLeft  = 8 // of the servers, while the others are cold
+)
+
+var coldCases = []coldCase{
+	{name: "told by the settings", capacity: 10, told: coldNodes, idle: 0.7, burst: 1.2},
+	{name: "larger servers", capacity: 30, told: coldNodes, idle: 0.7, burst: 1.2},
+	{name: "a burst after a quiet time", capacity: 10, told: coldNodes, idle: 0.05, burst: 2},
+	{name: "membership says more", capacity: 10, told: 5, heard: coldNodes, idle: 0.05, burst: 2},
+	{name: "membership says fewer", capacity: 10, told: 60, heard: coldNodes, idle: 0.05, burst: 2},
+	{name: "a third restarts", capacity: 10, told: coldNodes, heard: coldNodes, restarting: true, idle: 0.3, burst: 2},
+}
+
+func (c coldCase) play(seed uint64, reports bool) *coldFleet {
+	set := site(c.told)
+	set.Classes = []Class{{Name: "free", Aim: time.Second, Deadline: 2 * time.Second, Repeat: Free, Worth: 1}}
+	set.Tenants = []Tenant{{Name: "t", Quota: 1e6}}
+	set.Rules.ColdFor, set.Rules.FallMultiple = 20*time.Second, 2
+	if reports {
+		set.Report = []string{reportLatency, reportUtil, reportRate}
+	}
+	f := newColdFleet(seed, set, coldNodes, c.heard, members(12), c.capacity)
+	f.ask(0.7*warmLeft*c.capacity, 5*time.Second)
+	f.restartServers("s00", "s03", "s06", "s09")
+	f.ask(c.idle*warmLeft*c.capacity, 3*time.Second)
+	if c.restarting {
+		for n := 0; n < coldNodes; n += 3 {
+			f.startNode(n)
+		}
+	}
+	f.ask(c.burst*warmLeft*c.capacity, 6*time.Second)
+	return f
+}
+
+// What all nodes together send to a cold server stays within what the settings allow it, N, and 2 x root of N + 2
+// more, also where nodes are many and servers small, when a burst comes after a quiet time, and when nodes start anew.
+func TestColdServersBearTheSumOfAllNodes(t *testing.T) {
+	for _, c := range coldCases {
+		for _, reports := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reports %v", c.name, reports), func(t *testing.T) {
+				t.Parallel()
+				least, worst, sent := math.Inf(1), 0.0, 0
+				for seed := range uint64(10) {
+					part, cold := c.play(seed, reports).worstPart()
+					if part > 1 {
+						t.Errorf("seed %d: %.2f times the bound is sent to a cold server", seed, part)
+					}
+					least, worst, sent = min(least, part), max(worst, part), sent+cold
+				}
+				if sent == 0 {
+					t.Error("nothing was sent to cold servers")
+				}
+				t.Logf("%d sent to cold servers; in the worst window of each of ten seeds %.2f to %.2f of the bound", sent, least, worst)
+			})
+		}
+	}
+}
