--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -30,7 +30,7 @@
 		b.agree(max(f.agreed, f.heard))
 	case f.below == 0:
 		f.below, f.most = b.now, f.heard
-		b.do(Action{Kind: SetTimer, Wait: fleetHold, Token: fleetToken})
+		b.emit(Action{Kind: SetTimer, Wait: fleetHold, Token: fleetToken})
 	default:
 		f.most = max(f.most, f.heard)
 	}
--- a/policy/places.go
+++ b/policy/places.go
@@ -254,7 +254,7 @@
 			b.drop(s)
 		} else if s.gone == 0 {
 			s.gone = b.now
-			b.do(Action{Kind: SetTimer, Wait: b.easeFor, Token: easeToken})
+			b.emit(Action{Kind: SetTimer, Wait: b.easeFor, Token: easeToken})
 		}
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -140,7 +140,7 @@
 	r.Partial = false
 	b.due(r)
 	if n := len(r.attempts) - 1; r.pending > 0 {
-		b.do(Action{Kind: Bound, ID: r.ID, Attempt: n, Until: r.worthTo})
+		b.emit(Action{Kind: Bound, ID: r.ID, Attempt: n, Until: r.worthTo})
 		if r.attempts[n].sent = b.now; r.attempts[n].light {
 			b.occupy(&r.attempts[n], 1)
 		}
@@ -568,7 +568,7 @@
 	if len(r.attempts) > 0 {
 		b.extra = append(b.extra, b.now)
 	}
-	b.do(Action{Kind: Send, ID: r.ID, Server: s.Server, Until: r.worthTo})
+	b.emit(Action{Kind: Send, ID: r.ID, Server: s.Server, Until: r.worthTo})
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, trial: trial,
 		paced: b.paced(s), light: r.Partial})
 	r.pending++
@@ -630,7 +630,7 @@
 		b.refuse(r, 0)
 		return
 	}
-	b.do(Action{Kind: Fail, ID: r.ID})
+	b.emit(Action{Kind: Fail, ID: r.ID})
 	b.end(r)
 }
 
@@ -841,11 +841,11 @@
 // (sooner where the settings say so), and a call that it turns away then has to leave time for further ones.
 const askAgain, askMost = 500 * time.Millisecond, time.Second
 
-func (b *Balancer) askList() { b.do(Action{Kind: WatchList, On: true}) }
+func (b *Balancer) askList() { b.emit(Action{Kind: WatchList, On: true}) }
 
 // askIn calls for the list after a wait.
 func (b *Balancer) askIn(wait time.Duration) {
-	b.do(Action{Kind: SetTimer, Wait: wait, Token: listToken})
+	b.emit(Action{Kind: SetTimer, Wait: wait, Token: listToken})
 }
 
 func (b *Balancer) onList(e MemberList) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -119,7 +119,7 @@
 // seconds turns a number of seconds into a Duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+func (b *Balancer) emit(a Action) { b.out = append(b.out, a) }
 
 // Servers counts those in the list, and of them those that get no work now: they drain, or are ejected
 // and at most tried out.
@@ -415,7 +415,7 @@
 
 // tell has a line written to the log.
 func (b *Balancer) tell(format string, args ...any) {
-	b.do(Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
+	b.emit(Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
 }
 
 // listed takes over one entry of the list.
@@ -507,7 +507,7 @@
 func (b *Balancer) arm(c *lane) {
 	if !c.armed && len(c.watched) > 0 {
 		c.armed = true
-		b.do(Action{Kind: SetTimer, Wait: max(time.Millisecond, c.watched[0].due-b.now),
+		b.emit(Action{Kind: SetTimer, Wait: max(time.Millisecond, c.watched[0].due-b.now),
 			Token: watchToken + uint64(c.index)})
 	}
 }
@@ -518,7 +518,7 @@
 	b.held = append(b.held, r)
 	if !b.holding {
 		b.holding = true
-		b.do(Action{Kind: SetTimer, Wait: holdPoll, Token: holdToken})
+		b.emit(Action{Kind: SetTimer, Wait: holdPoll, Token: holdToken})
 	}
 }
 
@@ -546,14 +546,14 @@
 
 // refuse ends r with a wait that its client is told; 0 for none.
 func (b *Balancer) refuse(r *request, wait time.Duration) {
-	b.do(Action{Kind: Refuse, ID: r.ID, Wait: wait})
+	b.emit(Action{Kind: Refuse, ID: r.ID, Wait: wait})
 	b.end(r)
 }
 
 // end marks r as answered and calls its attempt off; r is kept until that is over.
 func (b *Balancer) end(r *request) {
 	if n := len(r.attempts) - 1; !r.ended && r.pending > 0 && b.set.Allowed.Cancel {
-		b.do(Action{Kind: Cancel, ID: r.ID, Attempt: n})
+		b.emit(Action{Kind: Cancel, ID: r.ID, Attempt: n})
 	}
 	if r.ended = true; r.pending == 0 {
 		delete(b.reqs, r.ID)
