--- a/policy/policy.go
+++ b/policy/policy.go
@@ -103,7 +103,7 @@
 		c = was
 	}
 	if c == nil { // not in the settings: one safe try, never repeated
-		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, open: &b.pool, lane: &lane{index: -1}}
+		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, open: &b.pool, classStats: &classStats{index: -1}}
 	}
 	r := &request{Request: e, class: c, most: max(1, b.set.Allowed.MaxAttempts)}
 	b.due(r)
@@ -586,7 +586,7 @@
 	if c := r.class; c.index >= 0 {
 		due := b.now + time.Duration(tailMargin*float64(c.tail))
 		c.watched = append(c.watched, watch{r, len(r.attempts) - 1, due})
-		b.arm(c.lane)
+		b.arm(c.classStats)
 	}
 }
 
@@ -608,7 +608,7 @@
 
 // sweep looks at the attempts of a class that have been out for long: a server silent since then
 // gets a strike. No second copy goes out: an attempt at a time is the rule.
-func (b *Balancer) sweep(c *lane) {
+func (b *Balancer) sweep(c *classStats) {
 	c.armed = false
 	for len(c.watched) > 0 && c.watched[0].due <= b.now {
 		w := c.watched[0]
--- a/policy/state.go
+++ b/policy/state.go
@@ -19,9 +19,9 @@
 	rng            *rand.Rand
 	out            []Action
 	classes        map[string]*class
-	former         map[string]*class // as they were before the last settings
-	lanes          map[string]*lane  // of all classes ever named,
-	watches        []*lane           // and in the order of their timers
+	former         map[string]*class      // as they were before the last settings
+	classStats     map[string]*classStats // of all classes ever named,
+	watches        []*classStats          // and in the order of their timers
 	tenants        map[string]Limit
 	ranked         []*class // in the order of the settings
 	other          *Limit   // for tenants without a quota; nil: no limit
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	b := &Balancer{
-		now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))), lanes: make(map[string]*lane),
+		now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))), classStats: make(map[string]*classStats),
 		buckets: make(map[bucketKey]*bucket), pace: 1, trust: trustFirst,
 		servers: make(map[string]*server), reqs: make(map[string]*request), kinds: make(map[string]*load),
 	}
@@ -155,11 +155,11 @@
 type class struct {
 	Class
 	open *pool // the servers that it may be sent to
-	*lane
+	*classStats
 }
 
-// lane is what is known of a class by its name, also when the settings change it.
-type lane struct {
+// classStats is what is known of a class by its name, also when the settings change it.
+type classStats struct {
 	index    int              // of its timer; below 0 for a class that the settings don't name
 	tail     time.Duration    // estimate of a high quantile of its latency
 	watched  []watch          // attempts to look at when they are slow, oldest first
@@ -468,7 +468,7 @@
 }
 
 // usually is what answers of a class from a kind of server usually take.
-func (c *lane) usually(kind string) *load {
+func (c *classStats) usually(kind string) *load {
 	u := c.usual[kind]
 	if u == nil {
 		if c.usual == nil {
@@ -504,7 +504,7 @@
 }
 
 // arm sets the timer of a class for the head of its queue.
-func (b *Balancer) arm(c *lane) {
+func (b *Balancer) arm(c *classStats) {
 	if !c.armed && len(c.watched) > 0 {
 		c.armed = true
 		b.emit(Action{Kind: SetTimer, Wait: max(time.Millisecond, c.watched[0].due-b.now),
@@ -733,7 +733,7 @@
 		if c.Aim == 0 {
 			c.Aim = c.Deadline
 		}
-		b.ranked = append(b.ranked, &class{Class: c, open: &b.pool, lane: b.lane(c)})
+		b.ranked = append(b.ranked, &class{Class: c, open: &b.pool, classStats: b.statsOf(c)})
 		b.classes[c.Name] = b.ranked[len(b.ranked)-1]
 		b.dearest = max(b.dearest, c.Worth)
 	}
@@ -753,12 +753,12 @@
 	}
 }
 
-// lane is what is known of c by its name.
-func (b *Balancer) lane(c Class) *lane {
-	l := b.lanes[c.Name]
+// statsOf is what is known of c by its name.
+func (b *Balancer) statsOf(c Class) *classStats {
+	l := b.classStats[c.Name]
 	if l == nil {
-		l = &lane{index: len(b.watches), tail: c.Aim / 2}
-		b.lanes[c.Name] = l
+		l = &classStats{index: len(b.watches), tail: c.Aim / 2}
+		b.classStats[c.Name] = l
 		b.watches = append(b.watches, l)
 	}
 	if was := b.former[c.Name]; was != nil && was.Deadline != c.Deadline {
