--- a/policy/load_test.go
+++ b/policy/load_test.go
@@ -240,7 +240,7 @@
 	b.order()[1].OnlineSince = b.now
 	hears(b, b.order()[0], 20, report(900, 1, 3))
 	hears(b, b.order()[1], 20, report(100, 1, 3))
-	if trust := b.window() / b.warmth() * 12 / was; trust < 0.99 {
+	if trust := b.window() / b.warmWeight() * 12 / was; trust < 0.99 {
 		t.Errorf("the window fell to %v of what it was", trust)
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -401,13 +401,13 @@
 	if b.usual.n > 0 {
 		size = b.capacity(s) / b.usual.rate
 	}
-	return s.threshold * size * max(partLeast, spread*b.window()/max(1, b.warmth())*b.parts(s))
+	return s.threshold * size * max(partLeast, spread*b.window()/max(1, b.warmWeight())*b.parts(s))
 }
 
 // window is how many attempts this node may have out: its part of what servers are first trusted with,
 // scaled by the trust.
 func (b *Balancer) window() float64 {
-	return max(1, b.trust*startTold*b.warmth()/float64(b.set.Nodes))
+	return max(1, b.trust*startTold*b.warmWeight()/float64(b.set.Nodes))
 }
 
 // capacity is how many attempts a second s can serve: by its own reports, or as others of its kind.
--- a/policy/sums.go
+++ b/policy/sums.go
@@ -130,8 +130,8 @@
 	}
 }
 
-// warmth counts the warm servers of places that aren't left, by how many even parts of each this node has.
-func (b *Balancer) warmth() float64 {
+// warmWeight counts the warm servers of places that aren't left, by how many even parts of each this node has.
+func (b *Balancer) warmWeight() float64 {
 	for len(b.warming) > 0 && b.warming[0].at <= b.now {
 		s := b.warming.next()
 		s.counted.warming = false
--- a/policy/sums_test.go
+++ b/policy/sums_test.go
@@ -207,7 +207,7 @@
 			doubts[kindOf{s.place, s.Kind}] = evidence{of.sum + toFixed(s.doubt), of.servers + 1}
 		}
 	}
-	if got := b.warmth(); math.Abs(got-warm) > 1e-9*warm {
+	if got := b.warmWeight(); math.Abs(got-warm) > 1e-9*warm {
 		t.Fatalf("the warm servers count %v, anew %v", got, warm)
 	}
 	if b.faults != faults {
