--- a/policy/buckets.go
+++ b/policy/buckets.go
@@ -29,7 +29,7 @@
 	k := b.buckets[key]
 	if k == nil {
 		k = &bucket{key: key, tokens: burst, last: b.now}
-		if b.ceded {
+		if b.handedOver {
 			k.tokens -= burst / 2
 		}
 		b.buckets[key] = k
@@ -43,7 +43,7 @@
 func (b *Balancer) dropBuckets() {
 	ring := &b.ring
 	for range bucketsLooked {
-		if len(ring.buckets) == 0 || b.ceded { // a ceded process refills none
+		if len(ring.buckets) == 0 || b.handedOver { // a ceded process refills none
 			return
 		}
 		if ring.next >= len(ring.buckets) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -83,7 +83,7 @@
 		key = bucketKey{}
 	}
 	k := b.bucketOf(key, l.Burst)
-	if !b.ceded {
+	if !b.handedOver {
 		k.refill(b.now, l.perSecond(), l.Burst)
 	}
 	if k.tokens <= 0 {
@@ -557,7 +557,7 @@
 // mayRepeat guards the sixth rule: attempts beyond each request's first stay within the site's budget, or the
 // default one. It is counted exactly over its sliding span, and on the safe side at its edges.
 func (b *Balancer) mayRepeat() bool {
-	if b.ceded {
+	if b.handedOver {
 		return false
 	}
 	b.trimBudget()
@@ -815,7 +815,7 @@
 // ones of its kind can serve stands in for that: a mean over servers that are mostly cold is too little.
 func (b *Balancer) coldRoom(s *server) bool {
 	part := b.ramp(s)
-	if part >= 1 || b.ceded {
+	if part >= 1 || b.handedOver {
 		return part >= 1
 	}
 	mean := b.doneRate() / float64(max(1, b.length))
@@ -902,11 +902,11 @@
 
 // ---- Replacement: two processes as one node ----
 
-// onCeded leaves to the process that takes over what both may spend only once: refills and half of the tokens
+// onHandOver leaves to the process that takes over what both may spend only once: refills and half of the tokens
 // of each bucket, further attempts, and all that goes to cold servers. Taken back from one that never served,
 // it is as before; what one that served has spent is not known, so nothing is repeated while that may count.
-func (b *Balancer) onCeded(e Ceded) {
-	b.ceded = e.On
+func (b *Balancer) onHandOver(e Ceded) {
+	b.handedOver = e.On
 	for _, k := range b.buckets {
 		if e.On {
 			k.tokens -= k.tokens / 2
--- a/policy/state.go
+++ b/policy/state.go
@@ -60,7 +60,7 @@
 	extra          []Time     // attempts beyond a request's first in it
 	done           float64    // answers a second, as of doneAt
 	doneAt         Time
-	ceded          bool // another process of this node has taken over
+	handedOver     bool // another process of this node has taken over
 	fleet          presence
 	bad            float64       // part of bad answers lately,
 	lost           float64       // and of time-outs and full answers, where nothing is reported
@@ -109,7 +109,7 @@
 	case Settings:
 		b.onSettings(e)
 	case Ceded:
-		b.onCeded(e)
+		b.onHandOver(e)
 	case Fleet:
 		b.onFleet(e)
 	}
