--- a/policy/policy.go
+++ b/policy/policy.go
@@ -903,8 +903,9 @@
 // ---- Replacement: two processes as one node ----
 
 // onHandOver leaves to the process that takes over what both may spend only once: refills and half of the
-// tokens of each bucket, further attempts, and all that goes to cold servers. Taken back from one that never served,
-// it is as before; what one that served has spent is not known, so nothing is repeated while that may count.
+// tokens of each bucket, further attempts, and all that goes to cold servers. Taken back from one that
+// never served, it is as before; what one that served has spent is not known, so nothing is repeated while
+// that may count.
 func (b *Balancer) onHandOver(e Ceded) {
 	b.handedOver = e.On
 	for _, k := range b.buckets {
