--- a/policy/policy.go
+++ b/policy/policy.go
@@ -83,7 +83,7 @@
 		key = bucketKey{}
 	}
 	k := b.bucketOf(key, l.Burst)
-	if !b.ceded {
+	if !b.handedOver {
 		k.refill(b.now, l.perSecond(), l.Burst)
 	}
 	if k.tokens <= 0 {
@@ -103,7 +103,7 @@
 		c = was
 	}
 	if c == nil { // not in the settings: one safe try, never repeated
-		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, open: &b.pool, lane: &lane{index: -1}}
+		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, open: &b.pool, classStats: &classStats{index: -1}}
 	}
 	r := &request{Request: e, class: c, most: max(1, b.set.Allowed.MaxAttempts)}
 	b.due(r)
@@ -140,7 +140,7 @@
 	r.Partial = false
 	b.due(r)
 	if n := len(r.attempts) - 1; r.pending > 0 {
-		b.do(Action{Kind: Bound, ID: r.ID, Attempt: n, Until: r.worthTo})
+		b.emit(Action{Kind: Bound, ID: r.ID, Attempt: n, Until: r.worthTo})
 		if r.attempts[n].sent = b.now; r.attempts[n].light {
 			b.occupy(&r.attempts[n], 1)
 		}
@@ -401,13 +401,13 @@
 	if b.usual.n > 0 {
 		size = b.capacity(s) / b.usual.rate
 	}
-	return s.threshold * size * max(partLeast, spread*b.window()/max(1, b.warmth())*b.parts(s))
+	return s.threshold * size * max(partLeast, spread*b.window()/max(1, b.warmWeight())*b.parts(s))
 }
 
 // window is how many attempts this node may have out: its part of what servers are first trusted with,
 // scaled by the trust.
 func (b *Balancer) window() float64 {
-	return max(1, b.trust*startTold*b.warmth()/float64(b.set.Nodes))
+	return max(1, b.trust*startTold*b.warmWeight()/float64(b.set.Nodes))
 }
 
 // capacity is how many attempts a second s can serve: by its own reports, or as others of its kind.
@@ -557,7 +557,7 @@
 // mayRepeat guards the sixth rule: attempts beyond each request's first stay within the site's budget, or the
 // default one. It is counted exactly over its sliding span, and on the safe side at its edges.
 func (b *Balancer) mayRepeat() bool {
-	if b.ceded {
+	if b.handedOver {
 		return false
 	}
 	b.trimBudget()
@@ -568,7 +568,7 @@
 	if len(r.attempts) > 0 {
 		b.extra = append(b.extra, b.now)
 	}
-	b.do(Action{Kind: Send, ID: r.ID, Server: s.Server, Until: r.worthTo})
+	b.emit(Action{Kind: Send, ID: r.ID, Server: s.Server, Until: r.worthTo})
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, trial: trial,
 		paced: b.paced(s), light: r.Partial})
 	r.pending++
@@ -586,7 +586,7 @@
 	if c := r.class; c.index >= 0 {
 		due := b.now + time.Duration(tailMargin*float64(c.tail))
 		c.watched = append(c.watched, watch{r, len(r.attempts) - 1, due})
-		b.arm(c.lane)
+		b.arm(c.classStats)
 	}
 }
 
@@ -608,7 +608,7 @@
 
 // sweep looks at the attempts of a class that have been out for long: a server silent since then
 // gets a strike. No second copy goes out: an attempt at a time is the rule.
-func (b *Balancer) sweep(c *lane) {
+func (b *Balancer) sweep(c *classStats) {
 	c.armed = false
 	for len(c.watched) > 0 && c.watched[0].due <= b.now {
 		w := c.watched[0]
@@ -630,7 +630,7 @@
 		b.refuse(r, 0)
 		return
 	}
-	b.do(Action{Kind: Fail, ID: r.ID})
+	b.emit(Action{Kind: Fail, ID: r.ID})
 	b.end(r)
 }
 
@@ -815,7 +815,7 @@
 // ones of its kind can serve stands in for that: a mean over servers that are mostly cold is too little.
 func (b *Balancer) coldRoom(s *server) bool {
 	part := b.ramp(s)
-	if part >= 1 || b.ceded {
+	if part >= 1 || b.handedOver {
 		return part >= 1
 	}
 	mean := b.doneRate() / float64(max(1, b.length))
@@ -841,11 +841,11 @@
 // (sooner where the settings say so), and a call that it turns away then has to leave time for further ones.
 const askAgain, askMost = 500 * time.Millisecond, time.Second
 
-func (b *Balancer) askList() { b.do(Action{Kind: WatchList, On: true}) }
+func (b *Balancer) askList() { b.emit(Action{Kind: WatchList, On: true}) }
 
 // askIn calls for the list after a wait.
 func (b *Balancer) askIn(wait time.Duration) {
-	b.do(Action{Kind: SetTimer, Wait: wait, Token: listToken})
+	b.emit(Action{Kind: SetTimer, Wait: wait, Token: listToken})
 }
 
 func (b *Balancer) onList(e MemberList) {
@@ -902,11 +902,12 @@
 
 // ---- Replacement: two processes as one node ----
 
-// onCeded leaves to the process that takes over what both may spend only once: refills and half of the tokens
-// of each bucket, further attempts, and all that goes to cold servers. Taken back from one that never served,
-// it is as before; what one that served has spent is not known, so nothing is repeated while that may count.
-func (b *Balancer) onCeded(e Ceded) {
-	b.ceded = e.On
+// onHandOver leaves to the process that takes over what both may spend only once: refills and half of the
+// tokens of each bucket, further attempts, and all that goes to cold servers. Taken back from one that
+// never served, it is as before; what one that served has spent is not known, so nothing is repeated while
+// that may count.
+func (b *Balancer) onHandOver(e Ceded) {
+	b.handedOver = e.On
 	for _, k := range b.buckets {
 		if e.On {
 			k.tokens -= k.tokens / 2
--- a/policy/state.go
+++ b/policy/state.go
@@ -19,9 +19,9 @@
 	rng            *rand.Rand
 	out            []Action
 	classes        map[string]*class
-	former         map[string]*class // as they were before the last settings
-	lanes          map[string]*lane  // of all classes ever named,
-	watches        []*lane           // and in the order of their timers
+	former         map[string]*class      // as they were before the last settings
+	classStats     map[string]*classStats // of all classes ever named,
+	watches        []*classStats          // and in the order of their timers
 	tenants        map[string]Limit
 	ranked         []*class // in the order of the settings
 	other          *Limit   // for tenants without a quota; nil: no limit
@@ -60,7 +60,7 @@
 	extra          []Time     // attempts beyond a request's first in it
 	done           float64    // answers a second, as of doneAt
 	doneAt         Time
-	ceded          bool // another process of this node has taken over
+	handedOver     bool // another process of this node has taken over
 	fleet          presence
 	bad            float64       // part of bad answers lately,
 	lost           float64       // and of time-outs and full answers, where nothing is reported
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	b := &Balancer{
-		now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))), lanes: make(map[string]*lane),
+		now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))), classStats: make(map[string]*classStats),
 		buckets: make(map[bucketKey]*bucket), pace: 1, trust: trustFirst,
 		servers: make(map[string]*server), reqs: make(map[string]*request), kinds: make(map[string]*load),
 	}
@@ -109,7 +109,7 @@
 	case Settings:
 		b.onSettings(e)
 	case Ceded:
-		b.onCeded(e)
+		b.onHandOver(e)
 	case Fleet:
 		b.onFleet(e)
 	}
@@ -119,7 +119,7 @@
 // seconds turns a number of seconds into a Duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+func (b *Balancer) emit(a Action) { b.out = append(b.out, a) }
 
 // Servers counts those in the list, and of them those that get no work now: they drain, or are ejected
 // and at most tried out.
@@ -155,11 +155,11 @@
 type class struct {
 	Class
 	open *pool // the servers that it may be sent to
-	*lane
+	*classStats
 }
 
-// lane is what is known of a class by its name, also when the settings change it.
-type lane struct {
+// classStats is what is known of a class by its name, also when the settings change it.
+type classStats struct {
 	index    int              // of its timer; below 0 for a class that the settings don't name
 	tail     time.Duration    // estimate of a high quantile of its latency
 	watched  []watch          // attempts to look at when they are slow, oldest first
@@ -415,7 +415,7 @@
 
 // tell has a line written to the log.
 func (b *Balancer) tell(format string, args ...any) {
-	b.do(Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
+	b.emit(Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
 }
 
 // listed takes over one entry of the list.
@@ -468,7 +468,7 @@
 }
 
 // usually is what answers of a class from a kind of server usually take.
-func (c *lane) usually(kind string) *load {
+func (c *classStats) usually(kind string) *load {
 	u := c.usual[kind]
 	if u == nil {
 		if c.usual == nil {
@@ -504,10 +504,10 @@
 }
 
 // arm sets the timer of a class for the head of its queue.
-func (b *Balancer) arm(c *lane) {
+func (b *Balancer) arm(c *classStats) {
 	if !c.armed && len(c.watched) > 0 {
 		c.armed = true
-		b.do(Action{Kind: SetTimer, Wait: max(time.Millisecond, c.watched[0].due-b.now),
+		b.emit(Action{Kind: SetTimer, Wait: max(time.Millisecond, c.watched[0].due-b.now),
 			Token: watchToken + uint64(c.index)})
 	}
 }
@@ -518,7 +518,7 @@
 	b.held = append(b.held, r)
 	if !b.holding {
 		b.holding = true
-		b.do(Action{Kind: SetTimer, Wait: holdPoll, Token: holdToken})
+		b.emit(Action{Kind: SetTimer, Wait: holdPoll, Token: holdToken})
 	}
 }
 
@@ -546,14 +546,14 @@
 
 // refuse ends r with a wait that its client is told; 0 for none.
 func (b *Balancer) refuse(r *request, wait time.Duration) {
-	b.do(Action{Kind: Refuse, ID: r.ID, Wait: wait})
+	b.emit(Action{Kind: Refuse, ID: r.ID, Wait: wait})
 	b.end(r)
 }
 
 // end marks r as answered and calls its attempt off; r is kept until that is over.
 func (b *Balancer) end(r *request) {
 	if n := len(r.attempts) - 1; !r.ended && r.pending > 0 && b.set.Allowed.Cancel {
-		b.do(Action{Kind: Cancel, ID: r.ID, Attempt: n})
+		b.emit(Action{Kind: Cancel, ID: r.ID, Attempt: n})
 	}
 	if r.ended = true; r.pending == 0 {
 		delete(b.reqs, r.ID)
@@ -733,7 +733,7 @@
 		if c.Aim == 0 {
 			c.Aim = c.Deadline
 		}
-		b.ranked = append(b.ranked, &class{Class: c, open: &b.pool, lane: b.lane(c)})
+		b.ranked = append(b.ranked, &class{Class: c, open: &b.pool, classStats: b.statsOf(c)})
 		b.classes[c.Name] = b.ranked[len(b.ranked)-1]
 		b.dearest = max(b.dearest, c.Worth)
 	}
@@ -753,12 +753,12 @@
 	}
 }
 
-// lane is what is known of c by its name.
-func (b *Balancer) lane(c Class) *lane {
-	l := b.lanes[c.Name]
+// statsOf is what is known of c by its name.
+func (b *Balancer) statsOf(c Class) *classStats {
+	l := b.classStats[c.Name]
 	if l == nil {
-		l = &lane{index: len(b.watches), tail: c.Aim / 2}
-		b.lanes[c.Name] = l
+		l = &classStats{index: len(b.watches), tail: c.Aim / 2}
+		b.classStats[c.Name] = l
 		b.watches = append(b.watches, l)
 	}
 	if was := b.former[c.Name]; was != nil && was.Deadline != c.Deadline {
