Serve a connection that came over the limit where it has a place by its request

At fault: server.place. A connection that came while the descriptors were still short was asked whether it fits only as long as another process held some; once that had ended, the mark from its arrival stood for good, however much room there was. Now it is asked in any case, and as before waits only while descriptors are on their way.

TestPlaceThatCameFreeIsTaken raises the limit between the connection and its request; before, "status 503".

--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -105,13 +105,12 @@
 // place tells whether a client has a place. One that came over the limit while descriptors come from the process
 // before this one waits for the next few of them.
 func (s *server) place(p *peer) bool {
-	for end := time.Now().Add(2 * handoverTell); p.over && s.sharing.Load() && time.Now().Before(end); {
-		if s.peers.fits(p) {
-			return true
+	for end := time.Now().Add(2 * handoverTell); p.over && !s.peers.fits(p); time.Sleep(placePoll) {
+		if !s.sharing.Load() || !time.Now().Before(end) {
+			return false
 		}
-		time.Sleep(placePoll)
 	}
-	return !p.over
+	return true
 }
 
 // fault is what is wrong with a request.
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -408,3 +408,26 @@
 		}
 	})
 }
+
+// A connection that came over the limit is served if it has a place by the time of its request, also once no further
+// descriptors are on their way from a process before this one.
+func TestPlaceThatCameFreeIsTaken(t *testing.T) {
+	server, got, letGo := holdingServer(t)
+	l, _ := startLoop(t, server, sendsOnce)
+	s := newServer(l)
+	node := serveAt(t, s)
+	total := &l.up.sockets.total
+	total.Store(4) // of which two are the clients'
+	for i := range 2 {
+		newTestClient(t, node).send("GET", "read", fmt.Sprint("r", i), "")
+	}
+	receive(t, "a request", got)
+	late := newTestClient(t, node)
+	await(t, "the connection over the limit", func() bool { return s.peers.count() == 3 })
+	total.Store(leastSockets)
+	late.send("GET", "read", "late", "")
+	letGo()
+	if resp := late.answered(); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
