Let an attempt wait for a descriptor, and keep the servers' part of them at a hand-over

TestReplacementWhileShortOfCPU beside a load of 37 to 55 on 8 cores, with a line in the node's log for each refusal (a trial): after a process had had no processor for a while, some 35 requests came at once. "no sockets open=14 limit=14 total=48 clients=34": each attempt beyond 14 failed at once for want of a descriptor, three servers were tried within a millisecond, and the module turned the request back ("module refuses attempts=3"). Or "open=0 limit=-7 total=28 clients=35": the process that took over had let in more clients than it had descriptors, and none was left for servers. Such failures counted against servers that had not been asked.

At fault: upstream.reserve, which fails at once while others are about to let go; sockets.forServers, which went below the part that is either side's; handover.resize, which let in 16 clients over the limit on descriptors that are not set aside while two processes share them. An attempt now waits for up to 0.1 s, in turn (socketqueue.go); the servers' part is a floor; while descriptors are shared, clients over the limit wait at the gate.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -435,17 +435,18 @@
 
 // resize shares the descriptors that this process may hold out between the clients' and the servers' side.
 func (h *handover) resize() {
+	// The server refuses requests on connections over its side; the gate makes sure that even clients
+	// who connect and say nothing leave the servers' side its descriptors. While two processes share them, none
+	// is set aside for clients over the limit: they wait at the gate for what the other process lets go of.
 	h.mu.Lock()
-	sockets, own := h.share, h.c.ownBeside()
-	if !h.s.sharing.Load() {
-		own = h.c.ownSockets()
+	sockets, own, over := h.share, h.c.ownSockets(), ownSockets/2
+	if h.s.sharing.Load() {
+		own, over = h.c.ownBeside(), 0
 	}
 	h.mu.Unlock()
 	h.up.sockets.total.Store(int64(max(leastPart, sockets-own)))
 	h.up.unbound()
-	// The server refuses requests on connections over its side; the gate makes sure that even clients
-	// who connect and say nothing leave the servers' side its descriptors.
-	h.gate.resize(h.up.sockets.mostClients() + ownSockets/2)
+	h.gate.resize(h.up.sockets.mostClients() + over)
 }
 
 // grant takes what the process before this one has let go of.
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -16,8 +16,10 @@
 	return int(s.total.Load()) - max(s.least(), int(s.servers.Load()))
 }
 
+// forServers is the servers' least also where more clients are in than have a place: the node's own descriptors
+// pay for those.
 func (s *sockets) forServers() int {
-	return int(s.total.Load()) - max(s.least(), int(s.clients.Load()))
+	return max(s.least(), int(s.total.Load())-int(s.clients.Load()))
 }
 
 // mostClients is what forClients is at best.
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -51,10 +51,11 @@
 	relayed *metrics.Counter
 	sockets *sockets
 
-	mu    sync.Mutex
-	pools map[string]*pool
-	open  int // connections, those being made among them
-	most  int // that may be open, besides what the clients leave; 0 for no such limit
+	mu      sync.Mutex
+	pools   map[string]*pool
+	open    int // connections, those being made among them
+	most    int // that may be open, besides what the clients leave; 0 for no such limit
+	waiting socketQueue
 }
 
 // pool holds the idle connections to one process of one server, the last used at the end.
@@ -241,6 +242,9 @@
 // acquire takes an idle connection to the server, or makes one, for f.
 func (u *upstream) acquire(f *flight, id string) (*conn, error) {
 	p, c, err := u.reserve(id)
+	if err == errNoSockets {
+		p, c, err = u.awaitSocket(f, id)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -313,6 +317,9 @@
 func (u *upstream) count(n int) {
 	u.open += n
 	u.sockets.servers.Store(int64(u.open))
+	if n < 0 {
+		u.waiting.wake()
+	}
 }
 
 // limit is how many connections may be open now.
@@ -328,6 +335,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.most = 0
+	u.waiting.wakeAll()
 }
 
 // yield closes idle connections beyond the part that is the servers' in any case.
@@ -371,6 +379,7 @@
 		c.used = time.Now()
 		c.looked = c.used
 		c.pool.idle = append(c.pool.idle, c)
+		u.waiting.wake() // it may be closed for another
 		return
 	}
 	c.Close()
