--- a/internal/node/socketqueue.go
+++ b/internal/node/socketqueue.go
@@ -41,11 +41,11 @@
 	}
 }
 
-// awaitSocket reserves a connection to the server for f once a descriptor is free for it, until socketWait is over or
+// awaitSocket reserves a connection to the server for f once a descriptor is free for it, until its time for that is over or
 // f is called off.
 func (u *upstream) awaitSocket(f *flight, id string) (*pool, *conn, error) {
 	calledOff := f.ends()
-	timeout := time.NewTimer(socketWait)
+	timeout := time.NewTimer(u.waits)
 	defer timeout.Stop()
 	for {
 		u.mu.Lock()
--- a/internal/node/socketqueue_test.go
+++ b/internal/node/socketqueue_test.go
@@ -12,6 +12,7 @@
 func TestAttemptWaitsForADescriptor(t *testing.T) {
 	server, got, letGo := holdingServer(t)
 	u := testUpstream(t, server)
+	u.waits = long
 	u.sockets.total.Store(leastPart) // of which one is the servers'
 	u.sockets.clients.Store(10 * leastPart)
 	codes := make(chan policy.Code, 3)
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -50,6 +50,7 @@
 	eases   bool          // the module may send for a moment to what the list lacks
 	relayed *metrics.Counter
 	sockets *sockets
+	waits   time.Duration // for a descriptor
 
 	mu      sync.Mutex
 	pools   map[string]*pool
@@ -102,7 +103,7 @@
 }
 
 func newUpstream(c Config, shared *sockets, fig *figures) *upstream {
-	u := &upstream{relayed: fig.relayed, pools: make(map[string]*pool), sockets: shared}
+	u := &upstream{relayed: fig.relayed, pools: make(map[string]*pool), sockets: shared, waits: socketWait}
 	u.retune(c)
 	return u
 }
