Split the simulator of the lab by concern

Need: internal/lab/world.go had 750 lines: the queue of events, nodes, attempts, servers, clients and faults. Change: a file for each, declarations moved as they were; world.go keeps the type, its making and its run.

--- /dev/null
+++ b/internal/lab/nodes.go
@@ -0,0 +1,196 @@
+package lab
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"sloerail/internal/emulator"
+	"sloerail/policy"
+)
+
+// node is one node: its module and its open requests.
+type node struct {
+	name, zone string
+	module     *policy.Balancer
+	open       map[string]*open
+	down       bool
+	seen       bool // as gone, by fronts
+}
+
+// open is a try at a node.
+type open struct {
+	try      *emulator.Try
+	from     *gang
+	node     *node
+	attempts int
+	flight   *flight // the attempt that is out
+	answered bool
+}
+
+func (w *World) addNodes(seed uint64) error {
+	n := 0
+	for _, z := range w.Zones {
+		n += z.Nodes
+	}
+	for _, z := range w.Zones {
+		for range z.Nodes {
+			i := len(w.nodes)
+			m, err := policy.New(w.settings(z, i, n), w.now, seed*1000+uint64(i))
+			if err != nil {
+				return err
+			}
+			d := &node{name: fmt.Sprintf("n%03d", i), zone: z.Name, module: m, open: make(map[string]*open)}
+			w.nodes = append(w.nodes, d)
+			w.tell(d, policy.MemberList{Kind: policy.ListRestored, Members: w.list()})
+		}
+	}
+	return nil
+}
+
+// settings are those of a node, as the platform and the places section would give them.
+func (w *World) settings(z Zone, i, n int) policy.Settings {
+	s := policy.Settings{Node: i, Nodes: n, Zone: z.Name, WorthByWork: true,
+		Allowed: policy.Allowed{MaxAttempts: 6, RetryAfter: true, MaxRetryAfter: 3 * time.Second, ConnIdle: time.Minute},
+		Rules: policy.Rules{DrainGrace: 1500 * time.Millisecond, ColdShare: 0.13, ColdFor: 24 * time.Second,
+			FallMultiple: 2.5, FallFor: 3 * time.Second}}
+	if w.Reports == nil || *w.Reports {
+		s.Report = []string{"latency_ms", "util", "qps"}
+	}
+	for _, t := range w.Tenants() {
+		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.Name, Quota: t.Share * w.QuotaOver(n), Share: t.Share})
+	}
+	repeats := map[emulator.Repeat]policy.Repeat{emulator.Free: policy.Free, emulator.Guarded: policy.Guarded}
+	for _, c := range w.classes {
+		k := policy.Class{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Repeat: repeats[c.Repeat], Window: c.Window, Worth: c.Worth}
+		for _, b := range w.Bound {
+			if b.Class == c.Name {
+				k.Regions, k.Zones = b.Regions, b.Zones
+			}
+		}
+		s.Classes = append(s.Classes, k)
+	}
+	if w.Places {
+		s.Places = &policy.Places{Region: make(map[string]string), SameRegion: 1, OtherRegion: 3}
+		for _, z := range w.Zones {
+			s.Places.Region[z.Name] = z.Region
+		}
+	}
+	return s
+}
+
+// tell hands an event to a node's module and carries out what it wants.
+func (w *World) tell(n *node, ev policy.Event) {
+	if n.down {
+		return
+	}
+	acts := append([]policy.Action(nil), n.module.Handle(w.now, ev)...)
+	for _, a := range acts {
+		w.carryOut(n, a)
+	}
+}
+
+func (w *World) carryOut(n *node, a policy.Action) {
+	switch a.Kind {
+	case policy.Send:
+		w.send(n, a)
+	case policy.Refuse:
+		status := 503
+		if a.Wait > 0 {
+			status = 429
+		}
+		w.answer(n, a.ID, status, a.Wait)
+	case policy.Fail:
+		w.answer(n, a.ID, 502, 0)
+	case policy.Cancel:
+		if o := n.open[a.ID]; o != nil && o.flight != nil {
+			w.over(o.flight, policy.Cancelled, nil)
+		}
+	case policy.SetTimer:
+		w.in(a.Wait, func() { w.tell(n, policy.Timer{Token: a.Token}) })
+	case policy.Log:
+		w.out.Mark(w.now, n.name, a.Text)
+	}
+}
+
+// arrive hands a try to a node near its client, or to any while none there is up.
+func (w *World) arrive(g *gang, t *emulator.Try) {
+	if t.Number == 0 {
+		w.out.Ask(g.zone, t)
+	}
+	n := choose(g, g.near)
+	if n == nil {
+		n = choose(g, w.nodes)
+	}
+	if n == nil || n.down {
+		w.in(nearPath, func() { w.ended(g, t, 0, 0) })
+		w.Judge.TurnedBack(w.now, t.ID, fmt.Errorf("%s: no node", g.zone), true)
+		return
+	}
+	o := &open{try: t, node: n, from: g}
+	n.open[t.ID] = o
+	w.Judge.Took(w.now, t)
+	w.in(t.Expires, func() {
+		if !o.answered {
+			o.answered = true
+			w.tell(n, policy.Lapsed{ID: t.ID})
+			w.Judge.Silent(w.now, t.ID)
+			w.ended(g, t, 0, 0)
+			w.drop(o)
+		}
+	})
+	w.tell(n, policy.Request{ID: t.ID, Class: t.Class.Name, Tenant: t.Tenant, Key: t.Key, ExpiresIn: t.Expires - 10*time.Millisecond,
+		Retry: t.Number > 0, Write: t.Class.Repeat != emulator.Free})
+}
+
+// answer gives a try its final answer.
+func (w *World) answer(n *node, id string, status int, wait time.Duration) {
+	o := n.open[id]
+	if o == nil || o.answered {
+		return
+	}
+	o.answered = true
+	w.Judge.Answer(w.now, id, status)
+	w.ended(o.from, o.try, status, wait)
+	w.drop(o)
+}
+
+func (w *World) drop(o *open) {
+	if o.answered && o.flight == nil {
+		delete(o.node.open, o.try.ID)
+	}
+}
+
+// strikeNodes kills the nodes of a zone, or starts new ones in their place.
+func (w *World) strikeNodes(zone string, on bool) {
+	for i, n := range w.nodes {
+		if n.zone != zone {
+			continue
+		}
+		if !on {
+			var z Zone
+			for _, z = range w.Zones {
+				if z.Name == zone {
+					break
+				}
+			}
+			m, err := policy.New(w.settings(z, i, len(w.nodes)), w.now, uint64(w.count))
+			if err != nil { // the same settings were taken before
+				panic(err)
+			}
+			n.module, n.down, n.seen = m, false, false
+			w.tell(n, policy.MemberList{Kind: policy.ListRestored, Members: w.list()})
+			continue
+		}
+		n.down = true
+		w.in(frontSees, func() { n.seen = n.down })
+		for _, id := range slices.Sorted(maps.Keys(n.open)) {
+			o := n.open[id]
+			o.answered = true
+			w.Judge.Broke(w.now, o.try.ID, true)
+			w.ended(o.from, o.try, 0, 0)
+		}
+		clear(n.open)
+	}
+}
