--- a/internal/scale/measurement.go
+++ b/internal/scale/measurement.go
@@ -66,9 +66,10 @@
 
 // Measures are all that there are, in the order of tables.
 func Measures() []Measure {
-	return []Measure{DecisionCPU, DecisionP50, DecisionP99, DecisionRate, Refused, ListChangeCPU, ListChangeP99, ConfigCPU,
+	return append([]Measure{DecisionCPU, DecisionP50, DecisionP99, DecisionRate, Refused, ListChangeCPU, ListChangeP99, ConfigCPU,
 		StartCPU, ControlCPU, RegistryCPU, RegistryResident, Heap, Resident, ListBytes, ConfigBytes, ReceivedBytes,
-		SentBytes, ReceivedReads, SentWrites, InForceP50, InForceP99, InForceLast, ChangesMissed}
+		SentBytes, ReceivedReads, SentWrites, InForceP50, InForceP99, InForceLast, ChangesMissed},
+		realMeasures()...)
 }
 
 // Measurement is one value at one point.
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -32,7 +32,7 @@
 // NotMeasured are the dimensions of which there is no run yet.
 var NotMeasured = []Dimension{"services", "routes", "restarts", "requests"}
 
-var measuredDimensions = []Dimension{Servers, Tenants, Nodes, Changes}
+var measuredDimensions = append([]Dimension{Servers, Tenants, Nodes, Changes}, realDimensions()...)
 
 const (
 	leastSizes = 5 // a slope is claimed of no fewer
@@ -167,9 +167,16 @@
 	case math.IsNaN(s.Target) || math.IsInf(s.Target, 0) || s.Target < 0:
 		return fmt.Errorf("target: want 0 or more, got %v", s.Target)
 	}
+	if _, isReal := realDimension(s.Dimension); isReal {
+		return s.checkBudgets()
+	}
 	if err := s.Held.check(s.Dimension); err != nil {
 		return fmt.Errorf("held.%w", err)
 	}
+	return s.checkBudgets()
+}
+
+func (s *Scenario) checkBudgets() error {
 	for i, b := range s.Budgets {
 		if !slices.ContainsFunc(Measures(), func(m Measure) bool { return m.Name == b.Measure }) {
 			return fmt.Errorf("budgets[%d].measure: there is no measure %q", i, b.Measure)
@@ -182,13 +189,19 @@
 }
 
 // timed tells whether time has to pass at a point.
-func (s *Scenario) timed() bool { return s.Dimension == Nodes || s.Dimension == Changes }
+func (s *Scenario) timed() bool {
+	_, isReal := realDimension(s.Dimension)
+	return s.Dimension == Nodes || s.Dimension == Changes || isReal
+}
 
 func (s *Scenario) checkSizes() error {
 	if len(s.Sizes) < leastSizes || len(s.Sizes) > mostSizes {
 		return fmt.Errorf("sizes: want %d to %d, got %d", leastSizes, mostSizes, len(s.Sizes))
 	}
 	most := map[Dimension]int{Servers: mostServers, Tenants: mostTenants, Nodes: mostWatchers, Changes: mostRate}[s.Dimension]
+	if d, isReal := realDimension(s.Dimension); isReal {
+		most = d.Most
+	}
 	for i, n := range s.Sizes {
 		switch {
 		case n < 1:
