--- a/cmd/sloerail/experiment.go
+++ b/cmd/sloerail/experiment.go
@@ -89,7 +89,7 @@
 	t := newTable(out, "scenario", "G", "G of the other", "difference (95%)", "p", "rules broken", "by the other")
 	for _, p := range pairs {
 		t.AppendRow(table.Row{p.Scenario, fmt.Sprintf("%.3f", p.OurG), fmt.Sprintf("%.3f", p.TheirG),
-			fmt.Sprintf("%+.4f ±%.4f", p.Mean, p.Half), fmt.Sprintf("%.3f", p.P), p.OurBroken, p.TheirBroken})
+			fmt.Sprintf("%+.4f ±%.4f", p.Mean, p.HalfInterval), fmt.Sprintf("%.3f", p.P), p.OurBroken, p.TheirBroken})
 	}
 	t.Render()
 }
@@ -163,11 +163,11 @@
 	t := newTable(out, "measure", "to reach", "places: mean (least to most)", "servers alone", "rules broken", "reached")
 	for _, r := range rows {
 		want := ""
-		if !math.IsInf(r.Least, 0) && r.Least > 0 {
-			want = fmt.Sprintf("%.3g or more", r.Least)
+		if !math.IsInf(r.Min, 0) && r.Min > 0 {
+			want = fmt.Sprintf("%.3g or more", r.Min)
 		}
-		if !math.IsInf(r.Most, 0) {
-			want += fmt.Sprintf(" %.3g or less", r.Most)
+		if !math.IsInf(r.Max, 0) {
+			want += fmt.Sprintf(" %.3g or less", r.Max)
 		}
 		t.AppendRow(table.Row{r.Name, want, spread(r.Places), spread(r.Alone), r.Broken, r.Reached()})
 	}
--- a/internal/lab/attempts.go
+++ b/internal/lab/attempts.go
@@ -9,95 +9,95 @@
 	"sloerail/policy"
 )
 
-// flight is one attempt.
-type flight struct {
-	open   *open
-	number int
-	box    *box
-	sent   time.Duration
-	job    string
-	over   bool
+// attempt is one sending of a request to a server.
+type attempt struct {
+	request  *request
+	number   int
+	server   *server
+	sent     time.Duration
+	job      string
+	finished bool
 }
 
-func wayBetween(a, b string) time.Duration {
+func latencyBetween(a, b string) time.Duration {
 	if a == b {
-		return nearPath
+		return sameZoneLatency
 	}
-	return farPath
+	return crossZoneLatency
 }
 
-// cut tells whether nothing passes between a zone and a box.
-func (w *World) cut(zone string, b *box) bool {
-	return b.silent || slices.ContainsFunc(w.apart, func(f Fault) bool { return f.Parts(zone, b.Spec.Zone) })
+// unreachable tells whether nothing passes between a zone and a server.
+func (w *World) unreachable(zone string, b *server) bool {
+	return b.silent || slices.ContainsFunc(w.partitions, func(f Fault) bool { return f.Separates(zone, b.Spec.Zone) })
 }
 
 func (w *World) send(n *node, a policy.Action) {
-	o, b := n.open[a.ID], w.byID[a.Server]
+	o, b := n.requests[a.ID], w.serversByID[a.Server]
 	if o == nil || b == nil {
-		w.out.Errors++
+		w.outcome.Errors++
 		return
 	}
-	f := &flight{open: o, number: o.attempts, box: b, sent: w.now, job: fmt.Sprintf("%s/%d", a.ID, o.attempts)}
-	o.attempts++
-	o.flight = f
-	w.out.Sent(w.now, o.try.Class.Name, n.zone, b.Spec.Zone)
-	way := wayBetween(n.zone, b.Spec.Zone)
+	f := &attempt{request: o, number: o.attemptCount, server: b, sent: w.now, job: fmt.Sprintf("%s/%d", a.ID, o.attemptCount)}
+	o.attemptCount++
+	o.attempt = f
+	w.outcome.Sent(w.now, o.try.Class.Name, n.zone, b.Spec.Zone)
+	way := latencyBetween(n.zone, b.Spec.Zone)
 	until := max(w.now, min(a.Until, o.try.At+o.try.Expires))
 	if a.Until == 0 {
 		until = o.try.At + o.try.Expires
 	}
-	w.at(until, func() { w.over(f, policy.TimedOut, nil) })
-	if w.cut(n.zone, b) {
-		w.in(connectFor, func() { w.over(f, policy.ConnectFailed, nil) })
+	w.at(until, func() { w.finish(f, policy.TimedOut, nil) })
+	if w.unreachable(n.zone, b) {
+		w.in(connectTimeout, func() { w.finish(f, policy.ConnectFailed, nil) })
 		return
 	}
-	w.in(way, func() { w.reach(n, f, way) })
+	w.in(way, func() { w.arrive(n, f, way) })
 }
 
-// reach is when an attempt's last byte reaches its box.
-func (w *World) reach(n *node, f *flight, way time.Duration) {
-	b := f.box
+// arrive is when an attempt's last byte reaches its server.
+func (w *World) arrive(n *node, f *attempt, way time.Duration) {
+	b := f.server
 	switch {
-	case f.over, w.cut(n.zone, b):
+	case f.finished, w.unreachable(n.zone, b):
 		return
 	case b.lost:
-		w.in(way, func() { w.over(f, policy.ConnectFailed, nil) })
+		w.in(way, func() { w.finish(f, policy.ConnectFailed, nil) })
 		return
 	}
-	t := f.open.try
+	t := f.request.try
 	w.Judge.Arrived(w.now, n.name, t.ID, b.Box)
 	switch b.Offer(w.now, emulator.Job{ID: f.job, Key: t.Key, Work: t.Work}) {
 	case emulator.Turned:
 		w.Judge.Over(t.ID, b.Spec.ID, true)
-		w.back(n, f, way, policy.Full)
+		w.reply(n, f, way, policy.Full)
 	case emulator.Failed:
 		w.Judge.Over(t.ID, b.Spec.ID, false)
-		w.back(n, f, way, policy.ServerError)
+		w.reply(n, f, way, policy.ServerError)
 	default:
-		b.flights[f.job] = f
-		w.work(b)
+		b.attempts[f.job] = f
+		w.serve(b)
 	}
 }
 
-// back carries an answer to its node.
-func (w *World) back(n *node, f *flight, way time.Duration, code policy.Code) {
-	if f.box.mute || w.cut(n.zone, f.box) {
+// reply carries an answer to its node.
+func (w *World) reply(n *node, f *attempt, way time.Duration, code policy.Code) {
+	if f.server.mute || w.unreachable(n.zone, f.server) {
 		return
 	}
-	row := w.report(f.box)
-	w.in(way, func() { w.over(f, code, row) })
+	row := w.loadReport(f.server)
+	w.in(way, func() { w.finish(f, code, row) })
 }
 
-// over is the end of an attempt at its node.
-func (w *World) over(f *flight, code policy.Code, row []float64) {
-	if f.over {
+// finish is the end of an attempt at its node.
+func (w *World) finish(f *attempt, code policy.Code, row []float64) {
+	if f.finished {
 		return
 	}
-	f.over = true
-	o := f.open
-	o.flight = nil
+	f.finished = true
+	o := f.request
+	o.attempt = nil
 	if code == policy.TimedOut || code == policy.Cancelled { // what was sent may yet run
-		w.Judge.Over(o.try.ID, f.box.Spec.ID, false)
+		w.Judge.Over(o.try.ID, f.server.Spec.ID, false)
 	}
 	ended := o.answered
 	if code == policy.OK && !ended {
@@ -106,7 +106,7 @@
 	if o.node.down {
 		return
 	}
-	w.tell(o.node, policy.Outcome{ID: o.try.ID, Server: f.box.Spec.ID, Attempt: f.number, Code: code, Latency: w.now - f.sent,
+	w.deliver(o.node, policy.Outcome{ID: o.try.ID, Server: f.server.Spec.ID, Attempt: f.number, Code: code, Latency: w.now - f.sent,
 		Ended: ended || code == policy.OK, Report: row})
-	w.drop(o)
+	w.forget(o)
 }
--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -7,95 +7,95 @@
 	"sloerail/internal/emulator"
 )
 
-// crowd is the clients of a zone, before a front that knows the nodes near them.
-type crowd struct {
-	zone string
-	gang *gang // that asks now
-	spec emulator.ClientSpec
-	near []*node
-	turn int
+// front spreads the clients of a zone over the nodes near them.
+type front struct {
+	zone      string
+	generator *generator // of the present rate
+	spec      emulator.ClientSpec
+	nodes     []*node
+	next      int
 }
 
-// gang is clients that ask at one rate.
-type gang struct {
-	*crowd
+// generator is clients that arrive at one rate.
+type generator struct {
+	*front
 	clients *emulator.Clients
-	due     time.Duration // of the event that takes their next tries; 0 for none
+	nextDue time.Duration // of the event that takes their next tries; 0 for none
 }
 
-func (w *World) addClients(i int, z Zone, seed uint64) {
+func (w *World) addFront(i int, z Zone, seed uint64) {
 	if z.Nodes == 0 {
 		return
 	}
-	c := &crowd{zone: z.Name, spec: w.Clients(z.Nodes, origin+w.For.Duration)}
+	c := &front{zone: z.Name, spec: w.Clients(z.Nodes, origin+w.For.Duration)}
 	for _, n := range w.nodes {
 		if n.zone == z.Name {
-			c.near = append(c.near, n)
+			c.nodes = append(c.nodes, n)
 		}
 	}
-	w.crowds = append(w.crowds, c)
-	w.come(c, 1, seed*1000+uint64(i))
+	w.fronts = append(w.fronts, c)
+	w.startClients(c, 1, seed*1000+uint64(i))
 }
 
-// come has the clients of a crowd ask so many times as much from now on.
-func (w *World) come(c *crowd, times float64, seed uint64) {
+// startClients has the clients of a front ask so many times as much from now on.
+func (w *World) startClients(c *front, times float64, seed uint64) {
 	spec := c.spec
 	spec.Rate *= times
-	if c.gang != nil {
-		c.gang.clients.Stop()
+	if c.generator != nil {
+		c.generator.clients.Stop()
 	}
-	w.count++
-	c.gang = &gang{crowd: c, clients: emulator.NewClients(fmt.Sprintf("%s%x", c.zone, w.count), spec, w.now, seed)}
-	w.gangs = append(w.gangs, c.gang)
-	w.await(c.gang)
+	w.sequence++
+	c.generator = &generator{front: c, clients: emulator.NewClients(fmt.Sprintf("%s%x", c.zone, w.sequence), spec, w.now, seed)}
+	w.generators = append(w.generators, c.generator)
+	w.scheduleClients(c.generator)
 }
 
-// await takes the next tries of clients when they are due.
-func (w *World) await(g *gang) {
+// scheduleClients takes the next tries of clients when they are due.
+func (w *World) scheduleClients(g *generator) {
 	at, ok := g.clients.Next()
-	if !ok || g.due > 0 && g.due <= at {
+	if !ok || g.nextDue > 0 && g.nextDue <= at {
 		return
 	}
-	g.due = at
+	g.nextDue = at
 	w.at(at, func() {
-		if g.due != at {
+		if g.nextDue != at {
 			return // one came to be due earlier
 		}
-		g.due = 0
+		g.nextDue = 0
 		for _, t := range g.clients.Take(w.now) {
-			w.arrive(g, t)
+			w.dispatch(g, t)
 		}
-		w.await(g)
+		w.scheduleClients(g)
 	})
 }
 
-// choose takes nodes in turn that the front doesn't know as gone.
-func choose(g *gang, nodes []*node) *node {
+// nextNode takes nodes in turn that the front doesn't know as gone.
+func nextNode(g *generator, nodes []*node) *node {
 	for range nodes {
-		g.turn++
-		if n := nodes[g.turn%len(nodes)]; !n.seen {
+		g.next++
+		if n := nodes[g.next%len(nodes)]; !n.knownDown {
 			return n
 		}
 	}
 	return nil
 }
 
-func (w *World) ended(g *gang, t *emulator.Try, status int, wait time.Duration) {
+func (w *World) endTry(g *generator, t *emulator.Try, status int, wait time.Duration) {
 	before := *g.clients.Sums[t.Class.Name]
 	g.clients.Ended(w.now, t, status, wait)
-	w.out.Ended(t, before, *g.clients.Sums[t.Class.Name])
-	w.await(g)
+	w.outcome.Ended(t, before, *g.clients.Sums[t.Class.Name])
+	w.scheduleClients(g)
 }
 
 // changeLoad has the clients of a zone, or all, ask several times as much, or as at first.
 func (w *World) changeLoad(f Fault, on bool) {
 	times := 1.0
 	if on {
-		times = f.By
+		times = f.Factor
 	}
-	for i, c := range w.crowds {
+	for i, c := range w.fronts {
 		if f.Zone == "" || f.Zone == c.zone {
-			w.come(c, times, uint64(w.count+i))
+			w.startClients(c, times, uint64(w.sequence+i))
 		}
 	}
 }
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -6,68 +6,68 @@
 	"sloerail/internal/emulator"
 )
 
-// begin starts a fault, and sets the time of its end.
-func (w *World) begin(f Fault) {
-	w.out.Mark(w.now, "", f.Says(true))
-	struck := w.struck(f)
+// beginFault starts a fault, and sets the time of its end.
+func (w *World) beginFault(f Fault) {
+	w.outcome.Mark(w.now, "", f.Describe(true))
+	struck := w.affected(f)
 	for _, b := range struck {
-		w.out.Struck += len(b.flights)
+		w.outcome.Interrupted += len(b.attempts)
 	}
-	w.strike(f, struck, true)
+	w.applyFault(f, struck, true)
 	if f.For.Duration > 0 {
 		w.in(f.For.Duration, func() {
-			w.out.Mark(w.now, "", f.Says(false))
-			w.strike(f, struck, false)
+			w.outcome.Mark(w.now, "", f.Describe(false))
+			w.applyFault(f, struck, false)
 		})
 	}
 }
 
-// struck are the boxes that a fault is about.
-func (w *World) struck(f Fault) (all []*box) {
-	for _, spec := range f.Struck(w.Specs(w.seed)) {
-		all = append(all, w.byID[spec.ID])
+// affected are the servers that a fault is about.
+func (w *World) affected(f Fault) (all []*server) {
+	for _, spec := range f.Affected(w.ServerSpecs(w.seed)) {
+		all = append(all, w.serversByID[spec.ID])
 	}
 	return all
 }
 
-func (w *World) strike(f Fault, boxes []*box, on bool) {
-	switch f.Do {
+func (w *World) applyFault(f Fault, servers []*server, on bool) {
+	switch f.Kind {
 	case Load:
 		w.changeLoad(f, on)
 	case Nodes:
-		w.strikeNodes(f.Zone, on)
-	case Apart:
-		w.part(f, on)
+		w.setNodesDown(f.Zone, on)
+	case Partition:
+		w.setPartition(f, on)
 	case Vanish:
-		w.phase(boxes, on, emulator.Removed)
-		w.relist(0, boxes)
+		w.setPhase(servers, on, emulator.Removed)
+		w.announce(0, servers)
 	case Drain:
-		w.drain(boxes, on)
+		w.drain(servers, on)
 	case Lost, Cold:
-		for _, b := range boxes {
-			w.kill(b, on, f.Do == Cold)
+		for _, b := range servers {
+			w.kill(b, on, f.Kind == Cold)
 		}
-		if f.Do == Cold && !on {
-			w.relist(0, boxes)
+		if f.Kind == Cold && !on {
+			w.announce(0, servers)
 		}
 	}
-	for _, b := range boxes {
-		switch f.Do {
+	for _, b := range servers {
+		switch f.Kind {
 		case Silent:
 			b.silent = on
 		case Mute:
 			b.mute = on
 		default:
-			f.Hurt(&b.Fault, on)
+			f.ApplyTo(&b.Fault, on)
 		}
 	}
 }
 
-// part cuts zones off, or ends that.
-func (w *World) part(f Fault, on bool) {
+// setPartition cuts zones off, or ends that.
+func (w *World) setPartition(f Fault, on bool) {
 	if on {
-		w.apart = append(w.apart, f)
-	} else if i := slices.Index(w.apart, f); i >= 0 {
-		w.apart = slices.Delete(w.apart, i, i+1)
+		w.partitions = append(w.partitions, f)
+	} else if i := slices.Index(w.partitions, f); i >= 0 {
+		w.partitions = slices.Delete(w.partitions, i, i+1)
 	}
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -25,7 +25,7 @@
 	}
 	for _, r := range rows {
 		if !r.Reached() {
-			t.Errorf("%s: %v, want %v to %v; rules broken: %d", r.Name, r.Places, r.Least, r.Most, r.Broken)
+			t.Errorf("%s: %v, want %v to %v; rules broken: %d", r.Name, r.Places, r.Min, r.Max, r.Broken)
 		}
 	}
 }
@@ -104,13 +104,13 @@
 		b.Run(name, func(b *testing.B) {
 			s := Scenario{For: Duration{time.Second}, Rate: 1, Work: 1, Places: places}
 			for i := range 60 {
-				s.Zones = append(s.Zones, Zone{Name: string(rune('A' + i)), Region: string(rune('a' + i%6)), Boxes: 3, Nodes: 5})
+				s.Zones = append(s.Zones, Zone{Name: string(rune('A' + i)), Region: string(rune('a' + i%6)), Servers: 3, Nodes: 5})
 			}
 			w, err := New(s, 1)
 			if err != nil {
 				b.Fatal(err)
 			}
-			m, now := w.nodes[0].module, w.now
+			m, now := w.nodes[0].balancer, w.now
 			for i := 0; b.Loop(); i++ {
 				now += 10 * time.Millisecond
 				id := "r" + string(rune(i%1000+0x1000))
--- a/internal/lab/nodes.go
+++ b/internal/lab/nodes.go
@@ -13,20 +13,20 @@
 // node is one node: its module and its open requests.
 type node struct {
 	name, zone string
-	module     *policy.Balancer
-	open       map[string]*open
+	balancer   *policy.Balancer
+	requests   map[string]*request
 	down       bool
-	seen       bool // as gone, by fronts
+	knownDown  bool // as gone, by fronts
 }
 
-// open is a try at a node.
-type open struct {
-	try      *emulator.Try
-	from     *gang
-	node     *node
-	attempts int
-	flight   *flight // the attempt that is out
-	answered bool
+// request is a client's try at a node, until it is answered and its attempts are over.
+type request struct {
+	try          *emulator.Try
+	generator    *generator
+	node         *node
+	attemptCount int
+	attempt      *attempt // the attempt that is out
+	answered     bool
 }
 
 func (w *World) addNodes(seed uint64) error {
@@ -41,9 +41,9 @@
 			if err != nil {
 				return err
 			}
-			d := &node{name: fmt.Sprintf("n%03d", i), zone: z.Name, module: m, open: make(map[string]*open)}
+			d := &node{name: fmt.Sprintf("n%03d", i), zone: z.Name, balancer: m, requests: make(map[string]*request)}
 			w.nodes = append(w.nodes, d)
-			w.tell(d, policy.MemberList{Kind: policy.ListRestored, Members: w.list()})
+			w.deliver(d, policy.MemberList{Kind: policy.ListRestored, Members: w.members()})
 		}
 	}
 	return nil
@@ -59,7 +59,7 @@
 		s.Report = []string{"latency_ms", "util", "qps"}
 	}
 	for _, t := range w.Tenants() {
-		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.Name, Quota: t.Share * w.QuotaOver(n), Share: t.Share})
+		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.Name, Quota: t.Share * w.QuotaFor(n), Share: t.Share})
 	}
 	repeats := map[emulator.Repeat]policy.Repeat{emulator.Free: policy.Free, emulator.Guarded: policy.Guarded}
 	for _, c := range w.classes {
@@ -80,12 +80,12 @@
 	return s
 }
 
-// tell hands an event to a node's module and carries out what it wants.
-func (w *World) tell(n *node, ev policy.Event) {
+// deliver hands an event to a node's module and carries out what it wants.
+func (w *World) deliver(n *node, ev policy.Event) {
 	if n.down {
 		return
 	}
-	acts := append([]policy.Action(nil), n.module.Handle(w.now, ev)...)
+	acts := append([]policy.Action(nil), n.balancer.Handle(w.now, ev)...)
 	for _, a := range acts {
 		w.carryOut(n, a)
 	}
@@ -104,66 +104,66 @@
 	case policy.Fail:
 		w.answer(n, a.ID, 502, 0)
 	case policy.Cancel:
-		if o := n.open[a.ID]; o != nil && o.flight != nil {
-			w.over(o.flight, policy.Cancelled, nil)
+		if o := n.requests[a.ID]; o != nil && o.attempt != nil {
+			w.finish(o.attempt, policy.Cancelled, nil)
 		}
 	case policy.SetTimer:
-		w.in(a.Wait, func() { w.tell(n, policy.Timer{Token: a.Token}) })
+		w.in(a.Wait, func() { w.deliver(n, policy.Timer{Token: a.Token}) })
 	case policy.Log:
-		w.out.Mark(w.now, n.name, a.Text)
+		w.outcome.Mark(w.now, n.name, a.Text)
 	}
 }
 
-// arrive hands a try to a node near its client, or to any while none there is up.
-func (w *World) arrive(g *gang, t *emulator.Try) {
+// dispatch hands a try to a node near its client, or to any while none there is up.
+func (w *World) dispatch(g *generator, t *emulator.Try) {
 	if t.Number == 0 {
-		w.out.Ask(g.zone, t)
+		w.outcome.Ask(g.zone, t)
 	}
-	n := choose(g, g.near)
+	n := nextNode(g, g.nodes)
 	if n == nil {
-		n = choose(g, w.nodes)
+		n = nextNode(g, w.nodes)
 	}
 	if n == nil || n.down {
-		w.in(nearPath, func() { w.ended(g, t, 0, 0) })
+		w.in(sameZoneLatency, func() { w.endTry(g, t, 0, 0) })
 		w.Judge.TurnedBack(w.now, t.ID, fmt.Errorf("%s: no node", g.zone), true)
 		return
 	}
-	o := &open{try: t, node: n, from: g}
-	n.open[t.ID] = o
+	o := &request{try: t, node: n, generator: g}
+	n.requests[t.ID] = o
 	w.Judge.Took(w.now, t)
 	w.in(t.Expires, func() {
 		if !o.answered {
 			o.answered = true
-			w.tell(n, policy.Lapsed{ID: t.ID})
+			w.deliver(n, policy.Lapsed{ID: t.ID})
 			w.Judge.Silent(w.now, t.ID)
-			w.ended(g, t, 0, 0)
-			w.drop(o)
+			w.endTry(g, t, 0, 0)
+			w.forget(o)
 		}
 	})
-	w.tell(n, policy.Request{ID: t.ID, Class: t.Class.Name, Tenant: t.Tenant, Key: t.Key, ExpiresIn: t.Expires - 10*time.Millisecond,
+	w.deliver(n, policy.Request{ID: t.ID, Class: t.Class.Name, Tenant: t.Tenant, Key: t.Key, ExpiresIn: t.Expires - 10*time.Millisecond,
 		Retry: t.Number > 0, Write: t.Class.Repeat != emulator.Free})
 }
 
 // answer gives a try its final answer.
 func (w *World) answer(n *node, id string, status int, wait time.Duration) {
-	o := n.open[id]
+	o := n.requests[id]
 	if o == nil || o.answered {
 		return
 	}
 	o.answered = true
 	w.Judge.Answer(w.now, id, status)
-	w.ended(o.from, o.try, status, wait)
-	w.drop(o)
+	w.endTry(o.generator, o.try, status, wait)
+	w.forget(o)
 }
 
-func (w *World) drop(o *open) {
-	if o.answered && o.flight == nil {
-		delete(o.node.open, o.try.ID)
+func (w *World) forget(o *request) {
+	if o.answered && o.attempt == nil {
+		delete(o.node.requests, o.try.ID)
 	}
 }
 
-// strikeNodes kills the nodes of a zone, or starts new ones in their place.
-func (w *World) strikeNodes(zone string, on bool) {
+// setNodesDown kills the nodes of a zone, or starts new ones in their place.
+func (w *World) setNodesDown(zone string, on bool) {
 	for i, n := range w.nodes {
 		if n.zone != zone {
 			continue
@@ -175,22 +175,22 @@
 					break
 				}
 			}
-			m, err := policy.New(w.settings(z, i, len(w.nodes)), w.now, uint64(w.count))
+			m, err := policy.New(w.settings(z, i, len(w.nodes)), w.now, uint64(w.sequence))
 			if err != nil { // the same settings were taken before
 				panic(err)
 			}
-			n.module, n.down, n.seen = m, false, false
-			w.tell(n, policy.MemberList{Kind: policy.ListRestored, Members: w.list()})
+			n.balancer, n.down, n.knownDown = m, false, false
+			w.deliver(n, policy.MemberList{Kind: policy.ListRestored, Members: w.members()})
 			continue
 		}
 		n.down = true
-		w.in(frontSees, func() { n.seen = n.down })
-		for _, id := range slices.Sorted(maps.Keys(n.open)) {
-			o := n.open[id]
+		w.in(frontDetection, func() { n.knownDown = n.down })
+		for _, id := range slices.Sorted(maps.Keys(n.requests)) {
+			o := n.requests[id]
 			o.answered = true
 			w.Judge.Broke(w.now, o.try.ID, true)
-			w.ended(o.from, o.try, 0, 0)
+			w.endTry(o.generator, o.try, 0, 0)
 		}
-		clear(n.open)
+		clear(n.requests)
 	}
 }
--- a/internal/lab/outcome.go
+++ b/internal/lab/outcome.go
@@ -19,21 +19,21 @@
 	BrokenRules []string                  `json:"broken_rules"`
 	Errors      int                       `json:"errors"` // sends that make no sense
 	Sends       map[string]map[string]int `json:"sends"`  // attempts, by class and zone that they went to
-	Struck      int                       `json:"struck"` // attempts under way at boxes when a fault struck them
+	Interrupted int                       `json:"struck"` // attempts under way at servers when a fault affected them
 	Cores       map[string]float64        `json:"cores"`  // of speed 1, by zone
 
-	origin time.Duration // of the clock that its times are on
-	worth  map[string]float64
+	origin      time.Duration // of the clock that its times are on
+	classValues map[string]float64
 }
 
 // Sum is what became of requests, with their retries folded in.
 type Sum struct {
-	Asked  int     `json:"asked"`
-	InTime int     `json:"in_time"`
-	Late   int     `json:"late"`
-	Failed int     `json:"failed"`
-	Worth  float64 `json:"worth"`        // asked for
-	Served float64 `json:"worth_served"` // of it, in time
+	Asked       int     `json:"asked"`
+	InTime      int     `json:"in_time"`
+	Late        int     `json:"late"`
+	Failed      int     `json:"failed"`
+	Value       float64 `json:"worth"`        // asked for
+	ServedValue float64 `json:"worth_served"` // of it, in time
 }
 
 // Second is one of a run.
@@ -41,8 +41,8 @@
 	Sum
 	Attempts int                       `json:"attempts"`
 	Crossing int                       `json:"crossing"` // of them, to another zone
-	Choked   int                       `json:"choked"`   // boxes that were crowded until they became slower, at its end
-	Busy     float64                   `json:"busy"`     // part of the cores of boxes that are there, at its end
+	Choked   int                       `json:"choked"`   // servers that were crowded until they became slower, at its end
+	Busy     float64                   `json:"busy"`     // part of the cores of servers that are there, at its end
 	To       map[string]map[string]int `json:"to"`       // by the zone that they come from and go to
 
 	Work map[string]map[string]float64 `json:"work"` // asked for, in seconds of a core of speed 1, by zone and class
@@ -55,15 +55,15 @@
 	What string  `json:"what"`
 }
 
-const mostMarks = 2000
+const maxMarks = 2000
 
 // NewOutcome makes an empty one, for whoever plays a scenario that begins at a time of its own clock.
 func NewOutcome(s Scenario, boxes []emulator.BoxSpec, classes []emulator.Class, origin time.Duration) *Outcome {
 	o := &Outcome{Classes: make(map[string]Sum), Cores: make(map[string]float64), Sends: make(map[string]map[string]int),
-		worth: make(map[string]float64)}
+		classValues: make(map[string]float64)}
 	o.origin = origin
 	for _, c := range classes {
-		o.worth[c.Name] = c.Worth
+		o.classValues[c.Name] = c.Worth
 	}
 	for _, b := range boxes {
 		o.Cores[b.Zone] += float64(b.Cores) * b.Speed
@@ -80,20 +80,22 @@
 	return &o.Seconds[i]
 }
 
-// worthOf counts worth for each unit of work.
-func (o *Outcome) worthOf(t *emulator.Try) float64 { return o.worth[t.Class.Name] * t.Work.Seconds() }
+// valueOf is the value of a try: its class's, for each unit of work.
+func (o *Outcome) valueOf(t *emulator.Try) float64 {
+	return o.classValues[t.Class.Name] * t.Work.Seconds()
+}
 
 func (s *Sum) add(t *emulator.Try, worth float64, change emulator.Sums) {
 	s.Asked += change.Asked
 	s.InTime += change.InTime
 	s.Late += change.Late
 	s.Failed += change.Unserved
-	s.Worth += worth * float64(change.Asked)
-	s.Served += worth * float64(change.InTime)
+	s.Value += worth * float64(change.Asked)
+	s.ServedValue += worth * float64(change.InTime)
 }
 
-func (o *Outcome) book(t *emulator.Try, change emulator.Sums) {
-	worth := o.worthOf(t)
+func (o *Outcome) record(t *emulator.Try, change emulator.Sums) {
+	worth := o.valueOf(t)
 	o.second(t.First()).add(t, worth, change)
 	sum := o.Classes[t.Class.Name]
 	sum.add(t, worth, change)
@@ -106,7 +108,7 @@
 
 // Ask books the first try of a request near a zone.
 func (o *Outcome) Ask(zone string, t *emulator.Try) {
-	o.book(t, emulator.Sums{Asked: 1})
+	o.record(t, emulator.Sums{Asked: 1})
 	add(o.second(t.First()).Work, zone, t.Class.Name, t.Work.Seconds())
 }
 
@@ -120,7 +122,7 @@
 
 // Ended books what a try came to, by what its class had come to before and after.
 func (o *Outcome) Ended(t *emulator.Try, before, after emulator.Sums) {
-	o.book(t, emulator.Sums{InTime: after.InTime - before.InTime, Late: after.Late - before.Late,
+	o.record(t, emulator.Sums{InTime: after.InTime - before.InTime, Late: after.Late - before.Late,
 		Unserved: after.Unserved - before.Unserved})
 }
 
@@ -136,7 +138,7 @@
 
 // Mark books that a fault begins or ends, or what a node said.
 func (o *Outcome) Mark(now time.Duration, who, what string) {
-	if len(o.Marks) < mostMarks {
+	if len(o.Marks) < maxMarks {
 		o.Marks = append(o.Marks, Mark{(now - o.origin).Seconds(), who, what})
 	}
 }
@@ -148,7 +150,7 @@
 	for i := max(0, first); i < min(last, len(o.Seconds)); i++ {
 		s := o.Seconds[i]
 		all.Asked, all.InTime, all.Late, all.Failed = all.Asked+s.Asked, all.InTime+s.InTime, all.Late+s.Late, all.Failed+s.Failed
-		all.Worth, all.Served = all.Worth+s.Worth, all.Served+s.Served
+		all.Value, all.ServedValue = all.Value+s.Value, all.ServedValue+s.ServedValue
 		all.Choked, all.Busy = max(all.Choked, s.Choked), s.Busy
 		all.Attempts, all.Crossing = all.Attempts+s.Attempts, all.Crossing+s.Crossing
 		for a, to := range s.To {
@@ -165,8 +167,8 @@
 	return all
 }
 
-// Share is the part of the worth that was served in time.
-func (s Sum) Share() float64 { return s.Served / max(s.Worth, math.SmallestNonzeroFloat64) }
+// Share is the part of the value that was served in time.
+func (s Sum) Share() float64 { return s.ServedValue / max(s.Value, math.SmallestNonzeroFloat64) }
 
 // Table is the run second by second, for people.
 func (o *Outcome) Table(every int) (lines []string) {
--- a/internal/lab/pair.go
+++ b/internal/lab/pair.go
@@ -16,13 +16,13 @@
 
 // Weights of G, as the operators weigh theirs; what they give to the worst-served tenant goes to the whole run.
 const (
-	weighWhole  = 0.45
-	weighWorst  = 0.35 // the worst 10 s
-	weighClass  = 0.20 // the worst-served class
+	wholeWeight = 0.45
+	worstWeight = 0.35 // the worst 10 s
+	classWeight = 0.20 // the worst-served class
 	worstWindow = 10 * time.Second
 )
 
-// G is one figure for a run: the part of the worth asked for that was served in time, over the whole run, in its
+// G is one figure for a run: the part of the value asked for that was served in time, over the whole run, in its
 // worst 10 s and in its worst-served class.
 func (o *Outcome) G() float64 {
 	n := len(o.Seconds)
@@ -38,7 +38,7 @@
 	for _, c := range o.Classes {
 		class = min(class, c.Share())
 	}
-	return weighWhole*o.Between(0, end).Share() + weighWorst*worst + weighClass*class
+	return wholeWeight*o.Between(0, end).Share() + worstWeight*worst + classWeight*class
 }
 
 // Pair is what two programs made of the same scenarios and seeds.
@@ -46,7 +46,7 @@
 	Scenario     string    `json:"scenario"`
 	Ours, Theirs []float64 `json:"-"`
 	Mean         float64   `json:"mean"` // of our G less theirs,
-	Half         float64   `json:"half"` // half of its 95% interval,
+	HalfInterval float64   `json:"half"` // half of its 95% interval,
 	P            float64   `json:"p"`    // and how likely one so far from 0 is by chance
 	OurG         float64   `json:"g"`
 	TheirG       float64   `json:"g_theirs"`
@@ -66,15 +66,15 @@
 	if n := float64(len(d)); n > 1 && dev > 0 {
 		t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}
 		err := dev / math.Sqrt(n)
-		p.Half, p.P = t.Quantile(0.975)*err, 2*t.Survival(math.Abs(mean)/err)
+		p.HalfInterval, p.P = t.Quantile(0.975)*err, 2*t.Survival(math.Abs(mean)/err)
 	}
 }
 
 // simulateFor is how long one simulation of another program may take.
 const simulateFor = 5 * time.Minute
 
-// simulated plays a scenario by a program's own command.
-func simulated(ctx context.Context, program, scenario string, seed uint64) (*Outcome, error) {
+// simulate plays a scenario by a program's own command.
+func simulate(ctx context.Context, program, scenario string, seed uint64) (*Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, simulateFor)
 	defer cancel()
 	raw, err := exec.CommandContext(ctx, program, "simulate", scenario, "--json", "--seed", strconv.FormatUint(seed, 10)).Output()
@@ -101,7 +101,7 @@
 	runs := make([]*Outcome, len(scenarios)*len(seeds)*len(programs)) // in the order of these
 	err := onAllCores(len(runs), func(i int) (err error) {
 		k := i / len(programs)
-		runs[i], err = simulated(ctx, programs[i%len(programs)], scenarios[k/len(seeds)], seeds[k%len(seeds)])
+		runs[i], err = simulate(ctx, programs[i%len(programs)], scenarios[k/len(seeds)], seeds[k%len(seeds)])
 		return err
 	})
 	if err != nil {
--- a/internal/lab/queue.go
+++ b/internal/lab/queue.go
@@ -8,22 +8,22 @@
 type event struct {
 	at  time.Duration
 	seq int
-	do  func()
+	run func()
 }
 
-type events []event
+type eventQueue []event
 
-func (e events) Len() int { return len(e) }
+func (e eventQueue) Len() int { return len(e) }
 
-func (e events) Less(i, j int) bool {
+func (e eventQueue) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
 }
 
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e eventQueue) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
 
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+func (e *eventQueue) Push(x any) { *e = append(*e, x.(event)) }
 
-func (e *events) Pop() any {
+func (e *eventQueue) Pop() any {
 	last := len(*e) - 1
 	x := (*e)[last]
 	(*e)[last] = event{}
@@ -32,8 +32,8 @@
 }
 
 func (w *World) at(t time.Duration, do func()) {
-	w.count++
-	heap.Push(&w.todo, event{max(t, w.now), w.count, do})
+	w.sequence++
+	heap.Push(&w.queue, event{max(t, w.now), w.sequence, do})
 }
 
 func (w *World) in(d time.Duration, do func()) { w.at(w.now+d, do) }
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -1,5 +1,5 @@
-// Package lab asks questions of the decision module: a world of nodes, app boxes and clients in virtual time,
-// scenarios for it, and paired comparisons with their statistics. The boxes, clients and the judge are those of
+// Package lab asks questions of the decision module: a world of nodes, servers and clients in virtual time,
+// scenarios for it, and paired comparisons with their statistics. The servers, clients and the checker are those of
 // internal/emulator; the module is called as it ships. Nothing here is linked into a node.
 package lab
 
@@ -51,10 +51,10 @@
 
 // Zone is a zone with what stands in it.
 type Zone struct {
-	Name   string `toml:"name"`
-	Region string `toml:"region"`
-	Boxes  int    `toml:"boxes"`
-	Nodes  int    `toml:"nodes"`
+	Name    string `toml:"name"`
+	Region  string `toml:"region"`
+	Servers int    `toml:"boxes"`
+	Nodes   int    `toml:"nodes"`
 }
 
 // Bound holds a class to regions or zones.
@@ -66,36 +66,36 @@
 
 // Fault is something that goes wrong for a time.
 type Fault struct {
-	At   Duration `toml:"at"`
-	For  Duration `toml:"for"`
-	Do   Trouble  `toml:"do"`
-	Zone string   `toml:"zone"`  // whose boxes or nodes; empty for all zones
-	Part float64  `toml:"part"`  // of the requests that fail, or of the boxes that are struck; 1 unless given
-	By   float64  `toml:"times"` // slower, or more load
+	At       Duration  `toml:"at"`
+	For      Duration  `toml:"for"`
+	Kind     FaultKind `toml:"do"`
+	Zone     string    `toml:"zone"`  // whose servers or nodes; empty for all zones
+	Fraction float64   `toml:"part"`  // of the requests that fail, or of the servers that are affected; 1 unless given
+	Factor   float64   `toml:"times"` // slower, or more load
 
 	Every Duration `toml:"every"` // it begins again after this
 	Count int      `toml:"count"` // so often in all; 1 unless given
 }
 
-// Trouble names what goes wrong.
-type Trouble string
+// FaultKind names what goes wrong.
+type FaultKind string
 
-// The troubles.
+// The faults.
 const (
-	Lost   Trouble = "lost"   // the boxes are gone: connections are refused; they return warm
-	Cold   Trouble = "cold"   // the same, and they return as new processes, cold
-	Silent Trouble = "silent" // nothing reaches the boxes: connections don't come up
-	Mute   Trouble = "mute"   // requests reach them, and no answer comes back
-	Apart  Trouble = "apart"  // the zone is cut off from the others, both ways
-	Errors Trouble = "errors" // a part of the requests fails fast
-	Slow   Trouble = "slow"   // boxes take several times as long
-	Vanish Trouble = "vanish" // the list lacks the boxes, which run on
-	Drain  Trouble = "drain"  // the list drains the boxes and then lacks them; they return cold
-	Nodes  Trouble = "nodes"  // the nodes of the zone are gone
-	Load   Trouble = "load"   // the clients of the zone, or all, ask several times as much
+	Lost      FaultKind = "lost"   // the servers are gone: connections are refused; they return warm
+	Cold      FaultKind = "cold"   // the same, and they return as new processes, cold
+	Silent    FaultKind = "silent" // nothing reaches the servers: connections don't come up
+	Mute      FaultKind = "mute"   // requests reach them, and no answer comes back
+	Partition FaultKind = "apart"  // the zone is cut off from the others, both ways
+	Errors    FaultKind = "errors" // a part of the requests fails fast
+	Slow      FaultKind = "slow"   // servers take several times as long
+	Vanish    FaultKind = "vanish" // the list lacks the servers, which run on
+	Drain     FaultKind = "drain"  // the list drains the servers and then lacks them; they return cold
+	Nodes     FaultKind = "nodes"  // the nodes of the zone are gone
+	Load      FaultKind = "load"   // the clients of the zone, or all, ask several times as much
 )
 
-var troubles = []Trouble{Lost, Cold, Silent, Mute, Apart, Errors, Slow, Vanish, Drain, Nodes, Load}
+var faultKinds = []FaultKind{Lost, Cold, Silent, Mute, Partition, Errors, Slow, Vanish, Drain, Nodes, Load}
 
 //go:embed scenarios/*.toml
 var shipped embed.FS
@@ -144,9 +144,9 @@
 }
 
 const (
-	mostNodes = 400
-	mostBoxes = 400
-	longest   = time.Hour
+	maxNodes    = 400
+	maxServers  = 400
+	maxDuration = time.Hour
 )
 
 // Check says what makes no sense.
@@ -155,8 +155,8 @@
 	switch {
 	case err != nil:
 		return err
-	case s.For.Duration <= 0 || s.For.Duration > longest:
-		return fmt.Errorf("for: want up to %v, got %v", longest, s.For)
+	case s.For.Duration <= 0 || s.For.Duration > maxDuration:
+		return fmt.Errorf("for: want up to %v, got %v", maxDuration, s.For)
 	case !(s.Rate > 0) || s.Rate > 1e5:
 		return fmt.Errorf("rate: want more than 0, got %v", s.Rate)
 	case !(s.Work > 0) || s.Work > 1e3:
@@ -177,24 +177,24 @@
 		if z.Name == "" || slices.Contains(names, z.Name) {
 			return nil, fmt.Errorf("zones[%d].name: missing or named twice", i)
 		}
-		if z.Nodes < 0 || z.Boxes < 0 {
+		if z.Nodes < 0 || z.Servers < 0 {
 			return nil, fmt.Errorf("zones[%d]: nodes and boxes: want 0 or more", i)
 		}
-		names, nodes, boxes = append(names, z.Name), nodes+z.Nodes, boxes+z.Boxes
+		names, nodes, boxes = append(names, z.Name), nodes+z.Nodes, boxes+z.Servers
 	}
-	if nodes < 1 || nodes > mostNodes {
-		return nil, fmt.Errorf("zones: want 1 to %d nodes in all, got %d", mostNodes, nodes)
+	if nodes < 1 || nodes > maxNodes {
+		return nil, fmt.Errorf("zones: want 1 to %d nodes in all, got %d", maxNodes, nodes)
 	}
-	if boxes < 1 || boxes > mostBoxes {
-		return nil, fmt.Errorf("zones: want 1 to %d boxes in all, got %d", mostBoxes, boxes)
+	if boxes < 1 || boxes > maxServers {
+		return nil, fmt.Errorf("zones: want 1 to %d boxes in all, got %d", maxServers, boxes)
 	}
 	return names, nil
 }
 
 func (f Fault) check(zones []string) error {
 	switch {
-	case !slices.Contains(troubles, f.Do):
-		return fmt.Errorf("do: unknown trouble %q", f.Do)
+	case !slices.Contains(faultKinds, f.Kind):
+		return fmt.Errorf("do: unknown trouble %q", f.Kind)
 	case f.Zone != "" && !slices.Contains(zones, f.Zone):
 		return fmt.Errorf("zone: there is no zone %q", f.Zone)
 	}
@@ -202,10 +202,10 @@
 		return err
 	}
 	switch {
-	case f.Part < 0 || f.Part > 1:
-		return fmt.Errorf("part: want 0 to 1, got %v", f.Part)
-	case f.By < 0 || (f.Do == Slow || f.Do == Load) && f.By == 0:
-		return fmt.Errorf("times: want more than 0, got %v", f.By)
+	case f.Fraction < 0 || f.Fraction > 1:
+		return fmt.Errorf("part: want 0 to 1, got %v", f.Fraction)
+	case f.Factor < 0 || (f.Kind == Slow || f.Kind == Load) && f.Factor == 0:
+		return fmt.Errorf("times: want more than 0, got %v", f.Factor)
 	}
 	return nil
 }
@@ -220,19 +220,19 @@
 	return nil
 }
 
-// part is what is struck.
-func (f Fault) part() float64 {
-	if f.Part == 0 {
+// fraction is what is affected.
+func (f Fault) fraction() float64 {
+	if f.Fraction == 0 {
 		return 1
 	}
-	return f.Part
+	return f.Fraction
 }
 
-// Specs are the boxes of a scenario, their speeds drawn from a seed.
-func (s Scenario) Specs(seed uint64) (all []emulator.BoxSpec) {
+// ServerSpecs are the servers of a scenario, their speeds drawn from a seed.
+func (s Scenario) ServerSpecs(seed uint64) (all []emulator.BoxSpec) {
 	rng := rand.New(rand.NewPCG(seed, 0xb0e5))
 	for at, z := range s.Zones {
-		for i := range z.Boxes {
+		for i := range z.Servers {
 			spec := emulator.DefaultBox(fmt.Sprintf("%s-%02d", z.Name, i), z.Name)
 			spec.Cell = int64(100*at + i/4)
 			if i%5 == 1 || i%5 == 3 { // two in five, in every zone
@@ -247,38 +247,40 @@
 	return all
 }
 
-// Begins are when a fault begins, counted from the scenario's begin.
-func (f Fault) Begins() (all []time.Duration) {
+// StartTimes are when a fault begins, counted from the scenario's begin.
+func (f Fault) StartTimes() (all []time.Duration) {
 	for i := range max(1, f.Count) {
 		all = append(all, f.At.Duration+time.Duration(i)*f.Every.Duration)
 	}
 	return all
 }
 
-// Says is what is booked of a fault's begin, or its end.
-func (f Fault) Says(on bool) string {
+// Describe is what is booked of a fault's begin, or its end.
+func (f Fault) Describe(on bool) string {
 	if on {
-		return fmt.Sprintf("%s %s begins", f.Do, f.Zone)
+		return fmt.Sprintf("%s %s begins", f.Kind, f.Zone)
 	}
-	return fmt.Sprintf("%s %s ends", f.Do, f.Zone)
+	return fmt.Sprintf("%s %s ends", f.Kind, f.Zone)
 }
 
-// Hurt makes a box that is struck fail or slow, or ends that; other troubles don't.
-func (f Fault) Hurt(b *emulator.BoxFault, on bool) {
-	switch f.Do {
+// ApplyTo makes a server that is affected fail or slow, or ends that; other faults don't.
+func (f Fault) ApplyTo(b *emulator.BoxFault, on bool) {
+	switch f.Kind {
 	case Errors:
 		if b.Errors = 0; on {
-			b.Errors = f.part()
+			b.Errors = f.fraction()
 		}
 	case Slow:
 		if b.Slow = 0; on {
-			b.Slow = f.By
+			b.Slow = f.Factor
 		}
 	}
 }
 
-// Parts tells whether a fault that cuts zones off cuts the way between two of them.
-func (f Fault) Parts(a, b string) bool { return a != b && (f.Zone == "" || f.Zone == a || f.Zone == b) }
+// Separates tells whether a fault that cuts zones off cuts the way between two of them.
+func (f Fault) Separates(a, b string) bool {
+	return a != b && (f.Zone == "" || f.Zone == a || f.Zone == b)
+}
 
 // Tenants are those of all scenarios.
 func (s Scenario) Tenants() []emulator.Tenant {
@@ -291,23 +293,23 @@
 		Tries: 3, Wait: 100 * time.Millisecond, Until: until}
 }
 
-// QuotaOver is the quota of all tenants over so many nodes.
-func (s Scenario) QuotaOver(nodes int) float64 {
+// QuotaFor is the quota of all tenants over so many nodes.
+func (s Scenario) QuotaFor(nodes int) float64 {
 	if s.Quota > 0 {
 		return s.Quota
 	}
 	return 10 * s.Rate * float64(nodes)
 }
 
-// Struck are those of the boxes that a fault is about.
-func (f Fault) Struck(boxes []emulator.BoxSpec) (all []emulator.BoxSpec) {
+// Affected are those of the servers that a fault is about.
+func (f Fault) Affected(boxes []emulator.BoxSpec) (all []emulator.BoxSpec) {
 	for _, b := range boxes {
 		if f.Zone == "" || b.Zone == f.Zone {
 			all = append(all, b)
 		}
 	}
-	if f.Do != Errors {
-		all = all[:int(math.Ceil(f.part()*float64(len(all))))]
+	if f.Kind != Errors {
+		all = all[:int(math.Ceil(f.fraction()*float64(len(all))))]
 	}
 	return all
 }
--- a/internal/lab/zones.go
+++ b/internal/lab/zones.go
@@ -17,8 +17,8 @@
 type Measure struct {
 	Name     string
 	Scenario string
-	Least    float64 // to reach, at least,
-	Most     float64 // and at most
+	Min      float64 // to reach, at least,
+	Max      float64 // and at most
 	Of       func(r Run) float64
 }
 
@@ -26,7 +26,7 @@
 type Run struct {
 	Scenario
 	*Outcome
-	Held *Outcome // of another scenario with the same seed; nil where no measure asks for one
+	Baseline *Outcome // of another scenario with the same seed; nil where no measure asks for one
 }
 
 // The times of the shipped scenarios of zones.
@@ -39,9 +39,9 @@
 func ZoneMeasures() []Measure {
 	most := math.Inf(1)
 	all := []Measure{
-		{"zone lost: served from 2 s on, against before", "zone-lost", 0.98, most, Run.against},
+		{"zone lost: served from 2 s on, against before", "zone-lost", 0.98, most, Run.servedRatio},
 		{"zone lost: requests that failed, less those under way, for each node and server", "zone-lost", -most, 1, func(r Run) float64 {
-			return float64(r.Between(faultAt-2*time.Second, faultEnd).Failed-r.Struck) / float64(r.count())
+			return float64(r.Between(faultAt-2*time.Second, faultEnd).Failed-r.Interrupted) / float64(r.nodesAndServers())
 		}},
 		{"zone lost: crossing attempts against the least possible", "zone-lost", 0, 1.15, func(r Run) float64 {
 			s := r.Between(20*time.Second, faultEnd)
@@ -51,15 +51,15 @@
 			return float64(r.Between(0, r.For.Duration).Crossing)
 		}},
 		{"overflow: crossing attempts against what is beyond 0.8 of the own zone", "overflow", 0, 1.15, overflow},
-		{"return: growing took, against the law", "zone-lost", 0.8, 1.2, func(r Run) float64 { return r.growing("a") }},
+		{"return: growing took, against the law", "zone-lost", 0.8, 1.2, func(r Run) float64 { return r.growthRatio("a") }},
 		{"return: from the zone's return to the last whole share, s", "zone-lost", 0, most, func(r Run) float64 {
-			return r.last("place a has its whole") - faultEnd.Seconds()
+			return r.lastMark("place a has its whole") - faultEnd.Seconds()
 		}},
 		{"return: requests that failed", "zone-lost", 0, 0.005, func(r Run) float64 { return r.failed(faultEnd, faultEnd+15*time.Second) }},
 		{"return cold: requests that failed", "zone-cold", 0, 0.005, func(r Run) float64 { return r.failed(faultEnd, faultEnd+25*time.Second) }},
-		{"flapping: times left by one node in a minute", "zone-flap", 0, 3, func(r Run) float64 { return float64(r.mostLeft()) }},
+		{"flapping: times left by one node in a minute", "zone-flap", 0, 3, func(r Run) float64 { return float64(r.maxTimesLeft()) }},
 		{"flapping: served against a zone that stays away", "zone-flap", 0.95, most, func(r Run) float64 {
-			return r.share(faultAt, 75*time.Second) / r.Held.Between(faultAt, 75*time.Second).Share()
+			return r.share(faultAt, 75*time.Second) / r.Baseline.Between(faultAt, 75*time.Second).Share()
 		}},
 		{"region lost, room for half: worth served against the greatest possible", "region-lost", 0.9, most, regionLost},
 		{"region lost: boxes elsewhere choked", "region-lost", 0, 0, func(r Run) float64 {
@@ -70,10 +70,10 @@
 		all = append(all, stillSent(name, "a", 5*time.Second))
 	}
 	for _, name := range []string{"two-in-turn", "zone-apart", "zone-vanish", "zone-drain", "large-lost"} {
-		all = append(all, Measure{name + ": served from 2 s on, against before", name, 0.98, most, Run.against})
+		all = append(all, Measure{name + ": served from 2 s on, against before", name, 0.98, most, Run.servedRatio})
 	}
 	all = append(all, Measure{"lost-and-load: served from 2 s on, against before, with 0.93 of what is left asked for", "lost-and-load", 0.9,
-		most, Run.against})
+		most, Run.servedRatio})
 	for i, name := range []string{"large-lost", "large-errors"} {
 		from := time.Duration(i+1) * 5 * time.Second // each node hears 6 answers a second
 		all = append(all, stillSent(name, "z00", from), Measure{name + ": attempts of the other zones that cross", name, 0, 0.02,
@@ -84,7 +84,7 @@
 	}
 	for _, name := range []string{"all-slow", "all-errors", "one-bad"} {
 		all = append(all, Measure{name + ": places left meanwhile", name, 0, 0, func(r Run) float64 {
-			return float64(r.left(faultAt, faultEnd))
+			return float64(r.timesLeft(faultAt, faultEnd))
 		}})
 	}
 	return all
@@ -99,13 +99,13 @@
 		}}
 }
 
-// against is what is served from 2 s after the fault on, against before.
-func (r Run) against() float64 {
+// servedRatio is what is served from 2 s after the fault on, against before.
+func (r Run) servedRatio() float64 {
 	return r.share(faultAt+2*time.Second, faultEnd) / r.share(5*time.Second, faultAt-time.Second)
 }
 
-// HeldAgainst names the scenario that the measures of another need beside it; empty for none.
-func HeldAgainst(scenario string) string {
+// BaselineOf names the scenario that the measures of another need beside it; empty for none.
+func BaselineOf(scenario string) string {
 	if scenario == "zone-flap" {
 		return "zone-away"
 	}
@@ -126,16 +126,16 @@
 	return float64(s.Failed) / float64(max(1, s.Asked))
 }
 
-// count is how many nodes there are and servers are struck, in all.
-func (r Run) count() (n int) {
+// nodesAndServers is how many nodes there are and servers are affected, in all.
+func (r Run) nodesAndServers() (n int) {
 	for _, z := range r.Zones {
 		n += z.Nodes
 	}
-	return n + r.Zones[0].Boxes
+	return n + r.Zones[0].Servers
 }
 
-// last is when a node last said something that begins so, in seconds.
-func (r Run) last(prefix string) (at float64) {
+// lastMark is when a node last said something that begins so, in seconds.
+func (r Run) lastMark(prefix string) (at float64) {
 	for _, m := range r.Marks {
 		if strings.HasPrefix(m.What, prefix) {
 			at = m.At
@@ -144,8 +144,8 @@
 	return at
 }
 
-// left counts how often places were left between two times.
-func (r Run) left(from, to time.Duration) (n int) {
+// timesLeft counts how often places were left between two times.
+func (r Run) timesLeft(from, to time.Duration) (n int) {
 	for _, m := range r.Marks {
 		if m.At >= from.Seconds() && m.At < to.Seconds() && strings.Contains(m.What, " is left: ") {
 			n++
@@ -154,8 +154,8 @@
 	return n
 }
 
-// mostLeft is how often the node that left most often did so.
-func (r Run) mostLeft() (most int) {
+// maxTimesLeft is how often the node that left most often did so.
+func (r Run) maxTimesLeft() (most int) {
 	by := make(map[string]int)
 	for _, m := range r.Marks {
 		if strings.Contains(m.What, " is left: ") {
@@ -166,9 +166,9 @@
 	return most
 }
 
-// growing is how long shares grew on average, as a part of what the law says: from a twentieth to the whole,
+// growthRatio is how long shares grew on average, as a part of what the law says: from a twentieth to the whole,
 // e-fold in 2 s.
-func (r Run) growing(zone string) float64 {
+func (r Run) growthRatio(zone string) float64 {
 	began, took, n := make(map[string]float64), 0.0, 0
 	for _, m := range r.Marks {
 		switch {
@@ -193,7 +193,7 @@
 	return float64(s.Crossing) / least
 }
 
-// regionLost sets the worth that was served against the greatest possible: the dearest classes first, up to all
+// regionLost sets the value that was served against the greatest possible: the most valuable classes first, up to all
 // cores of the zone that is left.
 func regionLost(r Run) float64 {
 	from, to := faultAt+3*time.Second, 35*time.Second
@@ -210,7 +210,7 @@
 		room -= fits
 		best += fits * c.Worth
 	}
-	return s.Served / best
+	return s.ServedValue / best
 }
 
 // Row is a measure over several seeds, with places judged and with servers judged one by one.
@@ -223,7 +223,7 @@
 // Reached tells whether the mean is where it has to be, and no rule was broken.
 func (r Row) Reached() bool {
 	m, _, _ := Spread(r.Places)
-	return m >= r.Least && m <= r.Most && r.Broken == 0
+	return m >= r.Min && m <= r.Max && r.Broken == 0
 }
 
 // Spread is the mean, the least and the most of some figures.
@@ -249,7 +249,7 @@
 	at := make(map[key]int) // in keys
 	var keys []key
 	for _, m := range measures {
-		for _, name := range []string{m.Scenario, HeldAgainst(m.Scenario)} {
+		for _, name := range []string{m.Scenario, BaselineOf(m.Scenario)} {
 			for _, seed := range seeds {
 				for _, places := range ways {
 					k := key{name, seed, places}
@@ -274,8 +274,8 @@
 		for _, seed := range seeds {
 			for _, places := range ways {
 				r := runs[at[key{m.Scenario, seed, places}]]
-				if held, ok := at[key{HeldAgainst(m.Scenario), seed, places}]; ok {
-					r.Held = runs[held].Outcome
+				if held, ok := at[key{BaselineOf(m.Scenario), seed, places}]; ok {
+					r.Baseline = runs[held].Outcome
 				}
 				if v := m.Of(r); places {
 					row.Places, row.Broken = append(row.Places, v), row.Broken+r.Broken
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -29,7 +29,7 @@
 // PlayScenario plays a scenario of the lab with real nodes in real time, and returns what came of it. Its zones have
 // to hold equally many nodes.
 func (r *Rig) PlayScenario(ctx context.Context, s lab.Scenario, seed uint64) (*lab.Outcome, error) {
-	p := &scene{Scenario: s, boxes: s.Specs(seed), loads: make(map[string][]*Load), near: make(map[string][]*Node)}
+	p := &scene{Scenario: s, boxes: s.ServerSpecs(seed), loads: make(map[string][]*Load), near: make(map[string][]*Node)}
 	p.w = r.NewWorld(seed, p.boxes...)
 	if err := p.start(ctx); err != nil {
 		return nil, err
@@ -69,7 +69,7 @@
 	for _, b := range p.Bound {
 		only[b.Class] = b.Regions
 	}
-	spec.Quota = p.QuotaOver(spec.Nodes)
+	spec.Quota = p.QuotaFor(spec.Nodes)
 	if p.Places {
 		spec.Places = map[string]any{"regions": regions, "only": only}
 	}
@@ -104,7 +104,7 @@
 	}
 	var todo []turn
 	for _, f := range p.Faults {
-		for _, at := range f.Begins() {
+		for _, at := range f.StartTimes() {
 			if todo = append(todo, turn{at, f, true}); f.For.Duration > 0 {
 				todo = append(todo, turn{at + f.For.Duration, f, false})
 			}
@@ -134,21 +134,21 @@
 
 // strike begins a fault, or ends it.
 func (p *scene) strike(ctx context.Context, f lab.Fault, on bool) error {
-	struck := f.Struck(p.boxes)
+	struck := f.Affected(p.boxes)
 	p.mark(f, struck, on)
 	hit := func(_ string, b emulator.BoxSpec) bool { return slices.Contains(struck, b) }
-	switch f.Do {
+	switch f.Kind {
 	case lab.Lost, lab.Cold:
 		p.paths(hit, Faults{Reset: on}, Faults{Reset: on})
-		if f.Do == lab.Cold && !on {
+		if f.Kind == lab.Cold && !on {
 			p.restart(struck)
 		}
 	case lab.Silent:
 		p.paths(hit, Faults{Cut: on}, Faults{Cut: on})
 	case lab.Mute:
 		p.paths(hit, Faults{}, Faults{Cut: on})
-	case lab.Apart:
-		parted := func(zone string, b emulator.BoxSpec) bool { return f.Parts(zone, b.Zone) }
+	case lab.Partition:
+		parted := func(zone string, b emulator.BoxSpec) bool { return f.Separates(zone, b.Zone) }
 		p.paths(parted, Faults{Cut: on}, Faults{Cut: on})
 	case lab.Vanish:
 		p.w.relist(struck, map[bool]string{true: emulator.Removed, false: emulator.Up}[on])
@@ -168,13 +168,13 @@
 func (p *scene) mark(f lab.Fault, struck []emulator.BoxSpec, on bool) {
 	p.w.mu.Lock()
 	defer p.w.mu.Unlock()
-	p.w.book.Mark(p.w.now(), "", f.Says(on))
+	p.w.book.Mark(p.w.now(), "", f.Describe(on))
 	for _, spec := range struck {
 		b := p.w.boxes[spec.ID]
 		if on {
-			p.w.book.Struck += len(b.waits)
+			p.w.book.Interrupted += len(b.waits)
 		}
-		f.Hurt(&b.Fault, on)
+		f.ApplyTo(&b.Fault, on)
 	}
 }
 
@@ -182,7 +182,7 @@
 func (p *scene) addLoad(f lab.Fault) {
 	for _, z := range p.Zones {
 		if f.Zone == "" || f.Zone == z.Name {
-			p.come(z.Name, f.By-1, f.For.Duration)
+			p.come(z.Name, f.Factor-1, f.For.Duration)
 		}
 	}
 }
--- a/internal/rig/zones_test.go
+++ b/internal/rig/zones_test.go
@@ -142,16 +142,16 @@
 		if strings.HasPrefix(m.Scenario, "large") || *scenarios != "all" && !slices.Contains(strings.Split(*scenarios, ","), m.Scenario) {
 			continue
 		}
-		for _, name := range []string{m.Scenario, lab.HeldAgainst(m.Scenario)} {
+		for _, name := range []string{m.Scenario, lab.BaselineOf(m.Scenario)} {
 			if _, played := runs[name]; !played && name != "" {
 				runs[name] = playReal(t, name)
 			}
 		}
 		run := runs[m.Scenario]
-		run.Held = runs[lab.HeldAgainst(m.Scenario)].Outcome
+		run.Baseline = runs[lab.BaselineOf(m.Scenario)].Outcome
 		v := m.Of(run)
 		t.Logf("| %s | %.3f | %d rules broken %q", m.Name, v, run.Broken, run.BrokenRules)
-		if v < m.Least || v > m.Most || run.Broken > 0 {
+		if v < m.Min || v > m.Max || run.Broken > 0 {
 			t.Logf("NOT REACHED: %s", m.Name)
 			for _, line := range run.Table(5) {
 				t.Log(line)
