Name the emulator's parts by the glossary

Names that other packages use (Class, Tenant, ClientSpec, List, Entry, Rules) stay. Tests are renamed with what they test and assert the same.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -20,13 +20,13 @@
 
 // Class is a class of requests as clients send them.
 type Class struct {
-	Name          string
-	Share         float64
-	Least, Most   time.Duration // of work
-	Aim, Deadline time.Duration
-	Worth         float64
-	Repeat        Repeat
-	Window        time.Duration // for Guarded
+	Name             string
+	Share            float64
+	MinWork, MaxWork time.Duration // of work
+	Aim, Deadline    time.Duration
+	Worth            float64
+	Repeat           Repeat
+	Window           time.Duration // for Guarded
 }
 
 // Classes are those of the operators' pages.
@@ -85,7 +85,7 @@
 	spec  ClientSpec
 	rng   *rand.Rand
 	next  Time
-	due   tries
+	due   tryQueue
 	name  string
 	count int
 	Sums  map[string]*Sums // by class
@@ -108,11 +108,11 @@
 	for _, k := range spec.Classes {
 		c.Sums[k.Name] = &Sums{}
 	}
-	c.next += c.gap()
+	c.next += c.interArrival()
 	return c
 }
 
-func (c *Clients) gap() time.Duration {
+func (c *Clients) interArrival() time.Duration {
 	return time.Duration(c.rng.ExpFloat64() / c.spec.Rate * float64(time.Second))
 }
 
@@ -138,21 +138,21 @@
 			all = append(all, heap.Pop(&c.due).(*Try))
 			continue
 		}
-		all = append(all, c.draw(at))
-		c.next = at + c.gap()
+		all = append(all, c.newTry(at))
+		c.next = at + c.interArrival()
 	}
 	return all
 }
 
-// draw makes the first try of a request.
-func (c *Clients) draw(at Time) *Try {
-	k := &c.spec.Classes[pick(c.rng, len(c.spec.Classes), func(i int) float64 { return c.spec.Classes[i].Share })]
+// newTry makes the first try of a request.
+func (c *Clients) newTry(at Time) *Try {
+	k := &c.spec.Classes[weightedChoice(c.rng, len(c.spec.Classes), func(i int) float64 { return c.spec.Classes[i].Share })]
 	t := &Try{Class: k, At: at, request: &request{first: at, served: -1}}
 	if len(c.spec.Tenants) > 0 {
-		t.Tenant = c.spec.Tenants[pick(c.rng, len(c.spec.Tenants),
+		t.Tenant = c.spec.Tenants[weightedChoice(c.rng, len(c.spec.Tenants),
 			func(i int) float64 { return c.spec.Tenants[i].Share })].Name
 	}
-	t.Work = time.Duration(c.spec.Work * float64(k.Least+time.Duration(c.rng.Int64N(int64(k.Most-k.Least)+1))))
+	t.Work = time.Duration(c.spec.Work * float64(k.MinWork+time.Duration(c.rng.Int64N(int64(k.MaxWork-k.MinWork)+1))))
 	t.ID = c.id()
 	if k.Repeat == Guarded {
 		t.Key = "k-" + t.ID
@@ -173,7 +173,7 @@
 	return min(part, t.request.first+t.Class.Deadline-t.At)
 }
 
-func pick(rng *rand.Rand, n int, share func(int) float64) int {
+func weightedChoice(rng *rand.Rand, n int, share func(int) float64) int {
 	sum := 0.0
 	for i := range n {
 		sum += share(i)
@@ -221,20 +221,20 @@
 	heap.Push(&c.due, &next)
 }
 
-// tries are in order of time, and then of their ids, so that a seed gives the same order each time.
-type tries []*Try
+// tryQueue are in order of time, and then of their ids, so that a seed gives the same order each time.
+type tryQueue []*Try
 
-func (t tries) Len() int { return len(t) }
-func (t tries) Less(i, j int) bool {
+func (t tryQueue) Len() int { return len(t) }
+func (t tryQueue) Less(i, j int) bool {
 	if t[i].At != t[j].At {
 		return t[i].At < t[j].At
 	}
 	return t[i].ID < t[j].ID
 }
-func (t tries) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *tries) Push(x any)   { *t = append(*t, x.(*Try)) }
+func (t tryQueue) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *tryQueue) Push(x any)   { *t = append(*t, x.(*Try)) }
 
-func (t *tries) Pop() any {
+func (t *tryQueue) Pop() any {
 	last := len(*t) - 1
 	x := (*t)[last]
 	(*t)[last] = nil
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -16,78 +16,78 @@
 		Work: 100 * ms}
 }
 
-// Each rule's breach is found, and what is allowed isn't taken for one.
-func TestJudgeFindsEachBreach(t *testing.T) {
-	warm := func(id string) *Box { return NewBox(DefaultBox(id, "a"), 0, 1) }
-	cold := NewBox(DefaultBox("cold", "a"), time.Second, 1)
+// Each rule's violation is found, and what is allowed isn't taken for one.
+func TestCheckerFindsEachViolation(t *testing.T) {
+	warm := func(id string) *Server { return NewServer(DefaultServer(id, "a"), 0, 1) }
+	cold := NewServer(DefaultServer("cold", "a"), time.Second, 1)
 	a, b := warm("a"), warm("b")
 	b.Spec.Cell = 1
 	for _, c := range []struct {
 		name string
-		do   func(j *Judge)
+		do   func(j *Checker)
 		want string // empty for nothing
 	}{
-		{"an answer in time", func(j *Judge) {
+		{"an answer in time", func(j *Checker) {
 			j.Took(0, try("x", Never))
 			j.Arrived(0, "n", "x", a)
 			j.Over("x", "a", false)
 			j.Answer(time.Second, "x", 200)
 		}, ""},
-		{"a late answer", func(j *Judge) { j.Took(0, try("x", Free)); j.Answer(1100*ms, "x", 503) }, "late"},
-		{"two answers", func(j *Judge) {
+		{"a late answer", func(j *Checker) { j.Took(0, try("x", Free)); j.Answer(1100*ms, "x", 503) }, "late"},
+		{"two answers", func(j *Checker) {
 			j.Took(0, try("x", Free))
 			j.Answer(1, "x", 503)
 			j.Answer(2, "x", 503)
 		}, "second final answer"},
-		{"an answer out of nothing", func(j *Judge) { j.Took(0, try("x", Free)); j.Answer(1, "x", 200) }, "no server served"},
-		{"a connection cut off", func(j *Judge) { j.Took(0, try("x", Free)); j.Broke(1, "x", false) }, "no answer"},
-		{"a connection of a killed node", func(j *Judge) { j.Took(0, try("x", Free)); j.Broke(1, "x", true) }, ""},
-		{"a second copy of what must not run twice", func(j *Judge) {
+		{"an answer out of nothing", func(j *Checker) { j.Took(0, try("x", Free)); j.Answer(1, "x", 200) }, "no server served"},
+		{"a connection cut off", func(j *Checker) { j.Took(0, try("x", Free)); j.Broke(1, "x", false) }, "no answer"},
+		{"a connection of a killed node", func(j *Checker) { j.Took(0, try("x", Free)); j.Broke(1, "x", true) }, ""},
+		{"a second copy of what must not run twice", func(j *Checker) {
 			j.Took(0, try("x", Never))
 			j.Arrived(1, "n", "x", a)
 			j.Over("x", "a", false)
 			j.Arrived(2, "n", "x", b)
 		}, "second copy"},
-		{"another try after it was turned away", func(j *Judge) {
+		{"another try after it was turned away", func(j *Checker) {
 			j.Took(0, try("x", Never))
 			j.Arrived(1, "n", "x", a)
 			j.Over("x", "a", true)
 			j.Arrived(2, "n", "x", b)
 		}, ""},
-		{"a repeat in another cell", func(j *Judge) {
+		{"a repeat in another cell", func(j *Checker) {
 			j.Took(0, try("x", Guarded))
 			j.Arrived(1, "n", "x", a)
 			j.Over("x", "a", false)
 			j.Arrived(2, "n", "x", b)
 		}, "outside of the group"},
-		{"a repeat in the same cell", func(j *Judge) {
+		{"a repeat in the same cell", func(j *Checker) {
 			j.Took(0, try("x", Guarded))
 			j.Arrived(1, "n", "x", a)
 			j.Over("x", "a", false)
 			j.Arrived(2, "n", "x", a)
 		}, ""},
-		{"two attempts out", func(j *Judge) {
+		{"two attempts out", func(j *Checker) {
 			j.Took(0, try("x", Free))
 			j.Arrived(1, "n", "x", a)
 			j.Arrived(2, "n", "x", b)
 		}, "is out"},
-		{"refused after it may have run", func(j *Judge) {
+		{"refused after it may have run", func(j *Checker) {
 			j.Took(0, try("x", Never))
 			j.Arrived(1, "n", "x", a)
 			j.Over("x", "a", false)
 			j.Answer(2, "x", 503)
 		}, "refused though"},
-		{"a draining server", func(j *Judge) {
+		{"a draining server", func(j *Checker) {
 			j.Told(0, "n", "a", Draining)
 			j.Took(time.Second, try("x", Free))
 			j.Arrived(2*time.Second, "n", "x", a)
 		}, "which drains"},
-		{"a draining server, told to another node", func(j *Judge) {
+		{"a draining server, told to another node", func(j *Checker) {
 			j.Told(0, "m", "a", Draining)
 			j.Took(time.Second, try("x", Free))
 			j.Arrived(2*time.Second, "n", "x", a)
 		}, ""},
-		{"a cold server", func(j *Judge) {
+		{"a cold server", func(j *Checker) {
 			for i := range 200 {
 				id := fmt.Sprint("x", i)
 				j.Took(time.Second, try(id, Free))
@@ -95,21 +95,21 @@
 			}
 		}, "the cold cold was sent"},
 	} {
-		j := NewJudge(DefaultRules())
+		j := NewChecker(DefaultRules())
 		c.do(j)
-		all, n := j.Breaches()
+		all, n := j.Violations()
 		if got := strings.Join(all, "; "); (c.want == "") != (n == 0) || !strings.Contains(got, c.want) {
-			t.Errorf("%s: %d breaches: %s", c.name, n, got)
+			t.Errorf("%s: %d violations: %s", c.name, n, got)
 		}
 	}
 }
 
-// What a box takes it finishes, once, and never faster than its cores can.
-func TestBoxFinishesWhatItTakes(t *testing.T) {
+// What a server takes it finishes, once, and never faster than its cores can.
+func TestServerFinishesWhatItTakes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		spec := DefaultBox("s", "a")
-		spec.Cores, spec.Room = rapid.IntRange(1, 4).Draw(t, "cores"), rapid.IntRange(1, 20).Draw(t, "room")
-		b := NewBox(spec, Time(rapid.IntRange(0, 3).Draw(t, "started"))*time.Second, 1)
+		spec := DefaultServer("s", "a")
+		spec.Cores, spec.MaxRequests = rapid.IntRange(1, 4).Draw(t, "cores"), rapid.IntRange(1, 20).Draw(t, "room")
+		b := NewServer(spec, Time(rapid.IntRange(0, 3).Draw(t, "started"))*time.Second, 1)
 		var now Time
 		var work time.Duration
 		taken, done := 0, make(map[string]bool)
@@ -125,11 +125,11 @@
 			now += Time(rapid.IntRange(0, 300).Draw(t, "gap")) * ms
 			finish(b.Advance(now))
 			j := Job{ID: fmt.Sprint("j", i), Work: Time(rapid.IntRange(1, 500).Draw(t, "work")) * ms}
-			if b.Offer(now, j) == Taken {
+			if b.Offer(now, j) == Accepted {
 				taken, work = taken+1, work+j.Work
 			}
-			if b.Held() > spec.Room {
-				t.Fatalf("%d held, room for %d", b.Held(), spec.Room)
+			if b.InProgress() > spec.MaxRequests {
+				t.Fatalf("%d held, room for %d", b.InProgress(), spec.MaxRequests)
 			}
 		}
 		end := now
@@ -143,28 +143,28 @@
 	})
 }
 
-// A box that is crowded for long turns slower, and recovers once it has been mostly idle.
-func TestBoxChokes(t *testing.T) {
-	b := NewBox(DefaultBox("s", "a"), 0, 1)
-	for i := range b.Spec.Room {
+// A server that is overloaded for long turns slower, and recovers once it has been mostly idle.
+func TestOverloadedServerSlows(t *testing.T) {
+	b := NewServer(DefaultServer("s", "a"), 0, 1)
+	for i := range b.Spec.MaxRequests {
 		b.Offer(0, Job{ID: fmt.Sprint(i), Work: 10 * time.Second})
 	}
-	b.Advance(b.Spec.ChokeFor)
-	if !b.Choked() {
-		t.Fatal("a crowded box doesn't choke")
+	b.Advance(b.Spec.OverloadAfter)
+	if !b.Slowed() {
+		t.Fatal("an overloaded server isn't slowed")
 	}
 	for at, ok := b.Next(); ok; at, ok = b.Next() {
 		b.Advance(at)
 	}
 	b.Advance(10 * time.Hour)
-	if b.Advance(10*time.Hour + b.Spec.ChokeRest); b.Choked() {
-		t.Error("an idle box stays choked")
+	if b.Advance(10*time.Hour + b.Spec.OverloadRecovery); b.Slowed() {
+		t.Error("an idle server stays slowed")
 	}
 }
 
 // A repeat of a key has no effect for a time; a new key has.
-func TestBoxDropsRepeats(t *testing.T) {
-	b := NewBox(DefaultBox("s", "a"), 0, 1)
+func TestServerDropsRepeats(t *testing.T) {
+	b := NewServer(DefaultServer("s", "a"), 0, 1)
 	var effects []bool
 	for i, key := range []string{"k", "k", "l"} {
 		b.Offer(Time(i)*time.Second, Job{ID: fmt.Sprint(i), Key: key, Work: ms})
--- a/internal/emulator/list.go
+++ b/internal/emulator/list.go
@@ -31,7 +31,7 @@
 	Members  []Entry `json:"members"`
 }
 
-const keptChanges = 1024 // older watches get the whole list
+const maxChanges = 1024 // older watches get the whole list
 
 // List is a stand-in for the platform's list service.
 type List struct {
@@ -54,8 +54,8 @@
 	if l.entries[e.ID] = e; e.Phase == Removed {
 		delete(l.entries, e.ID)
 	}
-	if l.changes = append(l.changes, change{l.revision, e}); len(l.changes) > keptChanges {
-		l.changes = slices.Clone(l.changes[len(l.changes)-keptChanges/2:])
+	if l.changes = append(l.changes, change{l.revision, e}); len(l.changes) > maxChanges {
+		l.changes = slices.Clone(l.changes[len(l.changes)-maxChanges/2:])
 	}
 }
 
--- a/internal/lab/attempts.go
+++ b/internal/lab/attempts.go
@@ -65,13 +65,13 @@
 		return
 	}
 	t := f.request.try
-	w.Judge.Arrived(w.now, n.name, t.ID, b.Box)
+	w.Checker.Arrived(w.now, n.name, t.ID, b.Server)
 	switch b.Offer(w.now, emulator.Job{ID: f.job, Key: t.Key, Work: t.Work}) {
-	case emulator.Turned:
-		w.Judge.Over(t.ID, b.Spec.ID, true)
+	case emulator.Rejected:
+		w.Checker.Over(t.ID, b.Spec.ID, true)
 		w.reply(n, f, way, policy.Full)
 	case emulator.Failed:
-		w.Judge.Over(t.ID, b.Spec.ID, false)
+		w.Checker.Over(t.ID, b.Spec.ID, false)
 		w.reply(n, f, way, policy.ServerError)
 	default:
 		b.attempts[f.job] = f
@@ -97,7 +97,7 @@
 	o := f.request
 	o.attempt = nil
 	if code == policy.TimedOut || code == policy.Cancelled { // what was sent may yet run
-		w.Judge.Over(o.try.ID, f.server.Spec.ID, false)
+		w.Checker.Over(o.try.ID, f.server.Spec.ID, false)
 	}
 	ended := o.answered
 	if code == policy.OK && !ended {
--- a/internal/lab/nodes.go
+++ b/internal/lab/nodes.go
@@ -125,17 +125,17 @@
 	}
 	if n == nil || n.down {
 		w.in(sameZoneLatency, func() { w.endTry(g, t, 0, 0) })
-		w.Judge.TurnedBack(w.now, t.ID, fmt.Errorf("%s: no node", g.zone), true)
+		w.Checker.TurnedBack(w.now, t.ID, fmt.Errorf("%s: no node", g.zone), true)
 		return
 	}
 	o := &request{try: t, node: n, generator: g}
 	n.requests[t.ID] = o
-	w.Judge.Took(w.now, t)
+	w.Checker.Took(w.now, t)
 	w.in(t.Expires, func() {
 		if !o.answered {
 			o.answered = true
 			w.deliver(n, policy.Lapsed{ID: t.ID})
-			w.Judge.Silent(w.now, t.ID)
+			w.Checker.Silent(w.now, t.ID)
 			w.endTry(g, t, 0, 0)
 			w.forget(o)
 		}
@@ -151,7 +151,7 @@
 		return
 	}
 	o.answered = true
-	w.Judge.Answer(w.now, id, status)
+	w.Checker.Answer(w.now, id, status)
 	w.endTry(o.generator, o.try, status, wait)
 	w.forget(o)
 }
@@ -188,7 +188,7 @@
 		for _, id := range slices.Sorted(maps.Keys(n.requests)) {
 			o := n.requests[id]
 			o.answered = true
-			w.Judge.Broke(w.now, o.try.ID, true)
+			w.Checker.Broke(w.now, o.try.ID, true)
 			w.endTry(o.generator, o.try, 0, 0)
 		}
 		clear(n.requests)
--- a/internal/lab/outcome.go
+++ b/internal/lab/outcome.go
@@ -58,7 +58,7 @@
 const maxMarks = 2000
 
 // NewOutcome makes an empty one, for whoever plays a scenario that begins at a time of its own clock.
-func NewOutcome(s Scenario, boxes []emulator.BoxSpec, classes []emulator.Class, origin time.Duration) *Outcome {
+func NewOutcome(s Scenario, boxes []emulator.ServerSpec, classes []emulator.Class, origin time.Duration) *Outcome {
 	o := &Outcome{Classes: make(map[string]Sum), Cores: make(map[string]float64), Sends: make(map[string]map[string]int),
 		classValues: make(map[string]float64)}
 	o.origin = origin
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -229,14 +229,14 @@
 }
 
 // ServerSpecs are the servers of a scenario, their speeds drawn from a seed.
-func (s Scenario) ServerSpecs(seed uint64) (all []emulator.BoxSpec) {
+func (s Scenario) ServerSpecs(seed uint64) (all []emulator.ServerSpec) {
 	rng := rand.New(rand.NewPCG(seed, 0xb0e5))
 	for at, z := range s.Zones {
 		for i := range z.Servers {
-			spec := emulator.DefaultBox(fmt.Sprintf("%s-%02d", z.Name, i), z.Name)
+			spec := emulator.DefaultServer(fmt.Sprintf("%s-%02d", z.Name, i), z.Name)
 			spec.Cell = int64(100*at + i/4)
 			if i%5 == 1 || i%5 == 3 { // two in five, in every zone
-				spec.Kind, spec.Cores, spec.Room = "small-box", 5, 56
+				spec.Kind, spec.Cores, spec.MaxRequests = "small-box", 5, 56
 				spec.Speed = 0.77 + 0.23*rng.Float64()
 			} else {
 				spec.Speed = 1.5 + 0.6*rng.Float64()
@@ -264,7 +264,7 @@
 }
 
 // ApplyTo makes a server that is affected fail or slow, or ends that; other faults don't.
-func (f Fault) ApplyTo(b *emulator.BoxFault, on bool) {
+func (f Fault) ApplyTo(b *emulator.ServerFault, on bool) {
 	switch f.Kind {
 	case Errors:
 		if b.Errors = 0; on {
@@ -302,7 +302,7 @@
 }
 
 // Affected are those of the servers that a fault is about.
-func (f Fault) Affected(boxes []emulator.BoxSpec) (all []emulator.BoxSpec) {
+func (f Fault) Affected(boxes []emulator.ServerSpec) (all []emulator.ServerSpec) {
 	for _, b := range boxes {
 		if f.Zone == "" || b.Zone == f.Zone {
 			all = append(all, b)
--- a/internal/lab/servers.go
+++ b/internal/lab/servers.go
@@ -10,7 +10,7 @@
 )
 
 type server struct {
-	*emulator.Box
+	*emulator.Server
 	attempts map[string]*attempt // by job
 	seed     uint64
 	epoch    int // of its process
@@ -26,10 +26,10 @@
 	load emulator.Report
 }
 
-func (w *World) addServers(specs []emulator.BoxSpec, seed uint64) {
+func (w *World) addServers(specs []emulator.ServerSpec, seed uint64) {
 	for i, spec := range specs {
 		b := &server{attempts: make(map[string]*attempt), seed: seed*1000 + uint64(i), phase: emulator.Up}
-		b.Box = emulator.NewBox(spec, 0, b.seed)
+		b.Server = emulator.NewServer(spec, 0, b.seed)
 		w.servers, w.serversByID[spec.ID] = append(w.servers, b), b
 	}
 }
@@ -49,7 +49,7 @@
 			f := b.attempts[d.ID]
 			delete(b.attempts, d.ID)
 			if f != nil && !f.finished {
-				w.Judge.Over(f.request.try.ID, b.Spec.ID, false)
+				w.Checker.Over(f.request.try.ID, b.Spec.ID, false)
 				w.reply(f.request.node, f, latencyBetween(f.request.node.zone, b.Spec.Zone), policy.OK)
 			}
 		}
@@ -99,7 +99,7 @@
 			var news []policy.Member
 			for _, b := range servers {
 				news = append(news, b.member())
-				w.Judge.Told(w.now, n.name, b.Spec.ID, b.phase)
+				w.Checker.Told(w.now, n.name, b.Spec.ID, b.phase)
 			}
 			w.deliver(n, policy.MemberList{Kind: policy.ListUpdate, Members: news})
 		})
@@ -143,7 +143,7 @@
 	}
 	for _, job := range slices.Sorted(maps.Keys(b.attempts)) { // in one order, for a seed's run to be one
 		f := b.attempts[job]
-		w.Judge.Over(f.request.try.ID, b.Spec.ID, false)
+		w.Checker.Over(f.request.try.ID, b.Spec.ID, false)
 		w.in(latencyBetween(f.request.node.zone, b.Spec.Zone), func() { w.finish(f, policy.Reset, nil) })
 	}
 	w.restart(b, b.Started())
@@ -151,6 +151,6 @@
 
 func (w *World) restart(b *server, started time.Duration) {
 	b.epoch++
-	b.Box = emulator.NewBox(b.Spec, started, b.seed+uint64(b.epoch))
+	b.Server = emulator.NewServer(b.Spec, started, b.seed+uint64(b.epoch))
 	b.attempts, b.reports = make(map[string]*attempt), nil
 }
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -22,7 +22,7 @@
 // World is a scenario under way. It is not safe for concurrent use, and the same for the same seed.
 type World struct {
 	Scenario
-	Judge *emulator.Judge
+	Checker *emulator.Checker
 
 	now         time.Duration
 	queue       eventQueue
@@ -47,7 +47,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	w := &World{Scenario: s, Judge: emulator.NewJudge(emulator.DefaultRules()), now: origin, seed: seed,
+	w := &World{Scenario: s, Checker: emulator.NewChecker(emulator.DefaultRules()), now: origin, seed: seed,
 		rng: rand.New(rand.NewPCG(seed, 0x1ab)), serversByID: make(map[string]*server), classes: emulator.Classes()}
 	servers := s.ServerSpecs(seed)
 	w.outcome = NewOutcome(s, servers, w.classes, origin)
@@ -77,7 +77,7 @@
 		w.now = e.at
 		e.run()
 	}
-	breaches, n := w.Judge.Breaches()
+	breaches, n := w.Checker.Violations()
 	w.outcome.Broken, w.outcome.BrokenRules = n, append([]string{}, breaches...)
 	return w.outcome
 }
@@ -108,8 +108,8 @@
 		if b.lost || b.silent {
 			continue
 		}
-		cores, held = cores+b.Spec.Cores, held+min(b.Held(), b.Spec.Cores)
-		if b.Choked() {
+		cores, held = cores+b.Spec.Cores, held+min(b.InProgress(), b.Spec.Cores)
+		if b.Slowed() {
 			s.Choked++
 		}
 	}
--- a/internal/rig/demo.go
+++ b/internal/rig/demo.go
@@ -81,9 +81,9 @@
 )
 
 func (p *play) start(ctx context.Context, r *Rig) error {
-	var boxes []emulator.BoxSpec
+	var boxes []emulator.ServerSpec
 	for i := range demoBoxes {
-		spec := emulator.DefaultBox(fmt.Sprintf("s-%d", i), demoZones[i%len(demoZones)])
+		spec := emulator.DefaultServer(fmt.Sprintf("s-%d", i), demoZones[i%len(demoZones)])
 		spec.Cell = int64(i % len(demoZones)) // numbered through all zones
 		boxes = append(boxes, spec)
 	}
@@ -115,7 +115,7 @@
 // run plays the troubles, and shows each second how it goes.
 func (p *play) run(ctx context.Context) error {
 	victim, ill := p.fleet.Names[1], "s-4"
-	box := func(f emulator.BoxFault) func() error {
+	box := func(f emulator.ServerFault) func() error {
 		return func() error {
 			p.w.Look(func() { p.w.Box(ill).Fault = f })
 			return nil
@@ -127,9 +127,9 @@
 		do   func() error
 	}{
 		{p.For / 4, victim + " is killed", func() error { p.fleet.Nodes[victim].Kill(); return nil }},
-		{p.For / 3, ill + " fails seven of ten", box(emulator.BoxFault{Errors: 0.7})},
+		{p.For / 3, ill + " fails seven of ten", box(emulator.ServerFault{Errors: 0.7})},
 		{p.For / 2, victim + " is back", func() error { return p.fleet.Start(ctx, victim) }},
-		{p.For * 2 / 3, ill + " is well again", box(emulator.BoxFault{})},
+		{p.For * 2 / 3, ill + " is well again", box(emulator.ServerFault{})},
 	}
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
@@ -180,7 +180,7 @@
 			t.AppendRow(table.Row{name, s.Asked, fmt.Sprintf("%.1f%%", 100*float64(s.InTime)/float64(max(1, s.Asked))), s.Late,
 				s.Unserved})
 		}
-		broken, count = p.w.Judge.Breaches()
+		broken, count = p.w.Judge.Violations()
 		broken = slices.Clone(broken)
 	})
 	t.Render()
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -42,7 +42,7 @@
 }
 
 // startTrial starts a fleet among these boxes, with nobody asking yet.
-func startTrial(t *testing.T, spec FleetSpec, boxes []emulator.BoxSpec) *trial {
+func startTrial(t *testing.T, spec FleetSpec, boxes []emulator.ServerSpec) *trial {
 	t.Helper()
 	r, ctx := newRig(t)
 	w := r.NewWorld(*seed, boxes...)
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -58,20 +58,20 @@
 func quick() []emulator.Class {
 	const ms = time.Millisecond
 	return []emulator.Class{
-		{Name: "read", Share: 2, Least: 4 * ms, Most: 12 * ms, Aim: 1500 * ms, Deadline: 1500 * ms, Worth: 1,
+		{Name: "read", Share: 2, MinWork: 4 * ms, MaxWork: 12 * ms, Aim: 1500 * ms, Deadline: 1500 * ms, Worth: 1,
 			Repeat: emulator.Free},
-		{Name: "order", Share: 1, Least: 4 * ms, Most: 12 * ms, Aim: 1500 * ms, Deadline: 1500 * ms, Worth: 2,
+		{Name: "order", Share: 1, MinWork: 4 * ms, MaxWork: 12 * ms, Aim: 1500 * ms, Deadline: 1500 * ms, Worth: 2,
 			Repeat: emulator.Guarded, Window: 12 * time.Second},
-		{Name: "charge", Share: 1, Least: 4 * ms, Most: 12 * ms, Aim: 1500 * ms, Deadline: 1500 * ms, Worth: 5,
+		{Name: "charge", Share: 1, MinWork: 4 * ms, MaxWork: 12 * ms, Aim: 1500 * ms, Deadline: 1500 * ms, Worth: 5,
 			Repeat: emulator.Never},
 	}
 }
 
 var tenants = []emulator.Tenant{{Name: "east", Share: 0.6}, {Name: "west", Share: 0.4}}
 
-func boxes(n int, zones ...string) (all []emulator.BoxSpec) {
+func boxes(n int, zones ...string) (all []emulator.ServerSpec) {
 	for i := range n {
-		spec := emulator.DefaultBox(fmt.Sprintf("s-%02d", i), zones[i%len(zones)])
+		spec := emulator.DefaultServer(fmt.Sprintf("s-%02d", i), zones[i%len(zones)])
 		spec.Cell = int64(i % len(zones)) // numbered through all zones
 		all = append(all, spec)
 	}
@@ -93,7 +93,7 @@
 func (w *World) clean(t *testing.T) {
 	t.Helper()
 	w.Look(func() {
-		if all, n := w.Judge.Breaches(); n > 0 {
+		if all, n := w.Judge.Violations(); n > 0 {
 			t.Errorf("%d rules broken: %q", n, all)
 		}
 		if len(w.Judge.TurnedWhy) > 0 {
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -20,7 +20,7 @@
 	lab.Scenario
 	w     *World
 	fleet *Fleet
-	boxes []emulator.BoxSpec
+	boxes []emulator.ServerSpec
 	loads map[string][]*Load // by zone
 	near  map[string][]*Node
 	from  emulator.Time
@@ -136,7 +136,7 @@
 func (p *scene) strike(ctx context.Context, f lab.Fault, on bool) error {
 	struck := f.Affected(p.boxes)
 	p.mark(f, struck, on)
-	hit := func(_ string, b emulator.BoxSpec) bool { return slices.Contains(struck, b) }
+	hit := func(_ string, b emulator.ServerSpec) bool { return slices.Contains(struck, b) }
 	switch f.Kind {
 	case lab.Lost, lab.Cold:
 		p.paths(hit, Faults{Reset: on}, Faults{Reset: on})
@@ -148,7 +148,7 @@
 	case lab.Mute:
 		p.paths(hit, Faults{}, Faults{Cut: on})
 	case lab.Partition:
-		parted := func(zone string, b emulator.BoxSpec) bool { return f.Separates(zone, b.Zone) }
+		parted := func(zone string, b emulator.ServerSpec) bool { return f.Separates(zone, b.Zone) }
 		p.paths(parted, Faults{Cut: on}, Faults{Cut: on})
 	case lab.Vanish:
 		p.w.relist(struck, map[bool]string{true: emulator.Removed, false: emulator.Up}[on])
@@ -165,7 +165,7 @@
 }
 
 // mark books that a fault begins or ends, and makes the boxes that it strikes fail or slow.
-func (p *scene) mark(f lab.Fault, struck []emulator.BoxSpec, on bool) {
+func (p *scene) mark(f lab.Fault, struck []emulator.ServerSpec, on bool) {
 	p.w.mu.Lock()
 	defer p.w.mu.Unlock()
 	p.w.book.Mark(p.w.now(), "", f.Describe(on))
@@ -188,7 +188,7 @@
 }
 
 // paths sets what is wrong there and back between the nodes of zones and the boxes that are hit.
-func (p *scene) paths(hit func(zone string, b emulator.BoxSpec) bool, there, back Faults) {
+func (p *scene) paths(hit func(zone string, b emulator.ServerSpec) bool, there, back Faults) {
 	for zone, nodes := range p.near {
 		for _, n := range nodes {
 			for _, b := range p.boxes {
@@ -202,17 +202,17 @@
 }
 
 // restart has new, cold processes in the place of boxes, and the list say so.
-func (p *scene) restart(boxes []emulator.BoxSpec) {
+func (p *scene) restart(boxes []emulator.ServerSpec) {
 	p.w.Look(func() {
 		for _, spec := range boxes {
 			b := p.w.boxes[spec.ID]
-			b.Box = emulator.NewBox(spec, p.w.now(), p.w.seed+uint64(len(spec.ID)))
+			b.Server = emulator.NewServer(spec, p.w.now(), p.w.seed+uint64(len(spec.ID)))
 		}
 	})
 	p.w.relist(boxes, emulator.Up)
 }
 
-func (p *scene) drain(ctx context.Context, boxes []emulator.BoxSpec, on bool) error {
+func (p *scene) drain(ctx context.Context, boxes []emulator.ServerSpec, on bool) error {
 	if !on {
 		p.restart(boxes)
 		return nil
@@ -261,7 +261,7 @@
 			}
 		}
 	}
-	broken, n := p.w.Judge.Breaches()
+	broken, n := p.w.Judge.Violations()
 	o.Broken, o.BrokenRules = n, append([]string{}, broken...)
 	return o
 }
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -28,7 +28,7 @@
 // World is what nodes live among, on sockets: app boxes, the list of them, clients behind a front, and the
 // judge. Its parts are the emulator's; the world gives them the time and carries bytes.
 type World struct {
-	Judge *emulator.Judge // hold the lock of Look while reading
+	Judge *emulator.Checker // hold the lock of Look while reading
 
 	rig   *Rig
 	start time.Time
@@ -50,14 +50,14 @@
 }
 
 type box struct {
-	*emulator.Box
+	*emulator.Server
 	wake  chan struct{}
 	waits map[string]chan emulator.Done // by request
 }
 
 // NewWorld makes a world with these boxes, all of them warm and in the list.
-func (r *Rig) NewWorld(seed uint64, specs ...emulator.BoxSpec) *World {
-	w := &World{Judge: emulator.NewJudge(emulator.DefaultRules()), rig: r, start: time.Now().Add(-time.Hour),
+func (r *Rig) NewWorld(seed uint64, specs ...emulator.ServerSpec) *World {
+	w := &World{Judge: emulator.NewChecker(emulator.DefaultRules()), rig: r, start: time.Now().Add(-time.Hour),
 		seed: seed, list: emulator.NewList(), boxes: make(map[string]*box), changed: make(chan struct{}),
 		sent: make(map[[2]string]int)}
 	w.ctx, w.end = context.WithCancel(context.Background())
@@ -77,8 +77,8 @@
 // now is the world's clock. It begins at an hour, so that no moment of a run is 0, which stands for long ago.
 func (w *World) now() emulator.Time { return time.Since(w.start) }
 
-func (w *World) addBox(spec emulator.BoxSpec, started emulator.Time) {
-	b := &box{Box: emulator.NewBox(spec, started, w.seed+uint64(len(w.boxes))), wake: make(chan struct{}, 1),
+func (w *World) addBox(spec emulator.ServerSpec, started emulator.Time) {
+	b := &box{Server: emulator.NewServer(spec, started, w.seed+uint64(len(w.boxes))), wake: make(chan struct{}, 1),
 		waits: make(map[string]chan emulator.Done)}
 	w.boxes[spec.ID] = b
 	w.list.Set(w.entry(b, emulator.Up))
@@ -93,7 +93,7 @@
 }
 
 // Box is one of the boxes; read and change it within Look.
-func (w *World) Box(id string) *emulator.Box { return w.boxes[id].Box }
+func (w *World) Box(id string) *emulator.Server { return w.boxes[id].Server }
 
 // Sent counts the attempts of a node that have reached boxes of a zone.
 func (w *World) Sent(node, zone string) int {
@@ -111,25 +111,25 @@
 }
 
 // Zone does something to each box of a zone.
-func (w *World) Zone(zone string, do func(b *emulator.Box)) {
+func (w *World) Zone(zone string, do func(b *emulator.Server)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, b := range w.boxes {
 		if b.Spec.Zone == zone {
-			do(b.Box)
+			do(b.Server)
 		}
 	}
 }
 
 // Vanish takes the boxes of a zone out of the list in one change, without a word of draining, or puts them back.
 func (w *World) Vanish(zone string, on bool) {
-	var all []emulator.BoxSpec
-	w.Zone(zone, func(b *emulator.Box) { all = append(all, b.Spec) })
+	var all []emulator.ServerSpec
+	w.Zone(zone, func(b *emulator.Server) { all = append(all, b.Spec) })
 	w.relist(all, map[bool]string{true: emulator.Removed, false: emulator.Up}[on])
 }
 
 // relist changes what the list says of boxes, all at once, and tells all watches.
-func (w *World) relist(boxes []emulator.BoxSpec, phase string) {
+func (w *World) relist(boxes []emulator.ServerSpec, phase string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, spec := range boxes {
@@ -152,9 +152,9 @@
 
 // Phase changes what the list says of a box, and tells all watches.
 func (w *World) Phase(id, phase string) {
-	var spec emulator.BoxSpec
+	var spec emulator.ServerSpec
 	w.Look(func() { spec = w.boxes[id].Spec })
-	w.relist([]emulator.BoxSpec{spec}, phase)
+	w.relist([]emulator.ServerSpec{spec}, phase)
 }
 
 // work finishes a box's jobs when they are due.
@@ -296,22 +296,22 @@
 		reply := make(chan emulator.Done, 1)
 		w.mu.Lock()
 		now := w.now()
-		w.Judge.Arrived(now, node, id, b.Box)
+		w.Judge.Arrived(now, node, id, b.Server)
 		w.sent[[2]string{node, b.Spec.Zone}]++
 		if w.book != nil {
 			w.book.Sent(now, r.Header.Get("X-Class"), zone, b.Spec.Zone)
 		}
 		verdict := b.Offer(now, emulator.Job{ID: id, Key: r.Header.Get("Idempotency-Key"), Work: work})
-		if verdict == emulator.Taken {
+		if verdict == emulator.Accepted {
 			b.waits[id] = reply
 		} else { // the answer is on its way: whoever sends again has it
-			w.Judge.Over(id, b.Spec.ID, verdict == emulator.Turned)
+			w.Judge.Over(id, b.Spec.ID, verdict == emulator.Rejected)
 		}
 		load := b.Load(now)
 		w.mu.Unlock()
 		rw.Header().Set("X-Load", fmt.Sprintf("latency_ms=%.1f,util=%.3f,qps=%.1f", load.LatencyMs, load.Util, load.QPS))
 		switch verdict {
-		case emulator.Turned:
+		case emulator.Rejected:
 			rw.Header().Set("X-Not-Run", "1")
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/internal/rig/zones_test.go
+++ b/internal/rig/zones_test.go
@@ -88,8 +88,8 @@
 	if n := x.crossing(); n > 0 {
 		t.Errorf("%d attempts crossed at rest", n)
 	}
-	fault := func(f emulator.BoxFault) {
-		x.w.Zone("a", func(b *emulator.Box) { b.Fault = f })
+	fault := func(f emulator.ServerFault) {
+		x.w.Zone("a", func(b *emulator.Server) { b.Fault = f })
 	}
 	cut := func(on bool) {
 		for i := range 12 {
@@ -107,7 +107,7 @@
 		on, off func()
 		back    string // how it is to be held again: the second return takes four times as long
 	}{
-		{"half of the requests fail", func() { fault(emulator.BoxFault{Errors: 0.5}) }, func() { fault(emulator.BoxFault{}) }, "well"},
+		{"half of the requests fail", func() { fault(emulator.ServerFault{Errors: 0.5}) }, func() { fault(emulator.ServerFault{}) }, "well"},
 		{"nothing passes, and nothing is told", func() { cut(true) }, func() { cut(false) }, "returning"},
 	} {
 		trouble.on()
