Split the rig's world by concern

Need: internal/rig/world.go had 540 lines: servers, the list, clients behind a front, and a node's settings. Change: a file for each, declarations moved as they were.

--- /dev/null
+++ b/internal/rig/clients.go
@@ -0,0 +1,188 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"sloerail/internal/emulator"
+)
+
+// Clients sends what these clients ask to the nodes of a front, and returns once the last try has ended.
+func (w *World) Clients(name string, spec emulator.ClientSpec, nodes ...*Node) *Load {
+	w.mu.Lock()
+	spec.Until += w.now()
+	l := &Load{w: w, clients: emulator.NewClients(name, spec, w.now(), w.seed), done: make(chan struct{}),
+		wake: make(chan struct{}, 1)}
+	w.mu.Unlock()
+	for _, n := range nodes {
+		l.doors = append(l.doors, &door{node: n, up: true})
+	}
+	l.zone = nodes[0].Spec.zone()
+	for _, d := range l.doors {
+		w.parts.Go(func() { l.follow(d) })
+	}
+	w.parts.Go(l.run)
+	return l
+}
+
+// Load is clients at work.
+type Load struct {
+	w       *World
+	zone    string // of the nodes that they ask first
+	clients *emulator.Clients
+	doors   []*door
+	wake    chan struct{}
+	done    chan struct{}
+	turn    int
+
+	open     int // tries
+	notReady int // answers to the front that a node doesn't take clients
+}
+
+// Wait waits until the clients' time is over and their last try has ended.
+func (l *Load) Wait(ctx context.Context) error {
+	select {
+	case <-l.done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("the clients are not done: %w", ctx.Err())
+	}
+}
+
+// NotReady is how often a node told the front that it takes no clients.
+func (l *Load) NotReady() int {
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	return l.notReady
+}
+
+// Sums tells what became of the requests so far, in all.
+func (l *Load) Sums() (all emulator.Sums) {
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	for _, s := range l.clients.Sums {
+		all.Asked += s.Asked
+		all.InTime += s.InTime
+		all.Late += s.Late
+		all.Unserved += s.Unserved
+		all.Refusals += s.Refusals
+	}
+	return all
+}
+
+func (l *Load) run() {
+	defer close(l.done)
+	w := l.w
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		w.mu.Lock()
+		for _, t := range l.clients.Take(w.now()) {
+			if w.open >= maxOpen {
+				w.skipped++
+				l.clients.Ended(w.now(), t, 0, 0)
+				continue
+			}
+			w.open++
+			l.open++
+			if w.book != nil && t.Number == 0 {
+				w.book.Ask(l.zone, t)
+			}
+			d := l.choose()
+			w.trying.Go(func() { l.try(t, d) })
+		}
+		at, ok := l.clients.Next()
+		open := l.open
+		w.mu.Unlock()
+		if !ok && open == 0 {
+			return
+		}
+		if ok {
+			timer.Reset(at - w.now())
+		}
+		select {
+		case <-timer.C:
+		case <-l.wake:
+		case <-w.ctx.Done():
+			return
+		}
+	}
+}
+
+// choose takes the doors that are up in turn; the world's lock is held.
+func (l *Load) choose() *door {
+	for range l.doors {
+		l.turn++
+		if d := l.doors[l.turn%len(l.doors)]; d.up {
+			return d
+		}
+	}
+	return l.doors[l.turn%len(l.doors)]
+}
+
+// door is the way to one node, with the connections that are open and unused.
+type door struct {
+	node *Node
+	up   bool // by the world's lock
+
+	mu   sync.Mutex
+	idle []*wire
+}
+
+// follow asks a node whether it takes clients, as a front does.
+func (l *Load) follow(d *door) {
+	fails := 0
+	for wait(l.w.ctx, frontLook) == nil {
+		err := Get(l.w.ctx, d.node.Listen, "/health/ready", nil)
+		if fails++; err == nil {
+			fails = 0
+		}
+		var status statusError
+		if errors.As(err, &status) {
+			l.w.mu.Lock()
+			l.notReady++
+			l.w.mu.Unlock()
+		}
+		l.w.mu.Lock()
+		d.up = fails < frontFails
+		l.w.mu.Unlock()
+	}
+}
+
+// try sends one try and tells the clients and the judge what came of it.
+func (l *Load) try(t *emulator.Try, d *door) {
+	w := l.w
+	began := time.Now()
+	status, retryAfter, err := d.exchange(t, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.Judge.Took(w.now(), t)
+	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open--
+	l.open--
+	now := w.now()
+	switch {
+	case err == nil:
+		w.Judge.Answer(now, t.ID, status)
+	case errors.Is(err, errNoConnection) || errors.Is(err, errCrossed):
+		w.Judge.TurnedBack(now, t.ID, fmt.Errorf("%s: %w", d.node.Spec.Name, err), d.node.killedSince(began))
+	case isTimeout(err):
+		w.Judge.Silent(now, t.ID)
+	case w.ctx.Err() == nil:
+		w.Judge.Broke(now, t.ID, d.node.killedSince(began))
+	}
+	before := *l.clients.Sums[t.Class.Name]
+	l.clients.Ended(now, t, status, retryAfter)
+	if w.book != nil {
+		w.book.Ended(t, before, *l.clients.Sums[t.Class.Name])
+	}
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/rig/servers.go
@@ -0,0 +1,132 @@
+package rig
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"sloerail/internal/emulator"
+)
+
+type box struct {
+	*emulator.Server
+	wake  chan struct{}
+	waits map[string]chan emulator.Done // by request
+}
+
+func (w *World) addBox(spec emulator.ServerSpec, started emulator.Time) {
+	b := &box{Server: emulator.NewServer(spec, started, w.seed+uint64(len(w.boxes))), wake: make(chan struct{}, 1),
+		waits: make(map[string]chan emulator.Done)}
+	w.boxes[spec.ID] = b
+	w.list.Set(w.entry(b, emulator.Up))
+	w.parts.Go(func() { w.work(b) })
+}
+
+// Box is one of the boxes; read and change it within Look.
+func (w *World) Box(id string) *emulator.Server { return w.boxes[id].Server }
+
+// Sent counts the attempts of a node that have reached boxes of a zone.
+func (w *World) Sent(node, zone string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent[[2]string{node, zone}]
+}
+
+// Zone does something to each box of a zone.
+func (w *World) Zone(zone string, do func(b *emulator.Server)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, b := range w.boxes {
+		if b.Spec.Zone == zone {
+			do(b.Server)
+		}
+	}
+}
+
+// work finishes a box's jobs when they are due.
+func (w *World) work(b *box) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		w.mu.Lock()
+		for _, d := range b.Advance(w.now()) {
+			if reply := b.waits[d.ID]; reply != nil {
+				reply <- d
+				delete(b.waits, d.ID)
+			}
+		}
+		at, ok := b.Next()
+		w.mu.Unlock()
+		if ok {
+			timer.Reset(at - w.now())
+		}
+		select {
+		case <-timer.C:
+		case <-b.wake:
+		case <-w.ctx.Done():
+			return
+		}
+	}
+}
+
+// boxHandler is an app box as one node sees it.
+func (w *World) boxHandler(node, zone string, b *box) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Request-Id")
+		if id == "" {
+			http.NotFound(rw, r)
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		work, err := time.ParseDuration(r.URL.Query().Get("work"))
+		if err != nil {
+			http.Error(rw, "work: want a duration", http.StatusBadRequest)
+			return
+		}
+		reply := make(chan emulator.Done, 1)
+		w.mu.Lock()
+		now := w.now()
+		w.Judge.Arrived(now, node, id, b.Server)
+		w.sent[[2]string{node, b.Spec.Zone}]++
+		if w.book != nil {
+			w.book.Sent(now, r.Header.Get("X-Class"), zone, b.Spec.Zone)
+		}
+		verdict := b.Offer(now, emulator.Job{ID: id, Key: r.Header.Get("Idempotency-Key"), Work: work})
+		if verdict == emulator.Accepted {
+			b.waits[id] = reply
+		} else { // the answer is on its way: whoever sends again has it
+			w.Judge.Over(id, b.Spec.ID, verdict == emulator.Rejected)
+		}
+		load := b.Load(now)
+		w.mu.Unlock()
+		rw.Header().Set("X-Load", fmt.Sprintf("latency_ms=%.1f,util=%.3f,qps=%.1f", load.LatencyMs, load.Util, load.QPS))
+		switch verdict {
+		case emulator.Rejected:
+			rw.Header().Set("X-Not-Run", "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case emulator.Failed:
+			rw.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		select {
+		case b.wake <- struct{}{}:
+		default:
+		}
+		select {
+		case <-reply:
+			w.mu.Lock()
+			w.Judge.Over(id, b.Spec.ID, false)
+			w.mu.Unlock()
+			_, _ = io.WriteString(rw, "served "+id)
+		case <-r.Context().Done():
+			w.mu.Lock()
+			w.Judge.Over(id, b.Spec.ID, false)
+			w.mu.Unlock()
+		case <-w.ctx.Done():
+		}
+	})
+}
