Shorten the rig's handler of a server

Change: offering an attempt and waiting for its end are functions of their own; the end of an attempt is booked in one place, where it stood twice. No behaviour changes.

--- a/internal/rig/servers.go
+++ b/internal/rig/servers.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// boxHandler is an app box as one node sees it.
+// boxHandler is a server as one node sees it.
 func (w *World) boxHandler(node, zone string, b *box) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get("X-Request-Id")
@@ -86,47 +86,60 @@
 			http.Error(rw, "work: want a duration", http.StatusBadRequest)
 			return
 		}
-		reply := make(chan emulator.Done, 1)
-		w.mu.Lock()
-		now := w.now()
-		w.Judge.Arrived(now, node, id, b.Server)
-		w.sent[[2]string{node, b.Spec.Zone}]++
-		if w.book != nil {
-			w.book.Sent(now, r.Header.Get("X-Class"), zone, b.Spec.Zone)
-		}
-		verdict := b.Offer(now, emulator.Job{ID: id, Key: r.Header.Get("Idempotency-Key"), Work: work})
-		if verdict == emulator.Accepted {
-			b.waits[id] = reply
-		} else { // the answer is on its way: whoever sends again has it
-			w.Judge.Over(id, b.Spec.ID, verdict == emulator.Rejected)
-		}
-		load := b.Load(now)
-		w.mu.Unlock()
+		job := emulator.Job{ID: id, Key: r.Header.Get("Idempotency-Key"), Work: work}
+		verdict, load, done := w.offer(node, zone, r.Header.Get("X-Class"), b, job)
 		rw.Header().Set("X-Load", fmt.Sprintf("latency_ms=%.1f,util=%.3f,qps=%.1f", load.LatencyMs, load.Util, load.QPS))
 		switch verdict {
 		case emulator.Rejected:
 			rw.Header().Set("X-Not-Run", "1")
 			rw.WriteHeader(http.StatusServiceUnavailable)
-			return
 		case emulator.Failed:
 			rw.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		select {
-		case b.wake <- struct{}{}:
 		default:
-		}
-		select {
-		case <-reply:
-			w.mu.Lock()
-			w.Judge.Over(id, b.Spec.ID, false)
-			w.mu.Unlock()
-			_, _ = io.WriteString(rw, "served "+id)
-		case <-r.Context().Done():
-			w.mu.Lock()
-			w.Judge.Over(id, b.Spec.ID, false)
-			w.mu.Unlock()
-		case <-w.ctx.Done():
+			w.awaitDone(rw, r, b, id, done)
 		}
 	})
 }
+
+// offer hands a server an attempt that has come, and books it. What is done with it comes on the channel.
+func (w *World) offer(node, zone, class string, b *box, job emulator.Job) (emulator.Verdict, emulator.Report, <-chan emulator.Done) {
+	done := make(chan emulator.Done, 1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.now()
+	w.Judge.Arrived(now, node, job.ID, b.Server)
+	w.sent[[2]string{node, b.Spec.Zone}]++
+	if w.book != nil {
+		w.book.Sent(now, class, zone, b.Spec.Zone)
+	}
+	verdict := b.Offer(now, job)
+	if verdict == emulator.Accepted {
+		b.waits[job.ID] = done
+	} else { // the answer is on its way: whoever sends again has it
+		w.Judge.Over(job.ID, b.Spec.ID, verdict == emulator.Rejected)
+	}
+	return verdict, b.Load(now), done
+}
+
+// awaitDone answers a request once its server has finished it.
+func (w *World) awaitDone(rw http.ResponseWriter, r *http.Request, b *box, id string, done <-chan emulator.Done) {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case <-done:
+		w.attemptOver(b, id)
+		_, _ = io.WriteString(rw, "served "+id)
+	case <-r.Context().Done():
+		w.attemptOver(b, id)
+	case <-w.ctx.Done():
+	}
+}
+
+// attemptOver books the end of an attempt that may have run.
+func (w *World) attemptOver(b *box, id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Judge.Over(id, b.Spec.ID, false)
+}
