Name the rig's parts by the glossary

Change: server, backend, clientConn, demoRun, scenarioRun, applyFault, checkHealth, track, untrack, relayStream and copyStream, and others. Names that internal/scale or the test of scoped lists use stay (World.Judge, World.boxes, World.serve, World.boxHandler, World.Look).

--- a/internal/rig/clients.go
+++ b/internal/rig/clients.go
@@ -11,39 +11,39 @@
 )
 
 // Clients sends what these clients ask to the nodes of a front, and returns once the last try has ended.
-func (w *World) Clients(name string, spec emulator.ClientSpec, nodes ...*Node) *Load {
+func (w *World) Clients(name string, spec emulator.ClientSpec, nodes ...*Node) *LoadGenerator {
 	w.mu.Lock()
 	spec.Until += w.now()
-	l := &Load{w: w, clients: emulator.NewClients(name, spec, w.now(), w.seed), done: make(chan struct{}),
+	l := &LoadGenerator{w: w, clients: emulator.NewClients(name, spec, w.now(), w.seed), done: make(chan struct{}),
 		wake: make(chan struct{}, 1)}
 	w.mu.Unlock()
 	for _, n := range nodes {
-		l.doors = append(l.doors, &door{node: n, up: true})
+		l.backends = append(l.backends, &backend{node: n, healthy: true})
 	}
 	l.zone = nodes[0].Spec.zone()
-	for _, d := range l.doors {
-		w.parts.Go(func() { l.follow(d) })
+	for _, d := range l.backends {
+		w.parts.Go(func() { l.checkHealth(d) })
 	}
 	w.parts.Go(l.run)
 	return l
 }
 
-// Load is clients at work.
-type Load struct {
-	w       *World
-	zone    string // of the nodes that they ask first
-	clients *emulator.Clients
-	doors   []*door
-	wake    chan struct{}
-	done    chan struct{}
-	turn    int
+// LoadGenerator is clients at work.
+type LoadGenerator struct {
+	w           *World
+	zone        string // of the nodes that they ask first
+	clients     *emulator.Clients
+	backends    []*backend
+	wake        chan struct{}
+	done        chan struct{}
+	nextBackend int
 
 	open     int // tries
 	notReady int // answers to the front that a node doesn't take clients
 }
 
 // Wait waits until the clients' time is over and their last try has ended.
-func (l *Load) Wait(ctx context.Context) error {
+func (l *LoadGenerator) Wait(ctx context.Context) error {
 	select {
 	case <-l.done:
 		return nil
@@ -53,14 +53,14 @@
 }
 
 // NotReady is how often a node told the front that it takes no clients.
-func (l *Load) NotReady() int {
+func (l *LoadGenerator) NotReady() int {
 	l.w.mu.Lock()
 	defer l.w.mu.Unlock()
 	return l.notReady
 }
 
 // Sums tells what became of the requests so far, in all.
-func (l *Load) Sums() (all emulator.Sums) {
+func (l *LoadGenerator) Sums() (all emulator.Sums) {
 	l.w.mu.Lock()
 	defer l.w.mu.Unlock()
 	for _, s := range l.clients.Sums {
@@ -73,7 +73,7 @@
 	return all
 }
 
-func (l *Load) run() {
+func (l *LoadGenerator) run() {
 	defer close(l.done)
 	w := l.w
 	timer := time.NewTimer(0)
@@ -81,18 +81,18 @@
 	for {
 		w.mu.Lock()
 		for _, t := range l.clients.Take(w.now()) {
-			if w.open >= maxOpen {
+			if w.open >= maxOpenTries {
 				w.skipped++
 				l.clients.Ended(w.now(), t, 0, 0)
 				continue
 			}
 			w.open++
 			l.open++
-			if w.book != nil && t.Number == 0 {
-				w.book.Ask(l.zone, t)
+			if w.outcome != nil && t.Number == 0 {
+				w.outcome.Ask(l.zone, t)
 			}
-			d := l.choose()
-			w.trying.Go(func() { l.try(t, d) })
+			d := l.pickBackend()
+			w.trying.Go(func() { l.send(t, d) })
 		}
 		at, ok := l.clients.Next()
 		open := l.open
@@ -112,30 +112,30 @@
 	}
 }
 
-// choose takes the doors that are up in turn; the world's lock is held.
-func (l *Load) choose() *door {
-	for range l.doors {
-		l.turn++
-		if d := l.doors[l.turn%len(l.doors)]; d.up {
+// pickBackend takes the backends that are up in turn; the world's lock is held.
+func (l *LoadGenerator) pickBackend() *backend {
+	for range l.backends {
+		l.nextBackend++
+		if d := l.backends[l.nextBackend%len(l.backends)]; d.healthy {
 			return d
 		}
 	}
-	return l.doors[l.turn%len(l.doors)]
+	return l.backends[l.nextBackend%len(l.backends)]
 }
 
-// door is the way to one node, with the connections that are open and unused.
-type door struct {
-	node *Node
-	up   bool // by the world's lock
+// backend is the way to one node, with the connections that are open and unused.
+type backend struct {
+	node    *Node
+	healthy bool // by the world's lock
 
 	mu   sync.Mutex
-	idle []*wire
+	idle []*clientConn
 }
 
-// follow asks a node whether it takes clients, as a front does.
-func (l *Load) follow(d *door) {
+// checkHealth asks a node whether it takes clients, as a front does.
+func (l *LoadGenerator) checkHealth(d *backend) {
 	fails := 0
-	for wait(l.w.ctx, frontLook) == nil {
+	for wait(l.w.ctx, healthInterval) == nil {
 		err := Get(l.w.ctx, d.node.Listen, "/health/ready", nil)
 		if fails++; err == nil {
 			fails = 0
@@ -147,13 +147,13 @@
 			l.w.mu.Unlock()
 		}
 		l.w.mu.Lock()
-		d.up = fails < frontFails
+		d.healthy = fails < unhealthyAfter
 		l.w.mu.Unlock()
 	}
 }
 
-// try sends one try and tells the clients and the judge what came of it.
-func (l *Load) try(t *emulator.Try, d *door) {
+// send sends one try and tells the clients and the checker what came of it.
+func (l *LoadGenerator) send(t *emulator.Try, d *backend) {
 	w := l.w
 	began := time.Now()
 	status, retryAfter, err := d.exchange(t, func() {
@@ -169,7 +169,7 @@
 	switch {
 	case err == nil:
 		w.Judge.Answer(now, t.ID, status)
-	case errors.Is(err, errNoConnection) || errors.Is(err, errCrossed):
+	case errors.Is(err, errNoConnection) || errors.Is(err, errEndedUnanswered):
 		w.Judge.TurnedBack(now, t.ID, fmt.Errorf("%s: %w", d.node.Spec.Name, err), d.node.killedSince(began))
 	case isTimeout(err):
 		w.Judge.Silent(now, t.ID)
@@ -178,8 +178,8 @@
 	}
 	before := *l.clients.Sums[t.Class.Name]
 	l.clients.Ended(now, t, status, retryAfter)
-	if w.book != nil {
-		w.book.Ended(t, before, *l.clients.Sums[t.Class.Name])
+	if w.outcome != nil {
+		w.outcome.Ended(t, before, *l.clients.Sums[t.Class.Name])
 	}
 	select {
 	case l.wake <- struct{}{}:
--- a/internal/rig/demo.go
+++ b/internal/rig/demo.go
@@ -33,8 +33,8 @@
 	return nil
 }
 
-// Demo plays the main job on loopback: a fleet of real nodes between stand-in clients and app boxes of three
-// zones, the death and return of a node and the trouble of a box on the way. It writes what happens as it goes,
+// Demo plays the main job on loopback: a fleet of real nodes between stand-in clients and servers of three
+// zones, the death and return of a node and the fault of a server on the way. It writes what happens as it goes,
 // and a table at the end; the error says what was broken.
 func Demo(ctx context.Context, out io.Writer, d DemoSpec) (err error) {
 	dir, err := os.MkdirTemp("", "sloerail-demo-")
@@ -53,44 +53,44 @@
 	if _, err := Build(nodeProgram); err != nil {
 		return err
 	}
-	p := &play{DemoSpec: d, out: text}
+	p := &demoRun{DemoSpec: d, out: text}
 	if err := p.start(ctx, r); err != nil {
 		return err
 	}
 	if err := p.run(ctx); err != nil {
 		return err
 	}
-	return p.tell()
+	return p.printResult()
 }
 
-// play is a demo under way.
-type play struct {
+// demoRun is a demo under way.
+type demoRun struct {
 	DemoSpec
 	out   *output.Printer
-	w     *World
+	world *World
 	fleet *Fleet
-	load  *Load
+	load  *LoadGenerator
 	began time.Time
 }
 
 var demoZones = []string{"a", "b", "c"}
 
 const (
-	demoBoxes = 9
-	demoRate  = 60 // requests a second: about half of what the boxes can do
+	demoServers = 9
+	demoRate    = 60 // requests a second: about half of what the servers can do
 )
 
-func (p *play) start(ctx context.Context, r *Rig) error {
-	var boxes []emulator.ServerSpec
-	for i := range demoBoxes {
+func (p *demoRun) start(ctx context.Context, r *Rig) error {
+	var servers []emulator.ServerSpec
+	for i := range demoServers {
 		spec := emulator.DefaultServer(fmt.Sprintf("s-%d", i), demoZones[i%len(demoZones)])
 		spec.Cell = int64(i % len(demoZones)) // numbered through all zones
-		boxes = append(boxes, spec)
+		servers = append(servers, spec)
 	}
 	tenants := []emulator.Tenant{{Name: "east", Share: 0.6}, {Name: "west", Share: 0.4}}
-	p.w = r.NewWorld(p.Seed, boxes...)
+	p.world = r.NewWorld(p.Seed, servers...)
 	var err error
-	p.fleet, err = p.w.NewFleet(FleetSpec{Nodes: p.Nodes, Zones: demoZones, Classes: emulator.Classes(), Tenants: tenants,
+	p.fleet, err = p.world.NewFleet(FleetSpec{Nodes: p.Nodes, Zones: demoZones, Classes: emulator.Classes(), Tenants: tenants,
 		Quota: 4 * demoRate})
 	if err != nil {
 		return err
@@ -103,25 +103,25 @@
 		nodes = append(nodes, p.fleet.Nodes[name])
 	}
 	p.began = time.Now()
-	p.load = p.w.Clients("c", emulator.ClientSpec{Rate: demoRate, Classes: emulator.Classes(), Tenants: tenants, Tries: 3,
+	p.load = p.world.Clients("c", emulator.ClientSpec{Rate: demoRate, Classes: emulator.Classes(), Tenants: tenants, Tries: 3,
 		Wait: 50 * time.Millisecond, Until: p.For}, nodes...)
 	return nil
 }
 
-func (p *play) say(format string, args ...any) {
+func (p *demoRun) printf(format string, args ...any) {
 	p.out.Printf("%5.1f s  "+format+"\n", append([]any{time.Since(p.began).Seconds()}, args...)...)
 }
 
-// run plays the troubles, and shows each second how it goes.
-func (p *play) run(ctx context.Context) error {
+// run plays the faults, and shows each second how it goes.
+func (p *demoRun) run(ctx context.Context) error {
 	victim, ill := p.fleet.Names[1], "s-4"
 	box := func(f emulator.ServerFault) func() error {
 		return func() error {
-			p.w.Look(func() { p.w.Box(ill).Fault = f })
+			p.world.Look(func() { p.world.Server(ill).Fault = f })
 			return nil
 		}
 	}
-	troubles := []struct {
+	faults := []struct {
 		at   time.Duration
 		what string
 		do   func() error
@@ -133,30 +133,30 @@
 	}
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
-	for len(troubles) > 0 || time.Since(p.began) < p.For {
+	for len(faults) > 0 || time.Since(p.began) < p.For {
 		next := p.For
-		if len(troubles) > 0 {
-			next = troubles[0].at
+		if len(faults) > 0 {
+			next = faults[0].at
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(time.Until(p.began.Add(next))):
-			if len(troubles) > 0 {
-				p.say("%s", troubles[0].what)
-				if err := troubles[0].do(); err != nil {
+			if len(faults) > 0 {
+				p.printf("%s", faults[0].what)
+				if err := faults[0].do(); err != nil {
 					return err
 				}
-				troubles = troubles[1:]
+				faults = faults[1:]
 			}
 		case <-tick.C:
-			p.show(ctx)
+			p.printStatus(ctx)
 		}
 	}
 	return p.load.Wait(ctx)
 }
 
-func (p *play) show(ctx context.Context) {
+func (p *demoRun) printStatus(ctx context.Context) {
 	heard := ""
 	for _, name := range p.fleet.Names {
 		if v, err := p.fleet.View(ctx, name); err == nil {
@@ -166,21 +166,21 @@
 		}
 	}
 	s := p.load.Sums()
-	p.say("asked %d, served in time %d, late %d, refused tries %d;%s", s.Asked, s.InTime, s.Late, s.Refusals, heard)
+	p.printf("asked %d, served in time %d, late %d, refused tries %d;%s", s.Asked, s.InTime, s.Late, s.Refusals, heard)
 }
 
-// tell shows what came of each class, and says which rules were broken.
-func (p *play) tell() error {
+// printResult shows what came of each class, and says which rules were broken.
+func (p *demoRun) printResult() error {
 	t := output.NewTable(p.out, "class", "asked", "served in time", "late", "not served")
 	var broken []string
 	var count int
-	p.w.Look(func() {
+	p.world.Look(func() {
 		for _, name := range slices.Sorted(maps.Keys(p.load.clients.Sums)) {
 			s := p.load.clients.Sums[name]
 			t.AppendRow(table.Row{name, s.Asked, fmt.Sprintf("%.1f%%", 100*float64(s.InTime)/float64(max(1, s.Asked))), s.Late,
 				s.Unserved})
 		}
-		broken, count = p.w.Judge.Violations()
+		broken, count = p.world.Judge.Violations()
 		broken = slices.Clone(broken)
 	})
 	t.Render()
--- a/internal/rig/discovery_test.go
+++ b/internal/rig/discovery_test.go
@@ -16,7 +16,7 @@
 	"sloerail/internal/registry"
 )
 
-// listServers puts the boxes of a world into a list service, each by an agent, until the returned function ends
+// listServers puts the servers of a world into a list service, each by an agent, until the returned function ends
 // one or all. The node reaches them at the addresses that the list has.
 func listServers(t *testing.T, w *World, g *Registry, node string) (drop func(id string)) {
 	t.Helper()
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -23,7 +23,7 @@
 	*Fleet
 	w     *World
 	ctx   context.Context
-	loads []*Load
+	loads []*LoadGenerator
 }
 
 func newTrial(t *testing.T, n int, spec FleetSpec, rate float64) *trial {
@@ -41,7 +41,7 @@
 	return x
 }
 
-// startTrial starts a fleet among these boxes, with nobody asking yet.
+// startTrial starts a fleet among these servers, with nobody asking yet.
 func startTrial(t *testing.T, spec FleetSpec, boxes []emulator.ServerSpec) *trial {
 	t.Helper()
 	r, ctx := newRig(t)
@@ -104,7 +104,7 @@
 	}
 }
 
-// One fleet of seven lives through one trouble after the other, under load.
+// One fleet of seven lives through one fault after the other, under load.
 func TestFleetThroughTroubles(t *testing.T) { //nolint:gocyclo // a table of steps, each of which is a short function
 	x := newTrial(t, 7, FleetSpec{}, 120)
 	others := x.Without("n03")
@@ -330,7 +330,7 @@
 		t.Fatal(err)
 	}
 	load := w.Clients("c", emulator.ClientSpec{Rate: 50, Classes: quick(), Tenants: tenants, Until: time.Hour}, f.Nodes["n03"])
-	x.loads = []*Load{load}
+	x.loads = []*LoadGenerator{load}
 	x.agree("n03")
 	stop := make(chan struct{})
 	done := make(chan struct{})
--- a/internal/rig/link.go
+++ b/internal/rig/link.go
@@ -85,8 +85,8 @@
 	return f.Latency + time.Duration(l.rng.Int64N(int64(f.Jitter)))
 }
 
-// keep has close end c; it tells whether there is still time for that.
-func (l *links) keep(c io.Closer) bool {
+// track has close end c; it tells whether there is still time for that.
+func (l *links) track(c io.Closer) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -97,7 +97,7 @@
 	return true
 }
 
-func (l *links) drop(c io.Closer) {
+func (l *links) untrack(c io.Closer) {
 	l.mu.Lock()
 	delete(l.all, c)
 	l.mu.Unlock()
@@ -114,7 +114,7 @@
 	l.open.Wait()
 }
 
-func (l *links) over() bool {
+func (l *links) isClosed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.closed
@@ -133,7 +133,7 @@
 
 // relay carries the streams that come at ln.
 func (l *links) relay(ln net.Listener, from func(net.Addr) string, to, address string) {
-	if !l.keep(ln) {
+	if !l.track(ln) {
 		return
 	}
 	l.open.Go(func() {
@@ -151,25 +151,25 @@
 			}
 			l.open.Go(func() {
 				defer func() { <-places }()
-				l.carry(conn.(*net.TCPConn), pair{from(conn.RemoteAddr()), to}, address)
+				l.relayStream(conn.(*net.TCPConn), pair{from(conn.RemoteAddr()), to}, address)
 			})
 		}
 	})
 }
 
-// carry passes one stream on. Over a cut path its opening waits, silently; the caller's time limits see to
+// relayStream passes one stream on. Over a cut path its opening waits, silently; the caller's time limits see to
 // the rest.
-func (l *links) carry(in *net.TCPConn, p pair, address string) {
-	if !l.keep(in) {
+func (l *links) relayStream(in *net.TCPConn, p pair, address string) {
+	if !l.track(in) {
 		return
 	}
-	defer l.drop(in)
+	defer l.untrack(in)
 	f := l.at(p)
 	if f.Reset || l.chance(f.Loss) || l.chance(l.at(p.back()).Loss) {
 		_ = in.SetLinger(0)
 		return
 	}
-	if !l.pass(p) || !l.pass(p.back()) {
+	if !l.waitWhileCut(p) || !l.waitWhileCut(p.back()) {
 		return
 	}
 	conn, err := net.Dial("tcp", address)
@@ -178,22 +178,22 @@
 		return
 	}
 	out := conn.(*net.TCPConn)
-	if !l.keep(out) {
+	if !l.track(out) {
 		return
 	}
-	defer l.drop(out)
+	defer l.untrack(out)
 	var both sync.WaitGroup
-	both.Go(func() { l.flow(out, in, p) })
-	both.Go(func() { l.flow(in, out, p.back()) })
+	both.Go(func() { l.copyStream(out, in, p) })
+	both.Go(func() { l.copyStream(in, out, p.back()) })
 	both.Wait()
 }
 
 func (p pair) back() pair { return pair{p.to, p.from} }
 
-// pass waits until the path isn't cut; it tells whether there is still a rig.
-func (l *links) pass(p pair) bool {
+// waitWhileCut waits until the path isn't cut; it tells whether there is still a rig.
+func (l *links) waitWhileCut(p pair) bool {
 	for l.at(p).Cut {
-		if l.over() {
+		if l.isClosed() {
 			return false
 		}
 		time.Sleep(silenceLook)
@@ -201,8 +201,8 @@
 	return true
 }
 
-// flow copies one direction of a stream, with what is wrong with its path.
-func (l *links) flow(to, from *net.TCPConn, p pair) {
+// copyStream copies one direction of a stream, with what is wrong with its path.
+func (l *links) copyStream(to, from *net.TCPConn, p pair) {
 	block := make([]byte, streamBlock)
 	for {
 		n, err := from.Read(block)
@@ -215,7 +215,7 @@
 			return
 		}
 		time.Sleep(l.delay(f) + f.takes(n))
-		if !l.pass(p) {
+		if !l.waitWhileCut(p) {
 			return
 		}
 		if n > 0 {
@@ -293,7 +293,7 @@
 
 // datagrams passes on what comes at conn.
 func (l *links) datagrams(conn *net.UDPConn, from func(net.Addr) string, to string, target *net.UDPAddr) {
-	if !l.keep(conn) {
+	if !l.track(conn) {
 		return
 	}
 	l.open.Go(func() {
--- a/internal/rig/list.go
+++ b/internal/rig/list.go
@@ -10,18 +10,18 @@
 	"sloerail/internal/emulator"
 )
 
-// Vanish takes the boxes of a zone out of the list in one change, without a word of draining, or puts them back.
-func (w *World) Vanish(zone string, on bool) {
+// Unlist takes the servers of a zone out of the list in one change, without a word of draining, or puts them back.
+func (w *World) Unlist(zone string, on bool) {
 	var all []emulator.ServerSpec
-	w.Zone(zone, func(b *emulator.Server) { all = append(all, b.Spec) })
-	w.relist(all, map[bool]string{true: emulator.Removed, false: emulator.Up}[on])
+	w.EachInZone(zone, func(b *emulator.Server) { all = append(all, b.Spec) })
+	w.updateList(all, map[bool]string{true: emulator.Removed, false: emulator.Up}[on])
 }
 
-// relist changes what the list says of boxes, all at once, and tells all watches.
-func (w *World) relist(boxes []emulator.ServerSpec, phase string) {
+// updateList changes what the list says of servers, all at once, and tells all watches.
+func (w *World) updateList(servers []emulator.ServerSpec, phase string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, spec := range boxes {
+	for _, spec := range servers {
 		b := w.boxes[spec.ID]
 		b.Draining = phase == emulator.Draining
 		w.list.Set(w.entry(b, phase))
@@ -30,8 +30,8 @@
 	w.changed = make(chan struct{})
 }
 
-// entry is a box in the form of the list.
-func (w *World) entry(b *box, phase string) emulator.Entry {
+// entry is a server in the form of the list.
+func (w *World) entry(b *server, phase string) emulator.Entry {
 	e := emulator.Entry{ID: b.Spec.ID, Locality: b.Spec.Zone, Flavor: b.Spec.Kind, Cell: b.Spec.Cell, Phase: phase, Size: 1}
 	if started := b.Started(); started > 0 {
 		e.UpSince = w.start.Add(started).UnixMilli()
@@ -39,22 +39,22 @@
 	return e
 }
 
-// Phase changes what the list says of a box, and tells all watches.
+// Phase changes what the list says of a server, and tells all watches.
 func (w *World) Phase(id, phase string) {
 	var spec emulator.ServerSpec
 	w.Look(func() { spec = w.boxes[id].Spec })
-	w.relist([]emulator.ServerSpec{spec}, phase)
+	w.updateList([]emulator.ServerSpec{spec}, phase)
 }
 
-// Calls are when nodes called for the list since a time, in order.
-func (w *World) Calls(since time.Time) []time.Time {
+// ListCalls are when nodes called for the list since a time, in order.
+func (w *World) ListCalls(since time.Time) []time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	i, _ := slices.BinarySearchFunc(w.calls, since, time.Time.Compare)
-	return slices.Clone(w.calls[i:])
+	i, _ := slices.BinarySearchFunc(w.listCalls, since, time.Time.Compare)
+	return slices.Clone(w.listCalls[i:])
 }
 
-func seenBy(a emulator.Answer, addrs map[string]string) emulator.Answer {
+func withAddresses(a emulator.Answer, addrs map[string]string) emulator.Answer {
 	for i := range a.Members {
 		a.Members[i].HostPort = addrs[a.Members[i].ID]
 	}
@@ -67,10 +67,10 @@
 		index, err := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
 		watch := err == nil
 		ms, _ := strconv.ParseInt(r.URL.Query().Get("wait"), 10, 64)
-		until := time.After(min(mostWatch, time.Duration(ms)*time.Millisecond))
+		until := time.After(min(maxWatch, time.Duration(ms)*time.Millisecond))
 		w.mu.Lock()
-		if w.calls = append(w.calls, time.Now()); len(w.calls) > maxCalls {
-			w.calls = slices.Clone(w.calls[maxCalls/2:])
+		if w.listCalls = append(w.listCalls, time.Now()); len(w.listCalls) > maxCalls {
+			w.listCalls = slices.Clone(w.listCalls[maxCalls/2:])
 		}
 		w.mu.Unlock()
 		var a emulator.Answer
@@ -93,7 +93,7 @@
 			}
 		}
 		rw.Header().Set("Content-Type", "application/json")
-		if json.NewEncoder(rw).Encode(seenBy(a, addrs)) != nil {
+		if json.NewEncoder(rw).Encode(withAddresses(a, addrs)) != nil {
 			return
 		}
 		w.mu.Lock()
--- a/internal/rig/measure_test.go
+++ b/internal/rig/measure_test.go
@@ -308,7 +308,7 @@
 			back := time.Now()
 			link(Faults{})
 			_ = wait(x.ctx, 10*time.Second)
-			calls := x.w.Calls(back)
+			calls := x.w.ListCalls(back)
 			most, last := 0, time.Duration(0)
 			for i := range calls {
 				n := 0
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -50,7 +50,7 @@
 	rig    *Rig
 	dir    string
 
-	trouble sync.Mutex // held by a schedule's fault of its processes
+	faultLock sync.Mutex // held by a schedule's fault of its processes
 
 	mu    sync.Mutex
 	procs []*Process // newest last
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -12,35 +12,35 @@
 	"sloerail/internal/lab"
 )
 
-// drainsFor is how long a box that drains stays in the list.
-const drainsFor = 5 * time.Second
+// drainTime is how long a server that drains stays in the list.
+const drainTime = 5 * time.Second
 
-// scene is a scenario under way, with real nodes.
-type scene struct {
+// scenarioRun is a scenario under way, with real nodes.
+type scenarioRun struct {
 	lab.Scenario
-	w     *World
-	fleet *Fleet
-	boxes []emulator.ServerSpec
-	loads map[string][]*Load // by zone
-	near  map[string][]*Node
-	from  emulator.Time
+	world   *World
+	fleet   *Fleet
+	servers []emulator.ServerSpec
+	loads   map[string][]*LoadGenerator // by zone
+	near    map[string][]*Node
+	from    emulator.Time
 }
 
 // PlayScenario plays a scenario of the lab with real nodes in real time, and returns what came of it. Its zones have
 // to hold equally many nodes.
 func (r *Rig) PlayScenario(ctx context.Context, s lab.Scenario, seed uint64) (*lab.Outcome, error) {
-	p := &scene{Scenario: s, boxes: s.ServerSpecs(seed), loads: make(map[string][]*Load), near: make(map[string][]*Node)}
-	p.w = r.NewWorld(seed, p.boxes...)
+	p := &scenarioRun{Scenario: s, servers: s.ServerSpecs(seed), loads: make(map[string][]*LoadGenerator), near: make(map[string][]*Node)}
+	p.world = r.NewWorld(seed, p.servers...)
 	if err := p.start(ctx); err != nil {
 		return nil, err
 	}
-	p.w.Look(func() {
-		p.from = p.w.now()
-		p.w.book = lab.NewOutcome(s, p.boxes, emulator.Classes(), p.from)
+	p.world.Look(func() {
+		p.from = p.world.now()
+		p.world.outcome = lab.NewOutcome(s, p.servers, emulator.Classes(), p.from)
 	})
 	began := time.Now()
 	for _, z := range s.Zones {
-		p.come(z.Name, 1, s.For.Duration)
+		p.addClients(z.Name, 1, s.For.Duration)
 	}
 	if err := p.play(ctx, began); err != nil {
 		return nil, err
@@ -52,10 +52,10 @@
 			}
 		}
 	}
-	return p.end(began), nil
+	return p.result(began), nil
 }
 
-func (p *scene) start(ctx context.Context) error {
+func (p *scenarioRun) start(ctx context.Context) error {
 	spec := FleetSpec{Classes: emulator.Classes(), Tenants: p.Tenants(), EaseLists: true}
 	regions, only := make(map[string][]string), make(map[string][]string)
 	for _, z := range p.Zones {
@@ -74,7 +74,7 @@
 		spec.Places = map[string]any{"regions": regions, "only": only}
 	}
 	var err error
-	if p.fleet, err = p.w.NewFleet(spec); err != nil {
+	if p.fleet, err = p.world.NewFleet(spec); err != nil {
 		return err
 	}
 	for i, name := range p.fleet.Names {
@@ -88,15 +88,15 @@
 	return err
 }
 
-// come has clients near a zone ask so many times as much, for a time.
-func (p *scene) come(zone string, times float64, until time.Duration) {
+// addClients has clients near a zone ask so many times as much, for a time.
+func (p *scenarioRun) addClients(zone string, times float64, until time.Duration) {
 	spec := p.Clients(len(p.near[zone]), until)
 	spec.Rate *= times
-	p.loads[zone] = append(p.loads[zone], p.w.Clients(fmt.Sprintf("%s%d", zone, len(p.loads[zone])), spec, p.near[zone]...))
+	p.loads[zone] = append(p.loads[zone], p.world.Clients(fmt.Sprintf("%s%d", zone, len(p.loads[zone])), spec, p.near[zone]...))
 }
 
 // play carries out the faults in order, and returns when the clients' time is over.
-func (p *scene) play(ctx context.Context, began time.Time) error {
+func (p *scenarioRun) play(ctx context.Context, began time.Time) error {
 	type turn struct {
 		at time.Duration
 		f  lab.Fault
@@ -117,7 +117,7 @@
 				failed <- err
 				return
 			}
-			failed <- p.strike(ctx, t.f, t.on)
+			failed <- p.applyFault(ctx, t.f, t.on)
 		}()
 	}
 	var first error
@@ -132,30 +132,30 @@
 	return wait(ctx, time.Until(began.Add(p.For.Duration)))
 }
 
-// strike begins a fault, or ends it.
-func (p *scene) strike(ctx context.Context, f lab.Fault, on bool) error {
-	struck := f.Affected(p.boxes)
-	p.mark(f, struck, on)
-	hit := func(_ string, b emulator.ServerSpec) bool { return slices.Contains(struck, b) }
+// applyFault begins a fault, or ends it.
+func (p *scenarioRun) applyFault(ctx context.Context, f lab.Fault, on bool) error {
+	affected := f.Affected(p.servers)
+	p.recordFault(f, affected, on)
+	hit := func(_ string, b emulator.ServerSpec) bool { return slices.Contains(affected, b) }
 	switch f.Kind {
 	case lab.Lost, lab.Cold:
-		p.paths(hit, Faults{Reset: on}, Faults{Reset: on})
+		p.setLinks(hit, Faults{Reset: on}, Faults{Reset: on})
 		if f.Kind == lab.Cold && !on {
-			p.restart(struck)
+			p.restart(affected)
 		}
 	case lab.Silent:
-		p.paths(hit, Faults{Cut: on}, Faults{Cut: on})
+		p.setLinks(hit, Faults{Cut: on}, Faults{Cut: on})
 	case lab.Mute:
-		p.paths(hit, Faults{}, Faults{Cut: on})
+		p.setLinks(hit, Faults{}, Faults{Cut: on})
 	case lab.Partition:
 		parted := func(zone string, b emulator.ServerSpec) bool { return f.Separates(zone, b.Zone) }
-		p.paths(parted, Faults{Cut: on}, Faults{Cut: on})
+		p.setLinks(parted, Faults{Cut: on}, Faults{Cut: on})
 	case lab.Vanish:
-		p.w.relist(struck, map[bool]string{true: emulator.Removed, false: emulator.Up}[on])
+		p.world.updateList(affected, map[bool]string{true: emulator.Removed, false: emulator.Up}[on])
 	case lab.Drain:
-		return p.drain(ctx, struck, on)
+		return p.drain(ctx, affected, on)
 	case lab.Nodes:
-		return p.nodes(ctx, f.Zone, on)
+		return p.setNodesDown(ctx, f.Zone, on)
 	case lab.Load:
 		if on {
 			p.addLoad(f)
@@ -164,69 +164,69 @@
 	return nil
 }
 
-// mark books that a fault begins or ends, and makes the boxes that it strikes fail or slow.
-func (p *scene) mark(f lab.Fault, struck []emulator.ServerSpec, on bool) {
-	p.w.mu.Lock()
-	defer p.w.mu.Unlock()
-	p.w.book.Mark(p.w.now(), "", f.Describe(on))
-	for _, spec := range struck {
-		b := p.w.boxes[spec.ID]
+// recordFault books that a fault begins or ends, and makes the servers that it strikes fail or slow.
+func (p *scenarioRun) recordFault(f lab.Fault, affected []emulator.ServerSpec, on bool) {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	p.world.outcome.Mark(p.world.now(), "", f.Describe(on))
+	for _, spec := range affected {
+		b := p.world.boxes[spec.ID]
 		if on {
-			p.w.book.Interrupted += len(b.waits)
+			p.world.outcome.Interrupted += len(b.waits)
 		}
 		f.ApplyTo(&b.Fault, on)
 	}
 }
 
 // addLoad has clients come beside those that ask anyway.
-func (p *scene) addLoad(f lab.Fault) {
+func (p *scenarioRun) addLoad(f lab.Fault) {
 	for _, z := range p.Zones {
 		if f.Zone == "" || f.Zone == z.Name {
-			p.come(z.Name, f.Factor-1, f.For.Duration)
+			p.addClients(z.Name, f.Factor-1, f.For.Duration)
 		}
 	}
 }
 
-// paths sets what is wrong there and back between the nodes of zones and the boxes that are hit.
-func (p *scene) paths(hit func(zone string, b emulator.ServerSpec) bool, there, back Faults) {
+// setLinks sets what is wrong there and back between the nodes of zones and the servers that are hit.
+func (p *scenarioRun) setLinks(hit func(zone string, b emulator.ServerSpec) bool, there, back Faults) {
 	for zone, nodes := range p.near {
 		for _, n := range nodes {
-			for _, b := range p.boxes {
+			for _, b := range p.servers {
 				if hit(zone, b) {
-					p.w.rig.SetLink(n.Spec.Name, b.ID, there)
-					p.w.rig.SetLink(b.ID, n.Spec.Name, back)
+					p.world.rig.SetLink(n.Spec.Name, b.ID, there)
+					p.world.rig.SetLink(b.ID, n.Spec.Name, back)
 				}
 			}
 		}
 	}
 }
 
-// restart has new, cold processes in the place of boxes, and the list say so.
-func (p *scene) restart(boxes []emulator.ServerSpec) {
-	p.w.Look(func() {
-		for _, spec := range boxes {
-			b := p.w.boxes[spec.ID]
-			b.Server = emulator.NewServer(spec, p.w.now(), p.w.seed+uint64(len(spec.ID)))
+// restart has new, cold processes in the place of servers, and the list say so.
+func (p *scenarioRun) restart(servers []emulator.ServerSpec) {
+	p.world.Look(func() {
+		for _, spec := range servers {
+			b := p.world.boxes[spec.ID]
+			b.Server = emulator.NewServer(spec, p.world.now(), p.world.seed+uint64(len(spec.ID)))
 		}
 	})
-	p.w.relist(boxes, emulator.Up)
+	p.world.updateList(servers, emulator.Up)
 }
 
-func (p *scene) drain(ctx context.Context, boxes []emulator.ServerSpec, on bool) error {
+func (p *scenarioRun) drain(ctx context.Context, servers []emulator.ServerSpec, on bool) error {
 	if !on {
-		p.restart(boxes)
+		p.restart(servers)
 		return nil
 	}
-	p.w.relist(boxes, emulator.Draining)
-	if err := wait(ctx, drainsFor); err != nil {
+	p.world.updateList(servers, emulator.Draining)
+	if err := wait(ctx, drainTime); err != nil {
 		return err
 	}
-	p.w.relist(boxes, emulator.Removed)
+	p.world.updateList(servers, emulator.Removed)
 	return nil
 }
 
-// nodes kills the nodes of a zone, or starts them again.
-func (p *scene) nodes(ctx context.Context, zone string, on bool) error {
+// setNodesDown kills the nodes of a zone, or starts them again.
+func (p *scenarioRun) setNodesDown(ctx context.Context, zone string, on bool) error {
 	var names []string
 	for _, n := range p.near[zone] {
 		if names = append(names, n.Spec.Name); on {
@@ -239,19 +239,19 @@
 	return p.fleet.Start(ctx, names...)
 }
 
-// said is a line of a node's log on a place.
-var said = regexp.MustCompile(`^time=(\S+) .*msg="(place [^"]*)"`)
+// placeLogLine is a line of a node's log on a place.
+var placeLogLine = regexp.MustCompile(`^time=(\S+) .*msg="(place [^"]*)"`)
 
-// end reads what the nodes said of places, and what rules were broken.
-func (p *scene) end(began time.Time) *lab.Outcome {
-	p.w.mu.Lock()
-	defer p.w.mu.Unlock()
-	o := p.w.book
-	p.w.book = nil
+// result reads what the nodes said of places, and what rules were broken.
+func (p *scenarioRun) result(began time.Time) *lab.Outcome {
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
+	o := p.world.outcome
+	p.world.outcome = nil
 	for _, name := range p.fleet.Names {
 		for _, proc := range p.fleet.Nodes[name].Processes() {
 			for line := range strings.Lines(proc.Log()) {
-				m := said.FindStringSubmatch(line)
+				m := placeLogLine.FindStringSubmatch(line)
 				if m == nil {
 					continue
 				}
@@ -261,7 +261,7 @@
 			}
 		}
 	}
-	broken, n := p.w.Judge.Violations()
+	broken, n := p.world.Judge.Violations()
 	o.Broken, o.BrokenRules = n, append([]string{}, broken...)
 	return o
 }
--- a/internal/rig/schedule.go
+++ b/internal/rig/schedule.go
@@ -146,8 +146,8 @@
 }
 
 func (r *Rig) process(ctx context.Context, step Step, n *Node) error {
-	n.trouble.Lock() // one trouble of its processes at a time
-	defer n.trouble.Unlock()
+	n.faultLock.Lock() // one fault of its processes at a time
+	defer n.faultLock.Unlock()
 	switch step.Do {
 	case Kill:
 		n.Kill()
--- a/internal/rig/servers.go
+++ b/internal/rig/servers.go
@@ -9,32 +9,32 @@
 	"sloerail/internal/emulator"
 )
 
-type box struct {
+type server struct {
 	*emulator.Server
 	wake  chan struct{}
 	waits map[string]chan emulator.Done // by request
 }
 
-func (w *World) addBox(spec emulator.ServerSpec, started emulator.Time) {
-	b := &box{Server: emulator.NewServer(spec, started, w.seed+uint64(len(w.boxes))), wake: make(chan struct{}, 1),
+func (w *World) addServer(spec emulator.ServerSpec, started emulator.Time) {
+	b := &server{Server: emulator.NewServer(spec, started, w.seed+uint64(len(w.boxes))), wake: make(chan struct{}, 1),
 		waits: make(map[string]chan emulator.Done)}
 	w.boxes[spec.ID] = b
 	w.list.Set(w.entry(b, emulator.Up))
-	w.parts.Go(func() { w.work(b) })
+	w.parts.Go(func() { w.runServer(b) })
 }
 
-// Box is one of the boxes; read and change it within Look.
-func (w *World) Box(id string) *emulator.Server { return w.boxes[id].Server }
+// Server is one of the servers; read and change it within Look.
+func (w *World) Server(id string) *emulator.Server { return w.boxes[id].Server }
 
-// Sent counts the attempts of a node that have reached boxes of a zone.
+// Sent counts the attempts of a node that have reached servers of a zone.
 func (w *World) Sent(node, zone string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.sent[[2]string{node, zone}]
 }
 
-// Zone does something to each box of a zone.
-func (w *World) Zone(zone string, do func(b *emulator.Server)) {
+// EachInZone does something to each server of a zone.
+func (w *World) EachInZone(zone string, do func(b *emulator.Server)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, b := range w.boxes {
@@ -44,8 +44,8 @@
 	}
 }
 
-// work finishes a box's jobs when they are due.
-func (w *World) work(b *box) {
+// runServer finishes a server's jobs when they are due.
+func (w *World) runServer(b *server) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -71,7 +71,7 @@
 }
 
 // boxHandler is a server as one node sees it.
-func (w *World) boxHandler(node, zone string, b *box) http.Handler {
+func (w *World) boxHandler(node, zone string, b *server) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get("X-Request-Id")
 		if id == "" {
@@ -102,15 +102,15 @@
 }
 
 // offer hands a server an attempt that has come, and books it. What is done with it comes on the channel.
-func (w *World) offer(node, zone, class string, b *box, job emulator.Job) (emulator.Verdict, emulator.Report, <-chan emulator.Done) {
+func (w *World) offer(node, zone, class string, b *server, job emulator.Job) (emulator.Verdict, emulator.Report, <-chan emulator.Done) {
 	done := make(chan emulator.Done, 1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.now()
 	w.Judge.Arrived(now, node, job.ID, b.Server)
 	w.sent[[2]string{node, b.Spec.Zone}]++
-	if w.book != nil {
-		w.book.Sent(now, class, zone, b.Spec.Zone)
+	if w.outcome != nil {
+		w.outcome.Sent(now, class, zone, b.Spec.Zone)
 	}
 	verdict := b.Offer(now, job)
 	if verdict == emulator.Accepted {
@@ -122,7 +122,7 @@
 }
 
 // awaitDone answers a request once its server has finished it.
-func (w *World) awaitDone(rw http.ResponseWriter, r *http.Request, b *box, id string, done <-chan emulator.Done) {
+func (w *World) awaitDone(rw http.ResponseWriter, r *http.Request, b *server, id string, done <-chan emulator.Done) {
 	select {
 	case b.wake <- struct{}{}:
 	default:
@@ -138,7 +138,7 @@
 }
 
 // attemptOver books the end of an attempt that may have run.
-func (w *World) attemptOver(b *box, id string) {
+func (w *World) attemptOver(b *server, id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.Judge.Over(id, b.Spec.ID, false)
--- a/internal/rig/wire.go
+++ b/internal/rig/wire.go
@@ -16,8 +16,8 @@
 // errNoConnection is for a try that no node ever took.
 var errNoConnection = errors.New("no connection")
 
-// wire is a client's connection to a node: one request at a time, as the protocol page has it.
-type wire struct {
+// clientConn is a client's connection to a node: one request at a time, as the protocol page has it.
+type clientConn struct {
 	net.Conn
 	r    *bufio.Reader
 	used bool
@@ -25,7 +25,7 @@
 
 // exchange sends t to the node and reads the answer; took is called once its last byte is written. A request
 // that crosses with the end of a kept connection is sent once more, on a new one.
-func (d *door) exchange(t *emulator.Try, took func()) (status int, retryAfter time.Duration, err error) {
+func (d *backend) exchange(t *emulator.Try, took func()) (status int, retryAfter time.Duration, err error) {
 	end := time.Now().Add(t.Expires)
 	for _, fresh := range []bool{false, true} {
 		c, err := d.connect(end, fresh)
@@ -38,17 +38,17 @@
 			return status, retryAfter, nil
 		}
 		_ = c.Close()
-		if !kept || !errors.Is(err, errCrossed) {
+		if !kept || !errors.Is(err, errEndedUnanswered) {
 			return 0, 0, err
 		}
 	}
-	return 0, 0, errCrossed
+	return 0, 0, errEndedUnanswered
 }
 
-// errCrossed is for a connection that ended before a byte of an answer.
-var errCrossed = errors.New("the connection ended with no answer")
+// errEndedUnanswered is for a connection that ended before a byte of an answer.
+var errEndedUnanswered = errors.New("the connection ended with no answer")
 
-func (d *door) connect(end time.Time, fresh bool) (*wire, error) {
+func (d *backend) connect(end time.Time, fresh bool) (*clientConn, error) {
 	d.mu.Lock()
 	if n := len(d.idle); n > 0 && !fresh {
 		c := d.idle[n-1]
@@ -61,10 +61,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &wire{Conn: conn, r: bufio.NewReader(conn)}, nil
+	return &clientConn{Conn: conn, r: bufio.NewReader(conn)}, nil
 }
 
-func (d *door) ask(c *wire, t *emulator.Try, end time.Time, took func()) (int, time.Duration, error) {
+func (d *backend) ask(c *clientConn, t *emulator.Try, end time.Time, took func()) (int, time.Duration, error) {
 	if err := c.SetDeadline(end); err != nil {
 		return 0, 0, err
 	}
@@ -82,11 +82,11 @@
 		"X-Tenant: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n", method, t.Work, t.ID, t.Class.Name, t.Tenant,
 		max(1, time.Until(end).Milliseconds()), more)
 	if err != nil {
-		return 0, 0, crossed(err)
+		return 0, 0, endedUnanswered(err)
 	}
 	took()
 	if _, err := c.r.Peek(1); err != nil {
-		return 0, 0, crossed(err)
+		return 0, 0, endedUnanswered(err)
 	}
 	resp, err := http.ReadResponse(c.r, nil)
 	if err != nil {
@@ -116,10 +116,10 @@
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
-// crossed marks the end of a connection as one that may have crossed with a request.
-func crossed(err error) error {
+// endedUnanswered marks the end of a connection as one that may have crossed with a request.
+func endedUnanswered(err error) error {
 	if isTimeout(err) {
 		return err
 	}
-	return fmt.Errorf("%w: %w", errCrossed, err)
+	return fmt.Errorf("%w: %w", errEndedUnanswered, err)
 }
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -12,15 +12,15 @@
 )
 
 const (
-	frontLook  = 100 * time.Millisecond // between looks of the front at a node
-	frontFails = 3                      // looks that fail in a row, and the front leaves a node
-	maxOpen    = 4096                   // tries open at a time; more are the driver's own trouble and counted so
-	mostWatch  = time.Minute            // that a call for the list may wait
-	maxCalls   = 1 << 16                // for the list whose times are kept
+	healthInterval = 100 * time.Millisecond // between looks of the front at a node
+	unhealthyAfter = 3                      // looks that fail in a row, and the front leaves a node
+	maxOpenTries   = 4096                   // tries open at a time; more are the driver's own fault and counted so
+	maxWatch       = time.Minute            // that a call for the list may wait
+	maxCalls       = 1 << 16                // for the list whose times are kept
 )
 
-// World is what nodes live among, on sockets: app boxes, the list of them, clients behind a front, and the
-// judge. Its parts are the emulator's; the world gives them the time and carries bytes.
+// World is what nodes live among, on sockets: servers, the list of them, clients behind a front, and the
+// checker. Its parts are the emulator's; the world gives them the time and carries bytes.
 type World struct {
 	Judge *emulator.Checker // hold the lock of Look while reading
 
@@ -28,29 +28,29 @@
 	start time.Time
 	seed  uint64
 
-	mu      sync.Mutex
-	list    *emulator.List
-	boxes   map[string]*box
-	changed chan struct{} // closed when the list changes
-	open    int
-	skipped int               // tries not sent for want of the driver's own room
-	sent    map[[2]string]int // attempts, by node and zone
-	calls   []time.Time       // for the list; the last ones of many
-	book    *lab.Outcome      // of the scenario that is played; nil for none
-	trying  sync.WaitGroup
-	ctx     context.Context
-	end     context.CancelFunc
-	parts   sync.WaitGroup
+	mu        sync.Mutex
+	list      *emulator.List
+	boxes     map[string]*server
+	changed   chan struct{} // closed when the list changes
+	open      int
+	skipped   int               // tries not sent for want of the driver's own room
+	sent      map[[2]string]int // attempts, by node and zone
+	listCalls []time.Time       // for the list; the last ones of many
+	outcome   *lab.Outcome      // of the scenario that is played; nil for none
+	trying    sync.WaitGroup
+	ctx       context.Context
+	end       context.CancelFunc
+	parts     sync.WaitGroup
 }
 
-// NewWorld makes a world with these boxes, all of them warm and in the list.
+// NewWorld makes a world with these servers, all of them warm and in the list.
 func (r *Rig) NewWorld(seed uint64, specs ...emulator.ServerSpec) *World {
 	w := &World{Judge: emulator.NewChecker(emulator.DefaultRules()), rig: r, start: time.Now().Add(-time.Hour),
-		seed: seed, list: emulator.NewList(), boxes: make(map[string]*box), changed: make(chan struct{}),
+		seed: seed, list: emulator.NewList(), boxes: make(map[string]*server), changed: make(chan struct{}),
 		sent: make(map[[2]string]int)}
 	w.ctx, w.end = context.WithCancel(context.Background())
 	for _, spec := range specs {
-		w.addBox(spec, 0)
+		w.addServer(spec, 0)
 	}
 	r.onClose(w.close)
 	return w
@@ -65,24 +65,24 @@
 // now is the world's clock. It begins at an hour, so that no moment of a run is 0, which stands for long ago.
 func (w *World) now() emulator.Time { return time.Since(w.start) }
 
-// Look calls do with the world's lock held: on boxes, the list, the judge and sums.
+// Look calls do with the world's lock held: on servers, the list, the checker and sums.
 func (w *World) Look(do func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	do()
 }
 
-// AddNode makes a node of this world: it reaches each box and the list by paths of its own, and is told the
-// boxes as they are now. Spec's discovery and known list are filled in.
+// AddNode makes a node of this world: it reaches each server and the list by paths of its own, and is told the
+// servers as they are now. Spec's discovery and known list are filled in.
 func (w *World) AddNode(spec NodeSpec) (*Node, error) {
 	addrs := make(map[string]string)
 	w.mu.Lock()
-	boxes := make([]*box, 0, len(w.boxes))
+	servers := make([]*server, 0, len(w.boxes))
 	for _, b := range w.boxes {
-		boxes = append(boxes, b)
+		servers = append(servers, b)
 	}
 	w.mu.Unlock()
-	for _, b := range boxes {
+	for _, b := range servers {
 		at, err := w.serve(spec.Name, b.Spec.ID, w.boxHandler(spec.Name, spec.zone(), b))
 		if err != nil {
 			return nil, err
@@ -95,7 +95,7 @@
 	}
 	spec.Discovery = at
 	w.mu.Lock()
-	spec.Known = seenBy(w.list.Whole(), addrs)
+	spec.Known = withAddresses(w.list.Whole(), addrs)
 	w.mu.Unlock()
 	n, err := w.rig.Node(spec)
 	if err != nil {
--- a/internal/rig/zones_test.go
+++ b/internal/rig/zones_test.go
@@ -89,7 +89,7 @@
 		t.Errorf("%d attempts crossed at rest", n)
 	}
 	fault := func(f emulator.ServerFault) {
-		x.w.Zone("a", func(b *emulator.Server) { b.Fault = f })
+		x.w.EachInZone("a", func(b *emulator.Server) { b.Fault = f })
 	}
 	cut := func(on bool) {
 		for i := range 12 {
@@ -122,9 +122,9 @@
 		t.Logf("%s: left by both near nodes after %v, %s %v after its end", trouble.name, left, trouble.back, back)
 	}
 	before := x.crossing()
-	x.w.Vanish("a", true)
+	x.w.Unlist("a", true)
 	x.served(10) // some of the nodes know, and go on
-	x.w.Vanish("a", false)
+	x.w.Unlist("a", false)
 	x.served(300)
 	t.Logf("the list lacked the zone for a moment: %d of its requests crossed", x.crossing()-before)
 	x.finish()
