Name the membership's parts by the glossary

Change: metadata, update, changeState, parseLogLine, directMessage, kindLeaving, role, participate, exchangeDue and others; constants say what they bound. Bytes on the wire and lines of the log stay.

--- a/internal/member/delegate.go
+++ b/internal/member/delegate.go
@@ -11,31 +11,31 @@
 	"github.com/hashicorp/memberlist"
 )
 
-// about is what a member says of itself, beside its name and address. Its first byte is the version; fields
+// metadata is what a member says of itself, beside its name and address. Its first byte is the version; fields
 // are only ever added.
-type about struct {
+type metadata struct {
 	Zone        string `cbor:"1,keyasint,omitempty"`
 	Version     string `cbor:"2,keyasint,omitempty"`
 	Incarnation uint64 `cbor:"3,keyasint"`
 	Leaving     bool   `cbor:"4,keyasint,omitempty"`
 }
 
-const aboutVersion = 1
+const metadataVersion = 1
 
-func (a about) encode() []byte {
+func (a metadata) encode() []byte {
 	raw, err := cbor.Marshal(a)
 	if err != nil { // plain fields always can be written
 		panic(err)
 	}
-	return append([]byte{aboutVersion}, raw...)
+	return append([]byte{metadataVersion}, raw...)
 }
 
-func readAbout(meta []byte) (a about, err error) {
+func decodeMetadata(meta []byte) (a metadata, err error) {
 	switch {
 	case len(meta) == 0:
 		return a, errors.New("nothing is said")
-	case meta[0] != aboutVersion:
-		return a, fmt.Errorf("version %d, and this node reads %d", meta[0], aboutVersion)
+	case meta[0] != metadataVersion:
+		return a, fmt.Errorf("version %d, and this node reads %d", meta[0], metadataVersion)
 	}
 	return a, cbor.Unmarshal(meta[1:], &a)
 }
@@ -47,7 +47,7 @@
 func (d delegate) NodeMeta(limit int) []byte {
 	d.f.mu.Lock()
 	defer d.f.mu.Unlock()
-	a := about{Zone: d.f.c.Zone, Version: d.f.c.Version, Incarnation: d.f.incarnation, Leaving: d.f.leaving}
+	a := metadata{Zone: d.f.config.Zone, Version: d.f.config.Version, Incarnation: d.f.incarnation, Leaving: d.f.leaving}
 	if b := a.encode(); len(b) <= limit {
 		return b
 	}
@@ -55,17 +55,17 @@
 	return a.encode()
 }
 
-func (d delegate) NotifyJoin(n *memberlist.Node)   { d.f.book(n, Alive) }
-func (d delegate) NotifyUpdate(n *memberlist.Node) { d.f.book(n, Alive) }
-func (d delegate) NotifyLeave(n *memberlist.Node)  { d.f.book(n, Dead) }
+func (d delegate) NotifyJoin(n *memberlist.Node)   { d.f.update(n, Alive) }
+func (d delegate) NotifyUpdate(n *memberlist.Node) { d.f.update(n, Alive) }
+func (d delegate) NotifyLeave(n *memberlist.Node)  { d.f.update(n, Dead) }
 
 // NotifyPingComplete hears that a member answers a probe.
 func (d delegate) NotifyPingComplete(n *memberlist.Node, took time.Duration, _ []byte) {
-	if d.f.c.Probed != nil {
-		d.f.c.Probed(took)
+	if d.f.config.Probed != nil {
+		d.f.config.Probed(took)
 	}
 	d.f.stats.path.probed(true)
-	d.f.mark(n.Name, Suspect, Alive)
+	d.f.changeState(n.Name, Suspect, Alive)
 }
 
 func (d delegate) AckPayload() []byte                { return nil }
@@ -77,10 +77,10 @@
 // this node's address, is what is left of a process whose clock was ahead: this one goes beyond it.
 func (d delegate) NotifyAlive(n *memberlist.Node) error {
 	f := d.f
-	if n.Name != f.c.Name {
+	if n.Name != f.config.Name {
 		return nil
 	}
-	a, err := readAbout(n.Meta)
+	a, err := decodeMetadata(n.Meta)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil || f.list == nil || a.Incarnation <= f.incarnation {
@@ -100,12 +100,12 @@
 // the earlier is told.
 func (d delegate) NotifyConflict(existing, other *memberlist.Node) {
 	f := d.f
-	ours, err1 := readAbout(existing.Meta)
-	theirs, err2 := readAbout(other.Meta)
+	ours, err1 := decodeMetadata(existing.Meta)
+	theirs, err2 := decodeMetadata(other.Meta)
 	if err1 != nil || err2 != nil || theirs.Incarnation <= ours.Incarnation {
 		return
 	}
-	if existing.Name == f.c.Name {
+	if existing.Name == f.config.Name {
 		f.supersede(theirs.Incarnation)
 		return
 	}
@@ -116,54 +116,56 @@
 		return
 	}
 	to := *existing
-	go func() { _ = list.SendBestEffort(&to, word{superseded, theirs.Incarnation, existing.Name}.encode()) }()
+	go func() {
+		_ = list.SendBestEffort(&to, directMessage{kindSuperseded, theirs.Incarnation, existing.Name}.encode())
+	}()
 }
 
-// word is what one member tells another directly: that a later process bears its name, or that the sender
+// directMessage is what one member tells another directly: that a later process bears its name, or that the sender
 // goes. The first byte is the version.
-type word struct {
+type directMessage struct {
 	kind        byte
 	incarnation uint64
 	name        string
 }
 
 const (
-	wordVersion = 1
-	superseded  = 'S'
-	goes        = 'G'
-	wordHead    = 10
+	messageVersion = 1
+	kindSuperseded = 'S'
+	kindLeaving    = 'G'
+	messageHeader  = 10
 )
 
-func (w word) encode() []byte {
-	return append(binary.BigEndian.AppendUint64([]byte{wordVersion, w.kind}, w.incarnation), w.name...)
+func (w directMessage) encode() []byte {
+	return append(binary.BigEndian.AppendUint64([]byte{messageVersion, w.kind}, w.incarnation), w.name...)
 }
 
 // NotifyMsg hears a word. One of a version or kind to come is none.
 func (d delegate) NotifyMsg(b []byte) {
-	if len(b) < wordHead || b[0] != wordVersion {
+	if len(b) < messageHeader || b[0] != messageVersion {
 		return
 	}
-	w := word{b[1], binary.BigEndian.Uint64(b[2:wordHead]), string(b[wordHead:])}
+	w := directMessage{b[1], binary.BigEndian.Uint64(b[2:messageHeader]), string(b[messageHeader:])}
 	switch w.kind {
-	case superseded:
+	case kindSuperseded:
 		d.f.supersede(w.incarnation)
-	case goes:
-		d.f.going(w.name, w.incarnation)
+	case kindLeaving:
+		d.f.markLeaving(w.name, w.incarnation)
 	}
 }
 
-// going hears that a member's process goes, which may come after its end is known.
-func (f *Fleet) going(name string, incarnation uint64) {
+// markLeaving hears that a member's process goes, which may come after its end is known.
+func (f *Fleet) markLeaving(name string, incarnation uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[name]
 	if m == nil || m.Incarnation != incarnation {
 		return
 	}
-	m.goes = true
+	m.leaving = true
 	if m.State == Dead {
 		m.State = Left
-		f.changed()
+		f.publish()
 	}
 }
 
@@ -176,16 +178,16 @@
 	}
 	f.superseded = true
 	f.stats.conflicts.Add(1)
-	f.changed()
+	f.publish()
 	slog.Error("fleet: another process bears this node's name and is later: this one is no member any more",
-		"name", f.c.Name, "incarnation", f.incarnation, "later", incarnation)
-	f.wish(gone) // so that the name is free for the other
+		"name", f.config.Name, "incarnation", f.incarnation, "later", incarnation)
+	f.request(roleLeft) // so that the name is free for the other
 }
 
-// heard takes in what memberlist tells in its log alone.
-func (f *Fleet) heard(line string) {
+// parseLogLine takes in what memberlist tells in its log alone.
+func (f *Fleet) parseLogLine(line string) {
 	if name, ok := between(line, "Suspect ", " has failed, no acks received"); ok {
-		f.mark(name, Alive, Suspect)
+		f.changeState(name, Alive, Suspect)
 	}
 	if _, ok := between(line, "Failed UDP ping: ", " (timeout reached)"); ok {
 		f.stats.path.probed(false)
--- a/internal/member/log.go
+++ b/internal/member/log.go
@@ -12,49 +12,49 @@
 // logAdapter writes what memberlist says to the program's log, each kind of line once in a while: a member
 // that sends garbage must not fill it. What is not written is counted.
 type logAdapter struct {
-	to    *slog.Logger
-	now   func() time.Time
-	heard func(line string)
+	logger *slog.Logger
+	now    func() time.Time
+	onLine func(line string)
 
-	mu    sync.Mutex
-	last  map[string]time.Time // by kind
-	quiet uint64
+	mu         sync.Mutex
+	last       map[string]time.Time // by kind
+	suppressed uint64
 }
 
-const mostKinds = 256 // of log lines told apart; more are written as one
+const maxLogKinds = 256 // of log lines told apart; more are written as one
 
 func newLogAdapter(to *slog.Logger, now func() time.Time, heard func(string)) *logAdapter {
-	return &logAdapter{to: to, now: now, heard: heard, last: make(map[string]time.Time)}
+	return &logAdapter{logger: to, now: now, onLine: heard, last: make(map[string]time.Time)}
 }
 
-func (l *logAdapter) logger() *log.Logger { return log.New(l, "", 0) }
+func (l *logAdapter) stdLogger() *log.Logger { return log.New(l, "", 0) }
 
 // allow tells whether a line of a kind may be written now.
 func (l *logAdapter) allow(kind string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, known := l.last[kind]; !known && len(l.last) >= mostKinds {
+	if _, known := l.last[kind]; !known && len(l.last) >= maxLogKinds {
 		kind = ""
 	}
 	now := l.now()
-	if at, known := l.last[kind]; known && now.Sub(at) < logSpan {
-		l.quiet++
+	if at, known := l.last[kind]; known && now.Sub(at) < logInterval {
+		l.suppressed++
 		return false
 	}
 	l.last[kind] = now
 	return true
 }
 
-func (l *logAdapter) quieted() uint64 {
+func (l *logAdapter) suppressedCount() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.quiet
+	return l.suppressed
 }
 
-// tell writes a line unless one of its kind was written lately.
-func (l *logAdapter) tell(level slog.Level, text string, args ...any) {
+// logLimited writes a line unless one of its kind was written lately.
+func (l *logAdapter) logLimited(level slog.Level, text string, args ...any) {
 	if l.allow(text) {
-		l.to.Log(context.Background(), level, text, args...)
+		l.logger.Log(context.Background(), level, text, args...)
 	}
 }
 
@@ -65,7 +65,7 @@
 		before = was.State
 	}
 	if l.allow("member/" + is.Name + "/" + string(is.State)) {
-		l.to.Info("fleet: a member is now "+string(is.State), "member", is.Name, "address", is.Address, "zone", is.Zone,
+		l.logger.Info("fleet: a member is now "+string(is.State), "member", is.Name, "address", is.Address, "zone", is.Zone,
 			"before", before, "incarnation", is.Incarnation, "version", is.Version)
 	}
 }
@@ -85,9 +85,9 @@
 		}
 	}
 	line = strings.TrimPrefix(line, "memberlist: ")
-	l.heard(line)
+	l.onLine(line)
 	if level > slog.LevelInfo && l.allow(kindOf(line)) {
-		l.to.Log(context.Background(), level, "fleet: "+line)
+		l.logger.Log(context.Background(), level, "fleet: "+line)
 	}
 	return len(p), nil
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -25,29 +25,29 @@
 // What a fleet's figures of time follow from: a probe has to bear a round trip, a pause of a third of a second
 // and lost datagrams, and a death is to be known within two seconds.
 const (
-	defaultProbe = 200 * time.Millisecond // between probes by one node; half of it for a direct answer
-	gossipEvery  = 100 * time.Millisecond // while there is something to tell
-	gossipTo     = 3                      // members at a time
-	suspicion    = 4                      // times log10 of the members, in probes: 0.95 s at 15 members
-	suspicionTop = 5                      // times that, while nobody confirms
-	retransmit   = 6                      // times log10 of the members, each word is passed on
-	pushPull     = 2 * time.Minute        // between whole states, stretched where members are many: a backstop
-	streamTime   = time.Second            // for a stream between two members
-	gossipToDead = time.Minute            // that the dead are told what is said of them
-	reclaim      = time.Second            // after a death, the name may turn up at another address
-
-	rejoinEvery = time.Second            // a call to one member that was lost, or to a seed; spread by half
-	settleTimes = 2                      // whole states are exchanged after the last change of the view:
-	settleLeast = 2 * time.Second        // after so long each time,
-	settleEach  = 50 * time.Millisecond  // and so much for each member, for their size's sake;
-	settleBad   = 3                      // times that, again and again, while the path is bad
-	bindAgain   = 50 * time.Millisecond  // another process of this node may still be bound
-	goodbyeTime = 500 * time.Millisecond // for each of two last words
-
-	forgetLeft  = 5 * time.Minute // members that said they go
-	forgetDead  = time.Hour       // and those that fell silent
-	mostMembers = 4096            // in a view; more are not taken in
-	logSpan     = 10 * time.Second
+	defaultProbe           = 200 * time.Millisecond // between probes by one node; half of it for a direct answer
+	gossipInterval         = 100 * time.Millisecond // while there is something to tell
+	gossipFanout           = 3                      // members at a time
+	suspicionMultiplier    = 4                      // times log10 of the members, in probes: 0.95 s at 15 members
+	suspicionMaxMultiplier = 5                      // times that, while nobody confirms
+	retransmitMultiplier   = 6                      // times log10 of the members, each word is passed on
+	pushPullInterval       = 2 * time.Minute        // between whole states, stretched where members are many: a backstop
+	streamTimeout          = time.Second            // for a stream between two members
+	gossipToDead           = time.Minute            // that the dead are told what is said of them
+	reclaimAfter           = time.Second            // after a death, the name may turn up at another address
+
+	rejoinInterval            = time.Second            // a call to one member that was lost, or to a seed; spread by half
+	exchangesAfterChange      = 2                      // whole states are exchanged after the last change of the view:
+	minExchangeInterval       = 2 * time.Second        // after so long each time,
+	exchangeIntervalPerMember = 50 * time.Millisecond  // and so much for each member, for their size's sake;
+	exchangeSlowdown          = 3                      // times that, again and again, while the path is bad
+	bindRetry                 = 50 * time.Millisecond  // another process of this node may still be bound
+	leaveTimeout              = 500 * time.Millisecond // for each of two last words
+
+	keepLeft    = 5 * time.Minute // members that said they go
+	keepDead    = time.Hour       // and those that fell silent
+	maxMembers  = 4096            // in a view; more are not taken in
+	logInterval = 10 * time.Second
 )
 
 // Config says who a node is in the fleet and how it is reached.
@@ -82,7 +82,7 @@
 	return fmt.Errorf("%w.%s: %s", ErrConfig, field, fmt.Sprintf(format, args...))
 }
 
-const labelMost = 64 // bytes
+const maxLabel = 64 // bytes
 
 func inLabel(r rune) bool {
 	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("._-", r)
@@ -107,7 +107,7 @@
 	if host, _, _ := splitAddress(c.Bind); host.IsUnspecified() && c.Advertise == "" {
 		return wrong("advertise", "missing, for bind names no single address")
 	}
-	if len(c.Label) > labelMost || strings.ContainsFunc(c.Label, func(r rune) bool { return !inLabel(r) }) {
+	if len(c.Label) > maxLabel || strings.ContainsFunc(c.Label, func(r rune) bool { return !inLabel(r) }) {
 		return wrong("label", "want up to 64 letters, digits, dots, dashes and underlines, got %q", c.Label)
 	}
 	if _, err := memberlist.ParseCIDRs(c.Allow); err != nil {
@@ -160,31 +160,31 @@
 // Fleet is this node's part in the fleet. Make one with New, run it with Run; its other methods may be called
 // from any goroutine, at any time.
 type Fleet struct {
-	c     Config
-	log   *logAdapter
-	wants chan wish // what this process is to be; the newest counts
-	stats stats
-
-	mu          sync.Mutex
-	list        *memberlist.Memberlist // nil while this process isn't the member
-	incarnation uint64
-	leaving     bool
-	superseded  bool // another process bears the name, and is later
-	number      uint64
-	members     map[string]*Member
-	changedAt   time.Time // the members that are there
-	settledAt   time.Time // whole states were last exchanged for that,
-	unsettled   int       // and are to be so often more
-	told        []chan View
+	config   Config
+	log      *logAdapter
+	requests chan role // what this process is to be; the newest counts
+	stats    stats
+
+	mu            sync.Mutex
+	list          *memberlist.Memberlist // nil while this process isn't the member
+	incarnation   uint64
+	leaving       bool
+	superseded    bool // another process bears the name, and is later
+	version       uint64
+	members       map[string]*Member
+	changedAt     time.Time // the members that are there
+	exchangedAt   time.Time // whole states were last exchanged for that,
+	exchangesLeft int       // and are to be so often more
+	subscribers   []chan View
 }
 
-// wish is what a process is to be.
-type wish uint8
+// role is what a process is to be.
+type role uint8
 
 const (
-	present wish = iota // the member
-	silent              // not the member, with no word: another process of the node is
-	gone                // not the member, and the others are told
+	roleMember  role = iota // the member
+	roleStandby             // not the member, with no word: another process of the node is
+	roleLeft                // not the member, and the others are told
 )
 
 // New makes a node's part in a fleet. Nothing is opened before Run.
@@ -195,8 +195,8 @@
 	if c.now == nil {
 		c.now = time.Now
 	}
-	f := &Fleet{c: c, wants: make(chan wish, 1), members: make(map[string]*Member)}
-	f.log = newLogAdapter(slog.Default(), c.now, f.heard)
+	f := &Fleet{config: c, requests: make(chan role, 1), members: make(map[string]*Member)}
+	f.log = newLogAdapter(slog.Default(), c.now, f.parseLogLine)
 	f.incarnation = uint64(max(1, c.now().UnixMilli()))
 	return f, nil
 }
@@ -204,59 +204,59 @@
 // Run takes part until ctx ends, and then says so to the others. Whatever is wrong with the fleet is told in
 // the log, and tried again: service doesn't depend on it.
 func (f *Fleet) Run(ctx context.Context) {
-	want := present
+	want := roleMember
 	for ctx.Err() == nil {
-		if want != present {
+		if want != roleMember {
 			select {
-			case want = <-f.wants:
+			case want = <-f.requests:
 			case <-ctx.Done():
 			}
 			continue
 		}
 		list, err := f.open()
 		if err != nil {
-			f.log.tell(slog.LevelWarn, "fleet: not a member yet", "err", err)
+			f.log.logLimited(slog.LevelWarn, "fleet: not a member yet", "err", err)
 			select {
-			case want = <-f.wants:
-			case <-time.After(bindAgain):
+			case want = <-f.requests:
+			case <-time.After(bindRetry):
 			case <-ctx.Done():
 			}
 			continue
 		}
-		want = f.take(ctx, list)
+		want = f.participate(ctx, list)
 	}
 }
 
-// take is the member's life: it looks for the others until ctx ends, or this process is not to be the member
+// participate is the member's life: it looks for the others until ctx ends, or this process is not to be the member
 // any more. The later process of a name tells the earlier to go.
-func (f *Fleet) take(ctx context.Context, list *memberlist.Memberlist) (want wish) {
+func (f *Fleet) participate(ctx context.Context, list *memberlist.Memberlist) (want role) {
 	f.set(list)
 	defer func() {
 		f.set(nil)
 		if err := list.Shutdown(); err != nil {
-			f.log.tell(slog.LevelWarn, "fleet: ending", "err", err)
+			f.log.logLimited(slog.LevelWarn, "fleet: ending", "err", err)
 		}
 	}()
-	slog.Info("fleet: a member", "name", f.c.Name, "address", list.LocalNode().FullAddress().Addr, "label", f.c.Label)
+	slog.Info("fleet: a member", "name", f.config.Name, "address", list.LocalNode().FullAddress().Addr, "label", f.config.Label)
 	next := time.NewTimer(0)
 	defer next.Stop()
 	for {
 		select {
 		case <-next.C:
 			f.rejoin(list)
-			next.Reset(rejoinEvery/2 + rand.N(rejoinEvery))
-		case want := <-f.wants:
+			next.Reset(rejoinInterval/2 + rand.N(rejoinInterval))
+		case want := <-f.requests:
 			switch want {
-			case silent:
+			case roleStandby:
 				slog.Info("fleet: another process of this node is the member")
 				return want
-			case gone:
-				f.goodbye(list)
+			case roleLeft:
+				f.leave(list)
 				return want
 			}
 		case <-ctx.Done():
-			f.goodbye(list)
-			return gone
+			f.leave(list)
+			return roleLeft
 		}
 	}
 }
@@ -269,33 +269,33 @@
 
 // open binds, and becomes a member that knows nobody.
 func (f *Fleet) open() (*memberlist.Memberlist, error) {
-	keys, err := f.c.keys()
+	keys, err := f.config.keys()
 	if err != nil {
 		return nil, err
 	}
-	allow, err := memberlist.ParseCIDRs(f.c.Allow)
+	allow, err := memberlist.ParseCIDRs(f.config.Allow)
 	if err != nil {
 		return nil, err
 	}
-	connect := f.c.transport
+	connect := f.config.transport
 	if connect == nil {
-		connect = func() (memberlist.NodeAwareTransport, error) { return listen(f.c, &f.stats) }
+		connect = func() (memberlist.NodeAwareTransport, error) { return listen(f.config, &f.stats) }
 	}
 	t, err := connect()
 	if err != nil {
 		return nil, err
 	}
 	c := memberlist.DefaultLANConfig()
-	c.Name, c.Transport, c.Label, c.Keyring, c.CIDRsAllowed = f.c.Name, t, f.c.Label, keys, allow
-	c.BindAddr, c.BindPort = hostOf(f.c.Bind), 0
-	c.ProbeInterval = cmp.Or(f.c.Probe, defaultProbe)
+	c.Name, c.Transport, c.Label, c.Keyring, c.CIDRsAllowed = f.config.Name, t, f.config.Label, keys, allow
+	c.BindAddr, c.BindPort = hostOf(f.config.Bind), 0
+	c.ProbeInterval = cmp.Or(f.config.Probe, defaultProbe)
 	c.ProbeTimeout = c.ProbeInterval / 2
-	c.SuspicionMult, c.SuspicionMaxTimeoutMult = suspicion, suspicionTop
-	c.GossipInterval, c.GossipNodes, c.RetransmitMult = gossipEvery, gossipTo, retransmit
-	c.GossipToTheDeadTime, c.PushPullInterval, c.TCPTimeout = gossipToDead, pushPull, streamTime
-	c.DeadNodeReclaimTime = reclaim
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = suspicionMultiplier, suspicionMaxMultiplier
+	c.GossipInterval, c.GossipNodes, c.RetransmitMult = gossipInterval, gossipFanout, retransmitMultiplier
+	c.GossipToTheDeadTime, c.PushPullInterval, c.TCPTimeout = gossipToDead, pushPullInterval, streamTimeout
+	c.DeadNodeReclaimTime = reclaimAfter
 	c.EnableCompression = false // costs more CPU than what is saved is worth on a fleet's own network
-	c.Logger = f.log.logger()
+	c.Logger = f.log.stdLogger()
 	d := delegate{f}
 	c.Delegate, c.Events, c.Alive, c.Conflict, c.Ping = d, d, d, d, d
 	list, err := memberlist.Create(c)
@@ -311,13 +311,13 @@
 // after changes: some word of theirs may have reached all but a few.
 func (f *Fleet) rejoin(list *memberlist.Memberlist) {
 	self := list.LocalNode().FullAddress().Addr
-	there, lost := f.sides(self)
-	for _, at := range f.c.Join {
+	there, lost := f.presentAndLost(self)
+	for _, at := range f.config.Join {
 		if at != self && !slices.Contains(there, at) && !slices.Contains(lost, at) {
 			lost = append(lost, at)
 		}
 	}
-	if len(there) > 0 && f.settles(len(there)) {
+	if len(there) > 0 && f.exchangeDue(len(there)) {
 		_, _ = list.Join([]string{there[rand.IntN(len(there))]}) // the next change brings the next
 	}
 	if len(lost) == 0 {
@@ -325,12 +325,12 @@
 	}
 	at := lost[rand.IntN(len(lost))]
 	if _, err := list.Join([]string{at}); err != nil {
-		f.log.tell(slog.LevelInfo, "fleet: no answer from a lost member", "address", at, "err", err, "heard", len(there)+1)
+		f.log.logLimited(slog.LevelInfo, "fleet: no answer from a lost member", "address", at, "err", err, "heard", len(there)+1)
 	}
 }
 
-// sides are the addresses of the others who are there, and of those who fell silent.
-func (f *Fleet) sides(self string) (there, lost []string) {
+// presentAndLost are the addresses of the others who are there, and of those who fell silent.
+func (f *Fleet) presentAndLost(self string) (there, lost []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range f.members {
@@ -347,62 +347,62 @@
 	return there, lost
 }
 
-// settles tells whether an exchange is due after changes, and books it.
-func (f *Fleet) settles(others int) bool {
-	span := settleLeast + time.Duration(others)*settleEach
+// exchangeDue tells whether an exchange is due after changes, and books it.
+func (f *Fleet) exchangeDue(others int) bool {
+	span := minExchangeInterval + time.Duration(others)*exchangeIntervalPerMember
 	span = span/2 + rand.N(span)
-	now := f.c.now()
+	now := f.config.now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unsettled == 0 && f.stats.path.bad() {
-		f.unsettled, span = 1, settleBad*span
+	if f.exchangesLeft == 0 && f.stats.path.bad() {
+		f.exchangesLeft, span = 1, exchangeSlowdown*span
 	}
-	if f.unsettled == 0 || now.Sub(f.changedAt) < span || now.Sub(f.settledAt) < span {
+	if f.exchangesLeft == 0 || now.Sub(f.changedAt) < span || now.Sub(f.exchangedAt) < span {
 		return false
 	}
-	f.unsettled--
-	f.settledAt = now
+	f.exchangesLeft--
+	f.exchangedAt = now
 	return true
 }
 
-// goodbye says that this node goes, which is not the same as to fall silent.
-func (f *Fleet) goodbye(list *memberlist.Memberlist) {
+// leave says that this node goes, which is not the same as to fall silent.
+func (f *Fleet) leave(list *memberlist.Memberlist) {
 	f.mu.Lock()
 	f.leaving = true
-	bye := word{goes, f.incarnation, f.c.Name}.encode()
+	bye := directMessage{kindLeaving, f.incarnation, f.config.Name}.encode()
 	f.mu.Unlock()
 	if list.NumMembers() <= 1 {
 		return
 	}
 	// Gossip alone leaves out one member now and then, which would take the end for a death.
 	for _, m := range list.Members() {
-		if m.Name != f.c.Name {
+		if m.Name != f.config.Name {
 			_ = list.SendBestEffort(m, bye)
 		}
 	}
-	if err := list.UpdateNode(goodbyeTime); err != nil {
+	if err := list.UpdateNode(leaveTimeout); err != nil {
 		slog.Info("fleet: not all may have heard that this node goes", "err", err)
 	}
-	if err := list.Leave(goodbyeTime); err != nil {
+	if err := list.Leave(leaveTimeout); err != nil {
 		slog.Info("fleet: not all may have heard that this node has gone", "err", err)
 	}
 }
 
 // Yield leaves the name to another process of this node, with no word to the others. Resume takes it back.
-func (f *Fleet) Yield() { f.wish(silent) }
+func (f *Fleet) Yield() { f.request(roleStandby) }
 
 // Resume makes this process the member again.
-func (f *Fleet) Resume() { f.wish(present) }
+func (f *Fleet) Resume() { f.request(roleMember) }
 
-func (f *Fleet) wish(w wish) {
+func (f *Fleet) request(w role) {
 	for {
 		select {
-		case f.wants <- w:
+		case f.requests <- w:
 			return
 		default:
 		}
 		select {
-		case <-f.wants: // an older one that was not heard yet
+		case <-f.requests: // an older one that was not heard yet
 		default:
 		}
 	}
@@ -425,8 +425,8 @@
 // Stats returns the figures so far.
 func (f *Fleet) Stats() Stats {
 	f.mu.Lock()
-	views := f.number
+	views := f.version
 	f.mu.Unlock()
 	return Stats{Sent: f.stats.sent.Load(), Received: f.stats.received.Load(), Views: views,
-		Refuted: f.stats.refuted.Load(), Conflicts: f.stats.conflicts.Load(), Quieted: f.log.quieted()}
+		Refuted: f.stats.refuted.Load(), Conflicts: f.stats.conflicts.Load(), Quieted: f.log.suppressedCount()}
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -164,7 +164,7 @@
 		defer v.end()
 		joined := v.agreed(t, time.Minute, n, upTo(n)...)
 		v.net.set(func() { v.net.loss = *loss })
-		time.Sleep(20*time.Second + 2*time.Duration(n)*settleTimes*settleEach) // what the start has to tell is over
+		time.Sleep(20*time.Second + 2*time.Duration(n)*exchangesAfterChange*exchangeIntervalPerMember) // what the start has to tell is over
 		sent := func() (sum uint64) {
 			for _, f := range v.all {
 				sum += f.Stats().Sent
@@ -190,7 +190,7 @@
 		v.kill(victim)
 		v.agreed(t, 15*time.Second, n-1, upTo(n-1)...)
 		var took []time.Duration
-		name := v.all[victim].c.Name
+		name := v.all[victim].config.Name
 		for i := range n - 1 {
 			took = append(took, v.told(i)[name].Sub(killed))
 		}
@@ -259,7 +259,7 @@
 	withFleet(t, 5, func(t *testing.T, v *virtual) {
 		time.Sleep(time.Second)
 		var later *Fleet
-		c := v.all[2].c
+		c := v.all[2].config
 		c.Bind = memAddress(77)
 		c.transport = func() (memberlist.NodeAwareTransport, error) {
 			return v.net.transport(c.Bind, &later.stats), nil
@@ -342,7 +342,7 @@
 
 // What a member of the next version says of itself, and words of it, are no news and no harm.
 func TestOtherVersionsAreNotMisread(t *testing.T) {
-	if _, err := readAbout([]byte{aboutVersion + 1, 0xa0}); err == nil {
+	if _, err := decodeMetadata([]byte{metadataVersion + 1, 0xa0}); err == nil {
 		t.Error("another version was read")
 	}
 	f, err := New(Config{Name: "n", Bind: "10.0.0.1:7946"})
@@ -350,12 +350,12 @@
 		t.Fatal(err)
 	}
 	d := delegate{f}
-	for _, b := range [][]byte{nil, {wordVersion}, {wordVersion + 1, superseded, 0xff, 0, 0, 0, 0, 0, 0, 0},
-		{wordVersion, 'x', 0xff, 0, 0, 0, 0, 0, 0, 0}} {
+	for _, b := range [][]byte{nil, {messageVersion}, {messageVersion + 1, kindSuperseded, 0xff, 0, 0, 0, 0, 0, 0, 0},
+		{messageVersion, 'x', 0xff, 0, 0, 0, 0, 0, 0, 0}} {
 		d.NotifyMsg(b)
 	}
 	ip := net.IPv4(10, 0, 0, 9)
-	d.NotifyJoin(&memberlist.Node{Name: "next", Addr: ip, Port: 7946, Meta: []byte{aboutVersion + 1, 1, 2}})
+	d.NotifyJoin(&memberlist.Node{Name: "next", Addr: ip, Port: 7946, Meta: []byte{metadataVersion + 1, 1, 2}})
 	v := f.View()
 	if v.Superseded || len(v.Members) != 1 || v.Members[0].State != Alive {
 		t.Errorf("%+v", v)
@@ -378,10 +378,10 @@
 	for i := range 1000 {
 		write(i)
 	}
-	if n := strings.Count(out.String(), "\n"); n != 1 || l.quieted() != 999 {
-		t.Errorf("%d lines, %d quieted", n, l.quieted())
+	if n := strings.Count(out.String(), "\n"); n != 1 || l.suppressedCount() != 999 {
+		t.Errorf("%d lines, %d quieted", n, l.suppressedCount())
 	}
-	now = now.Add(logSpan)
+	now = now.Add(logInterval)
 	write(1)
 	if n := strings.Count(out.String(), "\n"); n != 2 {
 		t.Errorf("%d lines after the span", n)
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -37,7 +37,7 @@
 	State       State
 	Since       time.Time
 
-	goes bool // it said that this process of it goes
+	leaving bool // it said that this process of it goes
 }
 
 // View is the fleet as one node sees it at a moment. Its number only grows while the node's process lives.
@@ -80,7 +80,7 @@
 }
 
 func (f *Fleet) view() View {
-	v := View{Number: f.number, Self: f.c.Name, Superseded: f.superseded}
+	v := View{Number: f.version, Self: f.config.Name, Superseded: f.superseded}
 	for _, m := range f.members {
 		v.Members = append(v.Members, *m)
 	}
@@ -94,18 +94,18 @@
 	told := make(chan View, 1)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.told = append(f.told, told)
-	if f.number > 0 {
+	f.subscribers = append(f.subscribers, told)
+	if f.version > 0 {
 		told <- f.view()
 	}
 	return told
 }
 
-// changed notes a change of the view. The lock is held.
-func (f *Fleet) changed() {
-	f.number++
-	f.forget()
-	for _, told := range f.told {
+// publish notes a change of the view. The lock is held.
+func (f *Fleet) publish() {
+	f.version++
+	f.removeExpired()
+	for _, told := range f.subscribers {
 		select {
 		case <-told:
 		default:
@@ -114,41 +114,41 @@
 	}
 }
 
-// forget drops those who are long gone, and the longest gone where there are too many.
-func (f *Fleet) forget() {
-	now := f.c.now()
+// removeExpired drops those who are long gone, and the longest gone where there are too many.
+func (f *Fleet) removeExpired() {
+	now := f.config.now()
 	for name, m := range f.members {
 		gone := now.Sub(m.Since)
-		if m.State == Left && gone > forgetLeft || m.State == Dead && gone > forgetDead {
+		if m.State == Left && gone > keepLeft || m.State == Dead && gone > keepDead {
 			delete(f.members, name)
 		}
 	}
-	if len(f.members) <= mostMembers {
+	if len(f.members) <= maxMembers {
 		return
 	}
 	all := slices.SortedFunc(maps.Values(f.members), func(a, b *Member) int { return a.Since.Compare(b.Since) })
 	for _, m := range all {
-		if len(f.members) > mostMembers && m.State.absent() {
+		if len(f.members) > maxMembers && m.State.absent() {
 			delete(f.members, m.Name)
 		}
 	}
 }
 
-// book notes what a member is now, where that is news.
-func (f *Fleet) book(n *memberlist.Node, s State) {
-	about, err := readAbout(n.Meta)
+// update notes what a member is now, where that is news.
+func (f *Fleet) update(n *memberlist.Node, s State) {
+	meta, err := decodeMetadata(n.Meta)
 	if err != nil {
-		f.log.tell(slog.LevelWarn, "fleet: a member of another version tells what can't be read", "member", n.Name, "err", err)
+		f.log.logLimited(slog.LevelWarn, "fleet: a member of another version tells what can't be read", "member", n.Name, "err", err)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	was := f.members[n.Name]
-	if was == nil && len(f.members) >= mostMembers && s.absent() {
+	if was == nil && len(f.members) >= maxMembers && s.absent() {
 		return
 	}
-	m := about.member(n, s, f.c.now())
-	if about.Leaving || was != nil && was.Incarnation == m.Incarnation && was.goes {
-		m.State, m.goes = Left, true
+	m := meta.member(n, s, f.config.now())
+	if meta.Leaving || was != nil && was.Incarnation == m.Incarnation && was.leaving {
+		m.State, m.leaving = Left, true
 	}
 	same := was != nil && was.State == m.State && was.Incarnation == m.Incarnation
 	if same {
@@ -160,19 +160,19 @@
 	f.members[n.Name] = &m
 	if !same {
 		f.log.member(was, m)
-		f.changedAt, f.unsettled = f.c.now(), settleTimes
+		f.changedAt, f.exchangesLeft = f.config.now(), exchangesAfterChange
 	}
-	f.changed()
+	f.publish()
 }
 
 // member is who says this, in a state since a time.
-func (a about) member(n *memberlist.Node, s State, since time.Time) Member {
+func (a metadata) member(n *memberlist.Node, s State, since time.Time) Member {
 	return Member{Name: n.Name, Address: net.JoinHostPort(n.Addr.String(), strconv.Itoa(int(n.Port))), Zone: a.Zone,
 		Version: a.Version, Incarnation: a.Incarnation, State: s, Since: since}
 }
 
-// mark changes the state of a member that is there.
-func (f *Fleet) mark(name string, from, to State) {
+// changeState changes the state of a member that is there.
+func (f *Fleet) changeState(name string, from, to State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[name]
@@ -180,7 +180,7 @@
 		return
 	}
 	next := *m
-	next.State, next.Since = to, f.c.now()
+	next.State, next.Since = to, f.config.now()
 	f.members[name] = &next
-	f.changed()
+	f.publish()
 }
