--- a/cmd/sloerail/experiment.go
+++ b/cmd/sloerail/experiment.go
@@ -52,7 +52,7 @@
 			if err != nil {
 				return err
 			}
-			return tellPairs(cmd.OutOrStdout(), pairs, asJSON)
+			return reportPairs(cmd.OutOrStdout(), pairs, asJSON)
 		},
 	}
 	seedFlags(cmd, &first, &seeds, 20)
@@ -75,7 +75,7 @@
 	return all, nil
 }
 
-func tellPairs(out io.Writer, pairs []lab.Pair, asJSON bool) error {
+func reportPairs(out io.Writer, pairs []lab.Pair, asJSON bool) error {
 	if err := output.Show(out, pairs, asJSON, func(p *output.Printer) { printPairs(p, pairs) }); err != nil {
 		return err
 	}
@@ -114,7 +114,7 @@
 			if err != nil {
 				return err
 			}
-			return tellRows(cmd.OutOrStdout(), rows, asJSON)
+			return reportRows(cmd.OutOrStdout(), rows, asJSON)
 		},
 	}
 	seedFlags(cmd, &first, &seeds, 10)
@@ -122,8 +122,8 @@
 	return cmd
 }
 
-func tellRows(out io.Writer, rows []lab.Row, asJSON bool) error {
-	if err := output.Show(out, figuresOf(rows), asJSON, func(p *output.Printer) { printRows(p, rows) }); err != nil {
+func reportRows(out io.Writer, rows []lab.Row, asJSON bool) error {
+	if err := output.Show(out, jsonRows(rows), asJSON, func(p *output.Printer) { printRows(p, rows) }); err != nil {
 		return err
 	}
 	for _, r := range rows {
@@ -134,8 +134,8 @@
 	return nil
 }
 
-// rowFigures is a row without what JSON can't hold.
-type rowFigures struct {
+// jsonRow is a row without what JSON can't hold.
+type jsonRow struct {
 	Measure string    `json:"measure"`
 	Places  []float64 `json:"places"`
 	Alone   []float64 `json:"servers_alone"`
@@ -143,7 +143,7 @@
 	Reached bool      `json:"reached"`
 }
 
-func figuresOf(rows []lab.Row) (all []rowFigures) {
+func jsonRows(rows []lab.Row) (all []jsonRow) {
 	finite := func(in []float64) (out []float64) {
 		for _, v := range in {
 			if math.IsInf(v, 0) || math.IsNaN(v) {
@@ -154,7 +154,7 @@
 		return out
 	}
 	for _, r := range rows {
-		all = append(all, rowFigures{r.Name, finite(r.Places), finite(r.Alone), r.Broken, r.Reached()})
+		all = append(all, jsonRow{r.Name, finite(r.Places), finite(r.Alone), r.Broken, r.Reached()})
 	}
 	return all
 }
@@ -169,12 +169,12 @@
 		if !math.IsInf(r.Max, 0) {
 			want += fmt.Sprintf(" %.3g or less", r.Max)
 		}
-		t.AppendRow(table.Row{r.Name, want, spread(r.Places), spread(r.Alone), r.Broken, r.Reached()})
+		t.AppendRow(table.Row{r.Name, want, meanAndRange(r.Places), meanAndRange(r.Alone), r.Broken, r.Reached()})
 	}
 	t.Render()
 }
 
-func spread(all []float64) string {
+func meanAndRange(all []float64) string {
 	mean, least, most := lab.Spread(all)
 	return fmt.Sprintf("%.3f (%.3f to %.3f)", mean, least, most)
 }
--- a/cmd/sloerail/members.go
+++ b/cmd/sloerail/members.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	callTime   = 2 * time.Second // for one call at a second address
-	watchEvery = time.Second
-	mostAnswer = 4 << 20 // bytes
+	callTimeout   = 2 * time.Second // for one call at a second address
+	watchInterval = time.Second
+	maxAnswer     = 4 << 20 // bytes
 )
 
 var (
@@ -50,7 +50,7 @@
 					cmd.PrintErrln("sloerail:", err)
 				}
 				select {
-				case <-time.After(watchEvery):
+				case <-time.After(watchInterval):
 				case <-cmd.Context().Done():
 					return nil
 				}
@@ -62,8 +62,8 @@
 	return cmd
 }
 
-// asked is what came of one address.
-type asked struct {
+// memberAnswer is what came of one address.
+type memberAnswer struct {
 	Address string          `json:"address"`
 	View    *node.FleetView `json:"view,omitempty"`
 	Error   string          `json:"error,omitempty"`
@@ -71,23 +71,23 @@
 
 // showMembers asks all addresses and prints what they say. The error tells what is not as it should be.
 func showMembers(ctx context.Context, out io.Writer, addrs []string, asJSON bool) error {
-	all := make([]asked, len(addrs))
-	each(addrs, func(i int, addr string) {
-		all[i] = asked{Address: addr, View: new(node.FleetView)}
+	all := make([]memberAnswer, len(addrs))
+	forEachAddress(addrs, func(i int, addr string) {
+		all[i] = memberAnswer{Address: addr, View: new(node.FleetView)}
 		if err := getJSON(ctx, addr, "/fleet", errNoFleet, all[i].View); err != nil {
-			all[i] = asked{Address: addr, Error: err.Error()}
+			all[i] = memberAnswer{Address: addr, Error: err.Error()}
 		}
 	})
 	if err := output.Show(out, all, asJSON, func(p *output.Printer) { printMembers(p, all) }); err != nil {
 		return err
 	}
-	return judgeMembers(all)
+	return compareViews(all)
 }
 
-// judgeMembers says what is wrong with the answers taken together.
-func judgeMembers(all []asked) error {
+// compareViews says what is wrong with the answers taken together.
+func compareViews(all []memberAnswer) error {
 	var silent []string
-	var first *asked
+	var first *memberAnswer
 	for i, a := range all {
 		switch {
 		case a.Error != "":
@@ -104,14 +104,14 @@
 	return nil
 }
 
-func printMembers(p *output.Printer, all []asked) {
+func printMembers(p *output.Printer, all []memberAnswer) {
 	for _, a := range all {
 		if a.Error != "" {
 			p.Printf("%s: %s\n\n", a.Address, a.Error)
 			continue
 		}
 		v := a.View
-		p.Printf("%s: %s hears %d, quotas by %d, view %d%s\n", a.Address, v.Node, v.Heard, v.Agreed, v.View, unusual(v))
+		p.Printf("%s: %s hears %d, quotas by %d, view %d%s\n", a.Address, v.Node, v.Heard, v.Agreed, v.View, warnings(v))
 		t := newTable(p, "name", "zone", "state", "for", "incarnation", "version", "address")
 		for _, m := range v.Members {
 			t.AppendRow(table.Row{m.Name, m.Zone, m.State, (time.Duration(m.SinceMs) * time.Millisecond).Round(time.Second),
@@ -122,7 +122,7 @@
 	}
 }
 
-func unusual(v *node.FleetView) (text string) {
+func warnings(v *node.FleetView) (text string) {
 	if v.CutOff {
 		text += "; CUT OFF: it hears half or less, and keeps its part of quotas"
 	}
@@ -132,8 +132,8 @@
 	return text
 }
 
-// each does something for all addresses at once, and returns when all of it is done.
-func each(addrs []string, do func(i int, addr string)) {
+// forEachAddress does something for all addresses at once, and returns when all of it is done.
+func forEachAddress(addrs []string, do func(i int, addr string)) {
 	var calls sync.WaitGroup
 	for i, addr := range addrs {
 		calls.Go(func() { do(i, addr) })
@@ -143,7 +143,7 @@
 
 // getJSON reads what a second address answers; absent stands for an answer that there is nothing of the kind.
 func getJSON(ctx context.Context, addr, path string, absent error, to any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
 	if err != nil {
@@ -160,7 +160,7 @@
 	case resp.StatusCode != http.StatusOK:
 		return fmt.Errorf("it answered %s", resp.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, mostAnswer)).Decode(to); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(to); err != nil {
 		return fmt.Errorf("what came can not be read: %w", err)
 	}
 	return nil
--- a/cmd/sloerail/places.go
+++ b/cmd/sloerail/places.go
@@ -34,16 +34,16 @@
 	return cmd
 }
 
-// placesAt is what came of one address.
-type placesAt struct {
+// placesAnswer is what came of one address.
+type placesAnswer struct {
 	Address string           `json:"address"`
 	Places  []node.PlaceView `json:"places,omitempty"`
 	Error   string           `json:"error,omitempty"`
 }
 
 func showPlaces(ctx context.Context, out io.Writer, addrs []string, asJSON bool) error {
-	all := make([]placesAt, len(addrs))
-	each(addrs, func(i int, addr string) {
+	all := make([]placesAnswer, len(addrs))
+	forEachAddress(addrs, func(i int, addr string) {
 		all[i].Address = addr
 		if err := getJSON(ctx, addr, "/places", errNoPlaces, &all[i].Places); err != nil {
 			all[i].Error = err.Error()
@@ -64,7 +64,7 @@
 	return nil
 }
 
-func printPlaces(p *output.Printer, all []placesAt) {
+func printPlaces(p *output.Printer, all []placesAnswer) {
 	for _, a := range all {
 		if a.Error != "" {
 			p.Printf("%s: %s\n\n", a.Address, a.Error)
--- a/cmd/sloerail/simulate.go
+++ b/cmd/sloerail/simulate.go
@@ -35,7 +35,7 @@
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUse, err)
 			}
-			return tell(cmd.OutOrStdout(), w.Run(), every, asJSON)
+			return reportOutcome(cmd.OutOrStdout(), w.Run(), every, asJSON)
 		},
 	}
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "of all chances")
@@ -57,8 +57,8 @@
 	return p.Err()
 }
 
-// tell prints what came of a run. The error says that rules were broken.
-func tell(out io.Writer, o *lab.Outcome, every int, asJSON bool) error {
+// reportOutcome prints what came of a run. The error says that rules were broken.
+func reportOutcome(out io.Writer, o *lab.Outcome, every int, asJSON bool) error {
 	if err := output.Show(out, o, asJSON, func(p *output.Printer) { printOutcome(p, o, every) }); err != nil {
 		return err
 	}
