Keep one priority queue for the emulator and the lab

Cause: three types wrote container/heap's five methods again (jobs, tries, events). Change: internal/priority has a typed queue over container/heap; its users say what comes before what.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -1,11 +1,12 @@
 package emulator
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"sloerail/internal/priority"
 )
 
 // Repeat says how often a request of a class may run.
@@ -85,7 +86,7 @@
 	spec  ClientSpec
 	rng   *rand.Rand
 	next  Time
-	due   tryQueue
+	due   priority.Queue[*Try]
 	name  string
 	count int
 	Sums  map[string]*Sums // by class
@@ -135,7 +136,7 @@
 	var all []*Try
 	for at, ok := c.Next(); ok && at <= now; at, ok = c.Next() {
 		if len(c.due) > 0 && c.due[0].At == at {
-			all = append(all, heap.Pop(&c.due).(*Try))
+			all = append(all, c.due.Take())
 			continue
 		}
 		all = append(all, c.newTry(at))
@@ -218,26 +219,13 @@
 	next := *t
 	next.At, next.Number, next.answered, next.ID = again, r.tries, false, c.id()
 	next.Expires = c.open(&next)
-	heap.Push(&c.due, &next)
+	c.due.Add(&next)
 }
 
-// tryQueue are in order of time, and then of their ids, so that a seed gives the same order each time.
-type tryQueue []*Try
-
-func (t tryQueue) Len() int { return len(t) }
-func (t tryQueue) Less(i, j int) bool {
-	if t[i].At != t[j].At {
-		return t[i].At < t[j].At
+// Before orders tries by time, and then by their ids, so that a seed gives the same order each time.
+func (t *Try) Before(other *Try) bool {
+	if t.At != other.At {
+		return t.At < other.At
 	}
-	return t[i].ID < t[j].ID
-}
-func (t tryQueue) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *tryQueue) Push(x any)   { *t = append(*t, x.(*Try)) }
-
-func (t *tryQueue) Pop() any {
-	last := len(*t) - 1
-	x := (*t)[last]
-	(*t)[last] = nil
-	*t = (*t)[:last]
-	return x
+	return t.ID < other.ID
 }
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -4,9 +4,10 @@
 package emulator
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
+
+	"sloerail/internal/priority"
 )
 
 // Time is a moment on the driver's clock, from any origin.
@@ -79,7 +80,7 @@
 
 	rng             *rand.Rand
 	started         Time // 0 for long ago: warm
-	running         runQueue
+	running         priority.Queue[run]
 	waiting         []Job
 	keys            map[string]Time // keys, and when their first request was taken
 	overloadedSince Time            // since when too many wait; -1 for not
@@ -143,7 +144,7 @@
 		j := s.waiting[0]
 		s.waiting = s.waiting[1:]
 		takes := time.Duration(float64(j.Work) / s.coreSpeed(now))
-		heap.Push(&s.running, run{j, now + takes, now})
+		s.running.Add(run{j, now + takes, now})
 	}
 }
 
@@ -160,7 +161,7 @@
 func (s *Server) Advance(now Time) []Done {
 	var all []Done
 	for len(s.running) > 0 && s.running[0].ends <= now {
-		r := heap.Pop(&s.running).(run)
+		r := s.running.Take()
 		s.busy += r.ends - max(r.began, s.reportedAt) // what lies before is in a report already
 		s.serviceTime += r.ends - r.began
 		s.served++
@@ -244,16 +245,5 @@
 	ends, began Time
 }
 
-type runQueue []run
-
-func (r runQueue) Len() int           { return len(r) }
-func (r runQueue) Less(i, j int) bool { return r[i].ends < r[j].ends }
-func (r runQueue) Swap(i, j int)      { r[i], r[j] = r[j], r[i] }
-func (r *runQueue) Push(x any)        { *r = append(*r, x.(run)) }
-
-func (r *runQueue) Pop() any {
-	last := len(*r) - 1
-	x := (*r)[last]
-	*r = (*r)[:last]
-	return x
-}
+// Before orders jobs by their ends.
+func (r run) Before(other run) bool { return r.ends < other.ends }
--- a/internal/lab/queue.go
+++ b/internal/lab/queue.go
@@ -1,39 +1,24 @@
 package lab
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
+// event is something to run at a time; events of one time run in the order in which they were scheduled.
 type event struct {
-	at  time.Duration
-	seq int
-	run func()
+	at       time.Duration
+	sequence int
+	run      func()
 }
 
-type eventQueue []event
-
-func (e eventQueue) Len() int { return len(e) }
-
-func (e eventQueue) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-
-func (e eventQueue) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-func (e *eventQueue) Push(x any) { *e = append(*e, x.(event)) }
-
-func (e *eventQueue) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	(*e)[last] = event{}
-	*e = (*e)[:last]
-	return x
+// Before orders events by time, and then by sequence.
+func (e event) Before(other event) bool {
+	return e.at < other.at || e.at == other.at && e.sequence < other.sequence
 }
 
-func (w *World) at(t time.Duration, do func()) {
+// at schedules an event; one of the past runs next.
+func (w *World) at(t time.Duration, run func()) {
 	w.sequence++
-	heap.Push(&w.queue, event{max(t, w.now), w.sequence, do})
+	w.queue.Add(event{max(t, w.now), w.sequence, run})
 }
 
-func (w *World) in(d time.Duration, do func()) { w.at(w.now+d, do) }
+// in schedules an event from now.
+func (w *World) in(d time.Duration, run func()) { w.at(w.now+d, run) }
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -1,11 +1,11 @@
 package lab
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
 	"sloerail/internal/emulator"
+	"sloerail/internal/priority"
 )
 
 // Figures of the world, in the middle of the ranges that the operators' pages state.
@@ -25,7 +25,7 @@
 	Checker *emulator.Checker
 
 	now         time.Duration
-	queue       eventQueue
+	queue       priority.Queue[event]
 	sequence    int
 	seed        uint64
 	rng         *rand.Rand
@@ -73,7 +73,7 @@
 func (w *World) Run() *Outcome {
 	end := origin + w.For.Duration + settleTime
 	for len(w.queue) > 0 && w.queue[0].at <= end && !w.idle() {
-		e := heap.Pop(&w.queue).(event)
+		e := w.queue.Take()
 		w.now = e.at
 		e.run()
 	}
