--- a/internal/rig/scope_test.go
+++ b/internal/rig/scope_test.go
@@ -25,7 +25,7 @@
 	g    *Registry
 	c    *registry.Client
 	node *Node
-	at   map[string]string // where the node reaches the boxes
+	at   map[string]string // where the node reaches the servers
 
 	written int64 // the revision of the newest write
 
@@ -57,7 +57,7 @@
 	return x
 }
 
-// counted counts the attempts that reach a box.
+// counted counts the attempts that reach a server.
 func (x *scopedTrial) counted(id string, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		x.mu.Lock()
@@ -178,7 +178,7 @@
 }
 
 // finish ends the load, and holds what was served and sent to what is promised.
-func (x *scopedTrial) finish(load *Load) {
+func (x *scopedTrial) finish(load *LoadGenerator) {
 	x.t.Helper()
 	err := Await(within(x.t, x.ctx), "enough requests", func() bool { return load.Sums().Asked >= 240 })
 	if err != nil {
