Size the budget of cold servers by what warm ones were seen to carry

Cause: without load reports a cold server's budget followed what is answered now, spread over all listed servers, cold and dead ones too (coldRoom). Change: the budget follows the answers of warm servers, by the number of these, at most of about the last minute (carried). What counts against the rule is unchanged: part, multiple and margin. TestColdBudgetOutlivesTheLossOfWarmServers fails without it.

--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -271,3 +271,37 @@
 		}
 	}
 }
+
+// What cold servers may take follows what warm ones were seen to carry, not what is answered while others fail: then
+// it would be least when the cold ones are needed most.
+func TestColdBudgetOutlivesTheLossOfWarmServers(t *testing.T) {
+	set := site(1)
+	set.Rules.ColdShare, set.Rules.ColdFor = 0.5, time.Hour
+	list := members(12)
+	const cold = 4
+	for i := range cold {
+		list[i].OnlineSince = 1
+	}
+	b := start(t, set, list)
+	const perSecond = 80
+	for i := range 10 * perSecond {
+		b.now += time.Second / perSecond
+		r := &request{class: b.ranked[0]}
+		b.observe(r, &attempt{server: b.servers[fmt.Sprintf("s%02d", cold+i%8)]}, Outcome{Code: OK, Latency: 20 * ms})
+	}
+	if got := b.carried(); math.Abs(got-perSecond/8) > 1 {
+		t.Fatalf("a warm server is held to carry %v, want about %v", got, perSecond/8)
+	}
+	before := b.carried()
+	for i := cold; i < 9; i++ {
+		b.Handle(b.now, MemberList{Kind: ListUpdate, Members: []Member{{Server: fmt.Sprintf("s%02d", i), Availability: Removed}}})
+	}
+	b.now += 10 * time.Second
+	if got := b.carried(); got < 0.8*before {
+		t.Errorf("10 s after most warm servers are gone and nothing is answered, a warm one is held to carry %v of %v", got, before)
+	}
+	b.now += 10 * carriedSpan
+	if got := b.carried(); got > 0.01*before {
+		t.Errorf("what a warm server carried long ago still counts %v of %v", got, before)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -699,8 +699,11 @@
 		s.latency += latencyGain * (e.Latency.Seconds() - s.latency)
 	}
 	b.hear(s, e.Report)
-	if e.Code == OK {
+	if e.Code == OK && b.ramp(s) >= 1 {
 		b.done, b.doneAt = b.doneRate()+1/doneSpan.Seconds(), b.now
+		b.carried()
+	}
+	if e.Code == OK {
 		c.observe(e.Latency)
 	}
 	b.judge(a, e.Code, blame)
@@ -813,17 +816,19 @@
 const (
 	coldMargin = 0.7 // of the multiple beyond one: that one is left to chance, heavy work and unequal servers
 	coldFloor  = 1.0 // requests a second by all nodes to a cold server when nothing is known yet
+
+	carriedSpan = time.Minute // in which it is forgotten what a warm server carried at most
 )
 
-// coldRoom guards the fourth rule. This node's mean rate per server, summed over the nodes, is what a warm
-// server takes; a cold one may get its present part of that, and no more. Where load is reported, what warm
-// ones of its kind can serve stands in for that: a mean over servers that are mostly cold is too little.
+// coldRoom guards the fourth rule. What a warm server carries for this node, summed over the nodes, is what
+// one can take; a cold one may get its present part of that, and no more. Where load is reported, what warm
+// ones of its kind can serve stands in for that.
 func (b *Balancer) coldRoom(s *server) bool {
 	part := b.ramp(s)
 	if part >= 1 || b.handedOver {
 		return part >= 1
 	}
-	mean := b.doneRate() / float64(max(1, b.length))
+	mean := b.carried()
 	if k := b.kinds[s.Kind]; k != nil {
 		mean = k.rate / float64(b.set.Nodes)
 		part = max(part, min(1, utilAim*s.rate/k.rate))
@@ -839,6 +844,15 @@
 	return k.tokens >= 1
 }
 
+// carried is how many requests a second a warm server was seen to answer for this node, at most of late. What
+// is answered now falls with the servers that fail, and those that return would be kept cold by that.
+func (b *Balancer) carried() float64 {
+	now := b.doneRate() / max(1, float64(b.warmServers()))
+	b.carriedMost = max(now, b.carriedMost*math.Exp(-(b.now-b.carriedAt).Seconds()/carriedSpan.Seconds()))
+	b.carriedAt = b.now
+	return b.carriedMost
+}
+
 // ---- List: following the servers ----
 
 // askAgain is the mean wait before a failed call for the list is repeated, spread among nodes and doubled by
--- a/policy/state.go
+++ b/policy/state.go
@@ -58,8 +58,10 @@
 	budget         Budget     // of attempts beyond the first of each request
 	took           []Time     // requests taken in the span of the budget of attempts, oldest first
 	extra          []Time     // attempts beyond a request's first in it
-	done           float64    // answers a second, as of doneAt
+	done           float64    // answers of warm servers a second, as of doneAt
 	doneAt         Time
+	carriedMost    float64 // answers a second by a warm server at most of late, as of carriedAt
+	carriedAt      Time
 	handedOver     bool // another process of this node has taken over
 	fleet          presence
 	bad            float64       // part of bad answers lately,
--- a/policy/sums.go
+++ b/policy/sums.go
@@ -130,13 +130,28 @@
 	}
 }
 
-// warmWeight counts the warm servers of places that aren't left, by how many even parts of each this node has.
-func (b *Balancer) warmWeight() float64 {
+// settleWarm counts those that have become warm by now.
+func (b *Balancer) settleWarm() {
 	for len(b.warming) > 0 && b.warming[0].at <= b.now {
 		s := b.warming.next()
 		s.counted.warming = false
 		b.countWarm(s)
 	}
+}
+
+// warmServers counts the warm servers of the order.
+func (b *Balancer) warmServers() int {
+	b.settleWarm()
+	n := b.warmUnjudged[0] + b.warmUnjudged[1]
+	for _, p := range b.places {
+		n += p.warm
+	}
+	return n
+}
+
+// warmWeight counts the warm servers of places that aren't left, by how many even parts of each this node has.
+func (b *Balancer) warmWeight() float64 {
+	b.settleWarm()
 	far, near := b.warmUnjudged[0], b.warmUnjudged[1]
 	for _, p := range b.places {
 		switch {
--- a/policy/sums_test.go
+++ b/policy/sums_test.go
@@ -222,6 +222,9 @@
 	if got := b.warmWeight(); math.Abs(got-weight) > 1e-9*weight {
 		t.Fatalf("the warm servers weigh %v, anew %v", got, weight)
 	}
+	if n := countOf(order, func(s *server) bool { return b.ramp(s) >= 1 }); b.warmServers() != n {
+		t.Fatalf("%d servers are warm, anew %d", b.warmServers(), n)
+	}
 	if b.faults != faults {
 		t.Fatalf("the faults sum up to %v, anew %v", b.faults, faults)
 	}
