Send cold servers their part before the walk meets warm ones with room

Change: first tries of classes under the dearest go to a cold server of the nearest ones that has a whole request in its budget, those of the dearest once a twentieth of it finds no room (slowStart). The budget itself is unchanged. Sixteen cold servers at most are looked at for a choice. Sites with load reports meet cold servers by their window as before. TestColdServersGetTheirPartBeforeTheWalk fails without it.

--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -305,3 +305,40 @@
 		t.Errorf("what a warm server carried long ago still counts %v of %v", got, before)
 	}
 }
+
+// A cold server's part goes to it before the walk, which would hardly ever meet it behind servers with room: by
+// first tries of what is worth less than the dearest, and by those too once they are short of room.
+func TestColdServersGetTheirPartBeforeTheWalk(t *testing.T) {
+	set := site(1)
+	set.Classes[0].Worth, set.Classes[1].Worth = 1, 5
+	list := append(members(6), Member{Server: "z-cold", Zone: "a", OnlineSince: 1, Weight: 1},
+		Member{Server: "z-far", Zone: "b", OnlineSince: 1, Weight: 1})
+	fresh := func() *Balancer {
+		b := start(t, set, list)
+		for _, id := range []string{"z-cold", "z-far"} {
+			b.servers[id].cold.tokens = 1
+		}
+		return b
+	}
+	if got := sentTo(t, fresh().Handle(ms, ask("cheap", "free"))); got != "z-cold" {
+		t.Errorf("a cheap request goes to %s, want the cold server of the own zone", got)
+	}
+	if got := sentTo(t, fresh().Handle(ms, ask("dear", "once"))); got != "s00" {
+		t.Errorf("a dear request goes to %s, want a warm server", got)
+	}
+	b := fresh()
+	b.starved = 2 * starvedLittle
+	if got := sentTo(t, b.Handle(ms, ask("dear", "once"))); got != "z-cold" {
+		t.Errorf("a dear request goes to %s while room is short, want the cold server", got)
+	}
+	b = fresh()
+	if b.servers["z-cold"].cold.tokens = 0; sentTo(t, b.Handle(ms, ask("cheap", "free"))) != "s00" {
+		t.Error("a cold server is sent more than its part")
+	}
+	b = fresh()
+	first := sentTo(t, b.Handle(ms, ask("again", "free")))
+	b.servers["z-far"].Zone, b.servers["z-cold"].cold.tokens = "a", 1
+	if got := sentTo(t, b.Handle(2*ms, outcome("again", 0, first, Full, ms))); got != "s00" {
+		t.Errorf("a further attempt goes to %s, want a warm server", got)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -214,6 +214,9 @@
 func (b *Balancer) pick(r *request) (s *server, room bool) {
 	crowd, most := b.crowd(), b.crowdMost(r.class)
 	b.choosePlaces(r)
+	if s = b.slowStart(r); s != nil {
+		return s, true
+	}
 	var least *server
 	for s := range r.class.open.all {
 		if !b.usable(r, s) {
@@ -233,6 +236,25 @@
 	return least, least != nil && !least.felt
 }
 
+// slowStart returns a cold server of the nearest that may get a request now. A walk meets those behind servers
+// with room too seldom for them to use their part, and they are missed when others fail. The dearest class
+// doesn't go there before it is short of room, nor a further attempt. Of many that are cold a few are looked at.
+func (b *Balancer) slowStart(r *request) (best *server) {
+	dearest := r.class.Worth >= b.dearest && b.starved < starvedLittle
+	if b.settleWarm(); b.measured() || dearest || len(r.attempts) > 0 {
+		return nil
+	}
+	for _, e := range b.warming[:min(len(b.warming), coldLooked)] {
+		if s := e.server; s.segment == nil || s.segment != b.segments[0] || !b.usable(r, s) || !b.hasRoom(s) {
+			continue
+		}
+		if best == nil || e.server.cold.tokens > best.cold.tokens {
+			best = e.server
+		}
+	}
+	return best
+}
+
 // crowdMost is how many times its limit the least busy server is filled for a class. Without room for
 // all, what is worth less is given up first; beyond the most, answers would only be late.
 func (b *Balancer) crowdMost(c *class) float64 {
@@ -817,7 +839,9 @@
 	coldMargin = 0.7 // of the multiple beyond one: that one is left to chance, heavy work and unequal servers
 	coldFloor  = 1.0 // requests a second by all nodes to a cold server when nothing is known yet
 
-	carriedSpan = time.Minute // in which it is forgotten what a warm server carried at most
+	coldLooked    = 16          // cold servers that a choice looks at before its walk
+	starvedLittle = 0.05        // part of the dearest requests without room up to which they keep to warm servers
+	carriedSpan   = time.Minute // in which it is forgotten what a warm server carried at most
 )
 
 // coldRoom guards the fourth rule. What a warm server carries for this node, summed over the nodes, is what
