Give up cheap classes at once while the dearest find no room

Cause: without load reports a request of any class takes any room (pick: crowd is 0 then), and the buckets' pace refuses all classes alike. Change: while some of the dearest find no room, a cheaper class is given up on arrival, the likelier the more of them, and the less it is worth (shed); nine in ten at most. TestCheapClassesGiveWayToTheDearest fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -110,6 +110,10 @@
 	b.reqs[r.ID] = r
 	b.took = append(b.took, b.now)
 	b.trimBudget()
+	if b.shed(c) {
+		b.refuse(r, 0)
+		return
+	}
 	if ok, wait := b.admit(e.Tenant, e.Class); !ok {
 		b.refuse(r, wait)
 		return
@@ -117,6 +121,15 @@
 	b.dispatch(r)
 }
 
+// shed draws whether a request is given up at once, since the dearest find no room: the more of them, and the
+// less it is worth, the likelier. Where reports tell of room, the crowd limits do that.
+func (b *Balancer) shed(c *class) bool {
+	if b.measured() || b.starved == 0 || c.Worth >= b.dearest {
+		return false
+	}
+	return b.rng.Float64() < min(shedMost, starveCut*b.starved*(1-c.Worth/b.dearest))
+}
+
 // due sets by when r is to be answered. A request that isn't whole has time: the node sees to it that
 // its bytes keep coming, and until the last of them no server works on it.
 func (b *Balancer) due(r *request) {
@@ -172,6 +185,7 @@
 	paceShare         = 1.5        // above, only while few answers are bad
 	paceBad, badGain  = 0.06, 0.01 // of the answers, and the weight of one
 	lostGain          = 0.05       // the same among those that came too late, or of servers that were full
+	shedMost          = 0.9        // of a class: some go on, lest room that comes back stay unseen
 	paceMost          = 3.0        // above, there is little worth left to win
 )
 
@@ -236,9 +250,10 @@
 	return least, least != nil && !least.felt
 }
 
-// slowStart returns a cold server of the nearest that may get a request now. A walk meets those behind servers
-// with room too seldom for them to use their part, and they are missed when others fail. The dearest class
-// doesn't go there before it is short of room, nor a further attempt. Of many that are cold a few are looked at.
+// slowStart returns a cold server of the nearest that may get a request now. A walk meets those behind
+// servers with room too seldom for them to use their part, and they are missed when others fail. The
+// dearest class goes there once it is short of room, and no further attempt does. Of many cold ones a few
+// are looked at.
 func (b *Balancer) slowStart(r *request) (best *server) {
 	dearest := r.class.Worth >= b.dearest && b.starved < starvedLittle
 	if b.settleWarm(); b.measured() || dearest || len(r.attempts) > 0 {
@@ -840,7 +855,7 @@
 	coldFloor  = 1.0 // requests a second by all nodes to a cold server when nothing is known yet
 
 	coldLooked    = 16          // cold servers that a choice looks at before its walk
-	starvedLittle = 0.05        // part of the dearest requests without room up to which they keep to warm servers
+	starvedLittle = 0.05        // part of the dearest without room up to which they keep to warm servers
 	carriedSpan   = time.Minute // in which it is forgotten what a warm server carried at most
 )
 
@@ -868,15 +883,6 @@
 	return k.tokens >= 1
 }
 
-// carried is how many requests a second a warm server was seen to answer for this node, at most of late. What
-// is answered now falls with the servers that fail, and those that return would be kept cold by that.
-func (b *Balancer) carried() float64 {
-	now := b.doneRate() / max(1, float64(b.warmServers()))
-	b.carriedMost = max(now, b.carriedMost*math.Exp(-(b.now-b.carriedAt).Seconds()/carriedSpan.Seconds()))
-	b.carriedAt = b.now
-	return b.carriedMost
-}
-
 // ---- List: following the servers ----
 
 // askAgain is the mean wait before a failed call for the list is repeated, spread among nodes and doubled by
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -777,3 +777,41 @@
 		t.Errorf("sent to %s, though the other process has nothing out any more", next)
 	}
 }
+
+// While the dearest class finds no room, what is worth less gives way before it takes any, the more the less it is
+// worth; the dearest never does, and neither does any where reports tell of room.
+func TestCheapClassesGiveWayToTheDearest(t *testing.T) {
+	set := site(1)
+	set.Classes[0].Worth, set.Classes[1].Worth, set.Classes[2].Worth = 1, 5, 3
+	b := start(t, set, members(4))
+	refused := func(class string) (part float64) {
+		const asked = 2000
+		for range asked {
+			if b.shed(b.classes[class]) {
+				part += 1.0 / asked
+			}
+		}
+		return part
+	}
+	if got := refused("free"); got != 0 {
+		t.Errorf("%v of the cheapest are given up while the dearest find room", got)
+	}
+	b.starved = 0.15
+	cheapest, middle, dearest := refused("free"), refused("all"), refused("once")
+	if math.Abs(cheapest-0.48) > 0.05 || math.Abs(middle-0.24) > 0.05 || dearest != 0 {
+		t.Errorf("%v of the cheapest, %v of the middle and %v of the dearest class are given up, want 0.48, 0.24 and 0",
+			cheapest, middle, dearest)
+	}
+	b.starved = 1
+	if got := refused("free"); math.Abs(got-shedMost) > 0.05 {
+		t.Errorf("%v of the cheapest are given up while no dear one finds room, want %v", got, shedMost)
+	}
+	if acts := b.Handle(ms, ask("x", "once")); len(of(acts, Send)) != 1 {
+		t.Errorf("the dearest class gives way: %+v", acts)
+	}
+	told := fleet(t, 40, members(4))
+	told.starved, told.dearest = 1, 5
+	if told.shed(told.classes["free"]) {
+		t.Error("a class gives way though reports tell of room")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -547,6 +547,15 @@
 	}
 }
 
+// carried is how many requests a second a warm server was seen to answer for this node, at most of late. What
+// is answered now falls with the servers that fail, and those that return would be kept cold by that.
+func (b *Balancer) carried() float64 {
+	now := b.doneRate() / max(1, float64(b.warmServers()))
+	b.carriedMost = max(now, b.carriedMost*math.Exp(-(b.now-b.carriedAt).Seconds()/carriedSpan.Seconds()))
+	b.carriedAt = b.now
+	return b.carriedMost
+}
+
 // refuse ends r with a wait that its client is told; 0 for none.
 func (b *Balancer) refuse(r *request, wait time.Duration) {
 	b.emit(Action{Kind: Refuse, ID: r.ID, Wait: wait})
