--- a/policy/policy.go
+++ b/policy/policy.go
@@ -250,10 +250,9 @@
 	return least, least != nil && !least.felt
 }
 
-// slowStart returns a cold server of the nearest that may get a request now. A walk meets those behind
-// servers with room too seldom for them to use their part, and they are missed when others fail. The
-// dearest class goes there once it is short of room, and no further attempt does. Of many cold ones a few
-// are looked at.
+// slowStart returns a cold server of the nearest that may get a request now: the walk meets those behind
+// servers with room too seldom for them to use their part, and they are missed when others fail. The dearest
+// class goes there once it is short of room, and no further attempt does. Only a few cold ones are looked at.
 func (b *Balancer) slowStart(r *request) (best *server) {
 	dearest := r.class.Worth >= b.dearest && b.starved < starvedLittle
 	if b.settleWarm(); b.measured() || dearest || len(r.attempts) > 0 {
