--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -271,3 +271,83 @@
 		}
 	}
 }
+
+// What cold servers may take follows what warm ones were seen to carry, not what is answered while others fail: then
+// it would be least when the cold ones are needed most.
+func TestColdBudgetOutlivesTheLossOfWarmServers(t *testing.T) {
+	set := site(1)
+	set.Rules.ColdShare, set.Rules.ColdFor = 0.5, time.Hour
+	list := members(12)
+	const cold = 4
+	for i := range cold {
+		list[i].OnlineSince = 1
+	}
+	b := start(t, set, list)
+	const perSecond = 80
+	for i := range 10 * perSecond {
+		b.now += time.Second / perSecond
+		r := &request{class: b.ranked[0]}
+		b.observe(r, &attempt{server: b.servers[fmt.Sprintf("s%02d", cold+i%8)]}, Outcome{Code: OK, Latency: 20 * ms})
+	}
+	if got := b.carried(); math.Abs(got-perSecond/8) > 1 {
+		t.Fatalf("a warm server is held to carry %v, want about %v", got, perSecond/8)
+	}
+	before := b.carried()
+	rate := func() float64 { // of a server half warm, by all nodes: this is the only one
+		s := b.servers["s00"]
+		s.OnlineSince, s.cold = b.now, coldBudget{last: b.now - 10*ms}
+		b.coldRoom(s)
+		return s.cold.tokens / 0.01
+	}
+	allowed := rate()
+	for i := cold; i < 9; i++ {
+		b.Handle(b.now, MemberList{Kind: ListUpdate, Members: []Member{{Server: fmt.Sprintf("s%02d", i), Availability: Removed}}})
+	}
+	b.now += 10 * time.Second
+	if got := b.carried(); got < 0.8*before {
+		t.Errorf("10 s after most warm servers are gone and nothing is answered, a warm one is held to carry %v of %v", got, before)
+	}
+	if got := rate(); got < 0.8*allowed {
+		t.Errorf("a cold server may get %v requests a second then, %v before", got, allowed)
+	}
+	b.now += 10 * carriedSpan
+	if got := b.carried(); got > 0.01*before {
+		t.Errorf("what a warm server carried long ago still counts %v of %v", got, before)
+	}
+}
+
+// A cold server's part goes to it before the walk, which would hardly ever meet it behind servers with room: by
+// first tries of what is worth less than the dearest, and by those too once they are short of room.
+func TestColdServersGetTheirPartBeforeTheWalk(t *testing.T) {
+	set := site(1)
+	set.Classes[0].Worth, set.Classes[1].Worth = 1, 5
+	list := append(members(6), Member{Server: "z-cold", Zone: "a", OnlineSince: 1, Weight: 1},
+		Member{Server: "z-far", Zone: "b", OnlineSince: 1, Weight: 1})
+	fresh := func() *Balancer {
+		b := start(t, set, list)
+		for _, id := range []string{"z-cold", "z-far"} {
+			b.servers[id].cold.tokens = 1
+		}
+		return b
+	}
+	if got := sentTo(t, fresh().Handle(ms, ask("cheap", "free"))); got != "z-cold" {
+		t.Errorf("a cheap request goes to %s, want the cold server of the own zone", got)
+	}
+	if got := sentTo(t, fresh().Handle(ms, ask("dear", "once"))); got != "s00" {
+		t.Errorf("a dear request goes to %s, want a warm server", got)
+	}
+	b := fresh()
+	b.starved = 2 * starvedLittle
+	if got := sentTo(t, b.Handle(ms, ask("dear", "once"))); got != "z-cold" {
+		t.Errorf("a dear request goes to %s while room is short, want the cold server", got)
+	}
+	b = fresh()
+	if b.servers["z-cold"].cold.tokens = 0; sentTo(t, b.Handle(ms, ask("cheap", "free"))) != "s00" {
+		t.Error("a cold server is sent more than its part")
+	}
+	first := sentTo(t, b.Handle(ms, ask("again", "free")))
+	b.servers["z-cold"].cold.tokens = 1
+	if got := sentTo(t, b.Handle(2*ms, outcome("again", 0, first, Full, ms))); got == "z-cold" {
+		t.Errorf("a further attempt goes to %s, want a warm server", got)
+	}
+}
