--- a/internal/node/hollow.go
+++ b/internal/node/hollow.go
@@ -27,6 +27,16 @@
 	Calls, Answers uint64
 }
 
+// Plus is the sum of two.
+func (t Traffic) Plus(o Traffic) Traffic {
+	return Traffic{t.Sent + o.Sent, t.Received + o.Received, t.Calls + o.Calls, t.Answers + o.Answers}
+}
+
+// Since is what passed after an earlier count.
+func (t Traffic) Since(o Traffic) Traffic {
+	return Traffic{t.Sent - o.Sent, t.Received - o.Received, t.Calls - o.Calls, t.Answers - o.Answers}
+}
+
 // traffic counts under way.
 type traffic struct{ sent, received, calls, answers atomic.Uint64 }
 
@@ -34,7 +44,7 @@
 // to seen, unless that is nil, by the goroutine that took it.
 func NewHollow(c Config, seen func(policy.MemberList)) (*Hollow, error) {
 	h := &Hollow{config: c, traffic: new(traffic)}
-	dial := c.dialer(watchGrace)
+	dial := c.dialer(queueTime)
 	c.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
@@ -137,6 +147,12 @@
 	return listed
 }
 
+// Avoided counts those of them that get no work now.
+func (h *Hollow) Avoided() int {
+	_, avoided := h.loop.module.Servers()
+	return avoided
+}
+
 // Traffic is what passed so far.
 func (h *Hollow) Traffic() Traffic {
 	return Traffic{Sent: h.traffic.sent.Load(), Received: h.traffic.received.Load(), Calls: h.traffic.calls.Load(),
--- a/internal/node/scope_test.go
+++ b/internal/node/scope_test.go
@@ -78,9 +78,11 @@
 
 const listURI = "/registry/instances"
 
+var testTimes = newCallTimes(policy.Settings{})
+
 // watchOf is the URI of a watch from a revision on.
 func watchOf(revision int, scope string) string {
-	return fmt.Sprintf("%s?index=%d&wait=%d%s", listURI, revision, watchWait.Milliseconds(), scope)
+	return fmt.Sprintf("%s?index=%d&wait=%d%s", listURI, revision, testTimes.wait.Milliseconds(), scope)
 }
 
 // Without the section, calls for the list are what they were before there was one, byte for byte, whatever the
@@ -110,9 +112,9 @@
 			t.Errorf("told of an answer with nothing new: %+v", <-told)
 		}
 		addrs := strings.TrimSuffix(strings.TrimPrefix(d.urls[0], "http://"), listURI)
-		d.move(target{addr: addrs, scope: "service=c"})
+		d.move(target{addr: addrs, scope: "service=c", times: testTimes})
 		wantCalls(t, calls, listURI+"?service=c")
-		d.move(target{addr: addrs})
+		d.move(target{addr: addrs, times: testTimes})
 		wantCalls(t, calls, listURI)
 	})
 }
--- a/internal/registry/http_test.go
+++ b/internal/registry/http_test.go
@@ -142,6 +142,16 @@
 	}
 }
 
+// await waits for a watch to be woken.
+func await(t *testing.T, news <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-news:
+	case <-time.After(mostWait):
+		t.Fatal("a watch was not woken")
+	}
+}
+
 // Only watches whose services change are woken, and all are where the state is another as a whole.
 func TestSubscriptions(t *testing.T) {
 	r, _ := serveAlone(t)
@@ -156,16 +166,16 @@
 	a, cancelA := r.subscribe([]string{"a"})
 	b, cancelB := r.subscribe([]string{"b", "c"})
 	apply(t, r, serves("a0", "a"))
-	<-a
+	await(t, a)
 	if woken(b) {
 		t.Error("a change of service a woke a watch of b and c")
 	}
 	apply(t, r, serves("a0", "c")) // it leaves one service for another
-	<-a
-	<-b
+	await(t, a)
+	await(t, b)
 	apply(t, r, Command{Kind: NewEpoch})
-	<-a
-	<-b
+	await(t, a)
+	await(t, b)
 	cancelA()
 	cancelB()
 	if len(r.scoped.byService) != 0 {
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -30,9 +30,9 @@
 )
 
 // NotMeasured are the dimensions of which there is no run yet.
-var NotMeasured = []Dimension{"services", "routes", "restarts", "requests"}
+var NotMeasured = []Dimension{"services", "routes", "restarts", "requests", "members"}
 
-var measuredDimensions = []Dimension{Servers, Tenants, Nodes, Changes}
+var measuredDimensions = append([]Dimension{Servers, Tenants, Nodes, Changes}, realDimensions()...)
 
 const (
 	leastSizes = 5 // a slope is claimed of no fewer
@@ -59,7 +59,10 @@
 	For       lab.Duration `toml:"for" json:"for"`   // the whole scenario takes no longer
 	Span      lab.Duration `toml:"span" json:"span"` // of one point, where time has to pass
 	Held      Held         `toml:"held" json:"held"`
-	Target    float64      `toml:"target" json:"target"` // the size that the laws are reckoned for
+	Replicas  int          `toml:"replicas" json:"replicas"` // of the list service; 0 for 1
+	Fault     Fault        `toml:"fault" json:"fault"`       // of the list service; empty for none
+	Away      lab.Duration `toml:"away" json:"away"`         // how long replicas are away
+	Target    float64      `toml:"target" json:"target"`     // the size that the laws are reckoned for
 	Budgets   []Budget     `toml:"budgets" json:"budgets"`
 }
 
@@ -167,9 +170,22 @@
 	case math.IsNaN(s.Target) || math.IsInf(s.Target, 0) || s.Target < 0:
 		return fmt.Errorf("target: want 0 or more, got %v", s.Target)
 	}
+	if n := s.Replicas; n < 0 || n > mostReplicas || n > 0 && n%2 == 0 {
+		return fmt.Errorf("replicas: want an odd number up to %d, got %d", mostReplicas, n)
+	}
+	if err := s.checkFault(); err != nil {
+		return err
+	}
+	if _, isReal := realDimension(s.Dimension); isReal {
+		return s.checkBudgets()
+	}
 	if err := s.Held.check(s.Dimension); err != nil {
 		return fmt.Errorf("held.%w", err)
 	}
+	return s.checkBudgets()
+}
+
+func (s *Scenario) checkBudgets() error {
 	for i, b := range s.Budgets {
 		if !slices.ContainsFunc(Measures(), func(m Measure) bool { return m.Name == b.Measure }) {
 			return fmt.Errorf("budgets[%d].measure: there is no measure %q", i, b.Measure)
@@ -182,13 +198,19 @@
 }
 
 // timed tells whether time has to pass at a point.
-func (s *Scenario) timed() bool { return s.Dimension == Nodes || s.Dimension == Changes }
+func (s *Scenario) timed() bool {
+	_, isReal := realDimension(s.Dimension)
+	return s.Dimension == Nodes || s.Dimension == Changes || isReal
+}
 
 func (s *Scenario) checkSizes() error {
 	if len(s.Sizes) < leastSizes || len(s.Sizes) > mostSizes {
 		return fmt.Errorf("sizes: want %d to %d, got %d", leastSizes, mostSizes, len(s.Sizes))
 	}
 	most := map[Dimension]int{Servers: mostServers, Tenants: mostTenants, Nodes: mostWatchers, Changes: mostRate}[s.Dimension]
+	if d, isReal := realDimension(s.Dimension); isReal {
+		most = d.Most
+	}
 	for i, n := range s.Sizes {
 		switch {
 		case n < 1:
