--- a/internal/registry/http_test.go
+++ b/internal/registry/http_test.go
@@ -131,15 +131,15 @@
 // held waits until a watch of a service is held.
 func held(t *testing.T, r *Replica, service string) {
 	t.Helper()
-	for {
+	for until := time.Now().Add(mostWait); time.Now().Before(until); time.Sleep(time.Millisecond) {
 		r.mu.Lock()
 		n := len(r.scoped.byService[service])
 		r.mu.Unlock()
 		if n > 0 {
 			return
 		}
-		time.Sleep(time.Millisecond)
 	}
+	t.Fatal("no watch is held")
 }
 
 // await waits for a watch to be woken.
--- a/internal/registry/scope_test.go
+++ b/internal/registry/scope_test.go
@@ -176,8 +176,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(s.Instances, back.Instances); diff != "" {
-		t.Fatal("a snapshot is not the state:", diff)
+	if !maps.Equal(s.Instances, back.Instances) {
+		t.Fatal("a snapshot is not the state:", cmp.Diff(s.Instances, back.Instances))
 	}
 	return back
 }
@@ -295,6 +295,18 @@
 	}
 }
 
+// A snapshot of as many instances as there may be is read.
+func TestSnapshotOfAFullList(t *testing.T) {
+	s := NewState()
+	for i := range mostInstances {
+		id := fmt.Sprint("s", i)
+		s.Instances[id] = Instance{Entry: serves(id, "a").Entry, Slot: i}
+	}
+	if back := reread(t, s); back.Apply(registers("one more", LeaseDefault)).Fault != Full {
+		t.Error("one more was taken")
+	}
+}
+
 // A snapshot whose slots don't fit is none.
 func TestSnapshotsWithBadSlots(t *testing.T) {
 	for want, slots := range map[string][2]int{"both have slot 1": {1, 1}, "out of range": {0, mostInstances}} {
