--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -122,8 +122,8 @@
 	client    *http.Client
 	kept      *keeper // nil for none
 	subscribe bool    // watch only when the module has asked, and tell it of failures
-	scope     scopeState
 	times     callTimes
+	scope     scopeState
 	revision  int64
 	asks      chan bool   // the module's newest wish to be kept told
 	moves     chan target // the newest, where the configuration names another
@@ -135,8 +135,8 @@
 type target struct {
 	addr      string
 	subscribe bool
-	scope     string
 	times     callTimes
+	scope     string
 }
 
 var (
@@ -159,8 +159,8 @@
 	urls, scope := registryURLs(c.Discovery), scopeState{query: c.Scope}
 	return &discovery{
 		urls: urls, at: int(c.Seed % uint64(len(urls))), kept: newKeeper(c), subscribe: c.Settings.Subscribe,
-		times: newCallTimes(c.Settings), scope: scope,
-		rng: rand.New(rand.NewPCG(c.Seed, 0xd1)), revision: scope.firstRevision(c.Known.Revision), asks: make(chan bool, 1),
+		times: newCallTimes(c.Settings), scope: scope, revision: scope.firstRevision(c.Known.Revision),
+		rng: rand.New(rand.NewPCG(c.Seed, 0xd1)), asks: make(chan bool, 1),
 		moves: make(chan target, 1), tell: tell,
 		client: &http.Client{
 			// A Transport of its own, so neither a proxy nor the requests share its connection.
--- a/internal/node/scope_test.go
+++ b/internal/node/scope_test.go
@@ -78,11 +78,9 @@
 
 const listURI = "/registry/instances"
 
-var testTimes = newCallTimes(policy.Settings{})
-
 // watchOf is the URI of a watch from a revision on.
 func watchOf(revision int, scope string) string {
-	return fmt.Sprintf("%s?index=%d&wait=%d%s", listURI, revision, testTimes.wait.Milliseconds(), scope)
+	return fmt.Sprintf("%s?index=%d&wait=%d%s", listURI, revision, newCallTimes(policy.Settings{}).wait.Milliseconds(), scope)
 }
 
 // Without the section, calls for the list are what they were before there was one, byte for byte, whatever the
@@ -111,10 +109,11 @@
 		if len(told) != 0 {
 			t.Errorf("told of an answer with nothing new: %+v", <-told)
 		}
+		times := newCallTimes(policy.Settings{})
 		addrs := strings.TrimSuffix(strings.TrimPrefix(d.urls[0], "http://"), listURI)
-		d.move(target{addr: addrs, scope: "service=c", times: testTimes})
+		d.move(target{addr: addrs, scope: "service=c", times: times})
 		wantCalls(t, calls, listURI+"?service=c")
-		d.move(target{addr: addrs, times: testTimes})
+		d.move(target{addr: addrs, times: times})
 		wantCalls(t, calls, listURI)
 	})
 }
--- a/policy/sums.go
+++ b/policy/sums.go
@@ -130,8 +130,8 @@
 	}
 }
 
-// warmth counts the warm servers of places that aren't left, by how many even parts of each this node has.
-func (b *Balancer) warmth() float64 {
+// warmWeight counts the warm servers of places that aren't left, by how many even parts of each this node has.
+func (b *Balancer) warmWeight() float64 {
 	for len(b.warming) > 0 && b.warming[0].at <= b.now {
 		s := b.warming.next()
 		s.counted.warming = false
@@ -255,7 +255,7 @@
 	if s.segment == nil { // it has been taken out of them, and off their counts
 		return
 	}
-	b.pool.ejected += by
+	b.ejected += by
 	for _, c := range b.ranked {
 		if c.bound() && c.permits(s) {
 			c.open.ejected += by
