--- a/internal/registry/http_test.go
+++ b/internal/registry/http_test.go
@@ -131,14 +131,24 @@
 // held waits until a watch of a service is held.
 func held(t *testing.T, r *Replica, service string) {
 	t.Helper()
-	for {
+	for until := time.Now().Add(mostWait); time.Now().Before(until); time.Sleep(time.Millisecond) {
 		r.mu.Lock()
 		n := len(r.scoped.byService[service])
 		r.mu.Unlock()
 		if n > 0 {
 			return
 		}
-		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("no watch is held")
+}
+
+// await waits for a watch to be woken.
+func await(t *testing.T, news <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-news:
+	case <-time.After(mostWait):
+		t.Fatal("a watch was not woken")
 	}
 }
 
@@ -156,16 +166,16 @@
 	a, cancelA := r.subscribe([]string{"a"})
 	b, cancelB := r.subscribe([]string{"b", "c"})
 	apply(t, r, serves("a0", "a"))
-	<-a
+	await(t, a)
 	if woken(b) {
 		t.Error("a change of service a woke a watch of b and c")
 	}
 	apply(t, r, serves("a0", "c")) // it leaves one service for another
-	<-a
-	<-b
+	await(t, a)
+	await(t, b)
 	apply(t, r, Command{Kind: NewEpoch})
-	<-a
-	<-b
+	await(t, a)
+	await(t, b)
 	cancelA()
 	cancelB()
 	if len(r.scoped.byService) != 0 {
--- a/internal/registry/scope_test.go
+++ b/internal/registry/scope_test.go
@@ -176,8 +176,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(s.Instances, back.Instances); diff != "" {
-		t.Fatal("a snapshot is not the state:", diff)
+	if !maps.Equal(s.Instances, back.Instances) {
+		t.Fatal("a snapshot is not the state:", cmp.Diff(s.Instances, back.Instances))
 	}
 	return back
 }
@@ -206,19 +206,25 @@
 // that changed is unknown now, and at a replica that has read a snapshot since.
 func TestScopeToldWhole(t *testing.T) {
 	for gone, want := range map[string][]string{"a1": {"a0", "b0"}, "b0": {"a0", "a1"}, "": {"a0", "a1", "b0"}} {
-		s := NewState()
-		for id, service := range map[string]string{"a0": "a", "a1": "a", "b0": "b"} {
-			s.Apply(serves(id, service))
-		}
-		w := watching(&Scope{Services: []string{"a", "b"}})
-		w.look(t, s)
-		if gone == "" {
-			s.Apply(Command{Kind: NewEpoch})
-		}
-		s.Apply(Command{Kind: Remove, ID: gone})
-		s.forget(len(s.History), s.Revision)
-		if l, got := w.look(t, reread(t, s)); !l.Complete || !slices.Equal(got, want) {
-			t.Errorf("after the end of %q told %+v, and has %v", gone, l, got)
+		for _, restored := range []bool{false, true} {
+			s := NewState()
+			for id, service := range map[string]string{"a0": "a", "a1": "a", "b0": "b"} {
+				s.Apply(serves(id, service))
+			}
+			w := watching(&Scope{Services: []string{"a", "b"}})
+			w.look(t, s)
+			if gone == "" {
+				s.Apply(Command{Kind: NewEpoch})
+			} else {
+				s.Apply(Command{Kind: Remove, ID: gone})
+				s.forget(len(s.History), s.Revision)
+			}
+			if restored {
+				s = reread(t, s)
+			}
+			if l, got := w.look(t, s); !l.Complete || !slices.Equal(got, want) {
+				t.Errorf("after the end of %q, restored %v: told %+v, and has %v", gone, restored, l, got)
+			}
 		}
 	}
 }
@@ -289,6 +295,18 @@
 	}
 }
 
+// A snapshot of as many instances as there may be is read.
+func TestSnapshotOfAFullList(t *testing.T) {
+	s := NewState()
+	for i := range mostInstances {
+		id := fmt.Sprint("s", i)
+		s.Instances[id] = Instance{Entry: serves(id, "a").Entry, Slot: i}
+	}
+	if back := reread(t, s); back.Apply(registers("one more", LeaseDefault)).Fault != Full {
+		t.Error("one more was taken")
+	}
+}
+
 // A snapshot whose slots don't fit is none.
 func TestSnapshotsWithBadSlots(t *testing.T) {
 	for want, slots := range map[string][2]int{"both have slot 1": {1, 1}, "out of range": {0, mostInstances}} {
