Show no size for a budget that a law never reaches

Cause: Reaches gave size 1 with false where a law stays below a value, and the report took the size (report.go, extrapolate): control CPU and bytes by nodes, constant and far below their budgets, showed them reached at 1. TestReaches asserts it, and fails without.

--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -259,8 +259,11 @@
 // Reaches is the size at which the law comes to a value; ok is false where it never does.
 func (f Fit) Reaches(value float64) (size float64, ok bool) {
 	const most = 1e12
-	if f.B <= 0 || f.At(1) >= value || f.At(most) < value {
-		return 1, f.At(1) >= value
+	switch {
+	case f.At(1) >= value:
+		return 1, true
+	case f.At(most) < value:
+		return 0, false
 	}
 	low, high := 0.0, math.Log(most) // of the size's logarithm
 	for range 100 {
--- a/internal/scale/fit_test.go
+++ b/internal/scale/fit_test.go
@@ -103,7 +103,9 @@
 	if n, ok := f.Reaches(50); !ok || n != 1 {
 		t.Errorf("already over: %v, %v", n, ok)
 	}
-	if _, ok := (Fit{Law: Constant, A: 100}).Reaches(200); ok {
-		t.Error("a constant reached more than itself")
+	for _, f := range []Fit{{Law: Constant, A: 100}, {Law: Logarithmic, A: 100, B: 1}} {
+		if n, ok := f.Reaches(200); ok || n != 0 {
+			t.Errorf("%s reached twice its value at %v", f.Law, n)
+		}
 	}
 }
