--- a/internal/scale/faults.go
+++ b/internal/scale/faults.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -41,7 +42,7 @@
 // compares what the nodes send and receive in as long a span after that with what they did before. Changes are made throughout, but for the time in which there
 // is nobody to take them.
 func (w *watched) recordFault(ctx context.Context, tracker *changeTracker, nodes []*node.Hollow) error {
-	tracker.begin(w.changes)
+	w.count(tracker)
 	before := w.startSampling(nodes)
 	err := w.changeFor(ctx, w.scenario.Span.Duration, tracker.made)
 	steady := before.stop()
@@ -68,28 +69,39 @@
 	if err != nil {
 		return nil, err
 	}
-	back := func() error { return nil }
 	if w.scenario.Fault == LeaderKilled {
 		w.service.Process(leader).Kill()
-	} else {
-		for _, name := range w.service.Names {
-			w.service.Process(name).Kill()
-		}
-		if err := sleep(ctx, w.scenario.Away.Duration); err != nil {
-			return nil, err
-		}
-		back = w.startReplicas
+		sampling := w.startSampling(nodes)
+		err = w.changeWithoutLeader(ctx, tracker)
+		return sampling.stop(), err
+	}
+	for _, name := range w.service.Names {
+		w.service.Process(name).Kill()
+	}
+	if err := sleep(ctx, w.scenario.Away.Duration); err != nil {
+		return nil, err
 	}
 	sampling, began := w.startSampling(nodes), time.Now()
-	if err = back(); err == nil {
+	if err = w.startReplicas(); err == nil {
 		err = w.awaitLeader(ctx, began)
 	}
 	if err == nil {
-		err = w.changeFor(ctx, w.scenario.Span.Duration-time.Since(began), tracker.made)
+		err = w.changeFor(ctx, w.scenario.Span.Duration, tracker.made)
 	}
 	return sampling.stop(), err
 }
 
+// changeWithoutLeader makes changes from the leader's end on: they are late until there is another.
+func (w *watched) changeWithoutLeader(ctx context.Context, tracker *changeTracker) error {
+	began := time.Now()
+	var waiting sync.WaitGroup
+	var noLeader error
+	waiting.Go(func() { noLeader = w.awaitLeader(ctx, began) })
+	err := w.changeFor(ctx, w.scenario.Span.Duration, tracker.made)
+	waiting.Wait()
+	return cmp.Or(err, noLeader)
+}
+
 // awaitLeader waits for a leader, and records how long that took.
 func (w *watched) awaitLeader(ctx context.Context, began time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, leaderWithin)
--- a/internal/scale/measurement.go
+++ b/internal/scale/measurement.go
@@ -60,6 +60,7 @@
 	ReceivedReads    = Measure{"messages to a node", PerSecond}       // of the list service
 	SentWrites       = Measure{"messages from a node", PerSecond}     // of the list service
 	ChangeRate       = Measure{"changes a second", PerSecond}         // made and kept, where the service keeps up
+	ChangesRefused   = Measure{"changes refused", Count}              // by a service that has no room for them
 	InForceP50       = Measure{"change in force p50", Milliseconds}   // from when it is due to a node's having taken it
 	InForceP99       = Measure{"change in force p99", Milliseconds}   //
 	InForceLast      = Measure{"change in force, last", Milliseconds} // the latest of all changes at all nodes
@@ -70,7 +71,7 @@
 func Measures() []Measure {
 	return append([]Measure{DecisionCPU, DecisionP50, DecisionP99, DecisionRate, Refused, ListChangeCPU, ListChangeP99, ConfigCPU,
 		StartCPU, ControlCPU, RegistryCPU, RegistryResident, Heap, Resident, ListBytes, ConfigBytes, ReceivedBytes,
-		SentBytes, ReceivedReads, SentWrites, ChangeRate, InForceP50, InForceP99, InForceLast, ChangesMissed, ReturnCalls,
+		SentBytes, ReceivedReads, SentWrites, ChangeRate, ChangesRefused, InForceP50, InForceP99, InForceLast, ChangesMissed, ReturnCalls,
 		ReturnBytes, LeaderAgain, ServersRemoved},
 		realMeasures()...)
 }
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -59,7 +59,7 @@
 }
 
 // noLaw are measures of which none is looked for: a reciprocal of another, and counts of what should be none.
-var noLaw = []Measure{DecisionRate, Refused, ChangeRate, ChangesMissed, ServersRemoved, ServersListed, ListTaken,
+var noLaw = []Measure{DecisionRate, Refused, ChangeRate, ChangesRefused, ChangesMissed, ServersRemoved, ServersListed, ListTaken,
 	RequestsSent, RequestsFailed}
 
 // observed are the values of a measure, of one source.
--- a/internal/scale/tracker.go
+++ b/internal/scale/tracker.go
@@ -18,7 +18,8 @@
 
 // changeTracker follows changes of the list until each is in force at each node.
 type changeTracker struct {
-	nodes int
+	nodes   int
+	servers int // that are changed in turn
 
 	mu        sync.Mutex
 	listed    map[int]bool // nodes that have the whole list
@@ -32,8 +33,8 @@
 // nodeChange is a change at a node.
 type nodeChange struct{ node, change int }
 
-func newChangeTracker(nodes int) *changeTracker {
-	return &changeTracker{nodes: nodes, listed: make(map[int]bool), inForce: make(map[nodeChange]bool), histogram: newHistogram()}
+func newChangeTracker(nodes, servers int) *changeTracker {
+	return &changeTracker{nodes: nodes, servers: servers, listed: make(map[int]bool), inForce: make(map[nodeChange]bool), histogram: newHistogram()}
 }
 
 // begin says which change is the first that counts.
@@ -60,11 +61,16 @@
 	}
 	for _, m := range l.Members {
 		change := int(m.Cell-firstChangeCell) - c.first
-		at := nodeChange{node, change}
-		if change < 0 || change >= len(c.began) || c.inForce[at] {
-			continue
+		if change < len(c.began) {
+			c.note(node, change, now)
 		}
-		c.inForce[at] = true
+	}
+}
+
+// note notes that a change is in force at a node, and with it all earlier ones of the same server, which it supersedes.
+func (c *changeTracker) note(node, change int, now time.Time) {
+	for ; change >= 0 && !c.inForce[nodeChange{node, change}]; change -= c.servers {
+		c.inForce[nodeChange{node, change}] = true
 		if err := c.histogram.RecordValue(now.Sub(c.began[change]).Nanoseconds()); err != nil {
 			c.err = err
 		}
@@ -80,11 +86,12 @@
 	})
 }
 
-// missed counts the changes that are not in force at a node.
-func (c *changeTracker) missed() int {
+// missed counts the changes that are not in force at a node, where so many of them were refused. A refused one may come
+// in force all the same, for the service doesn't know of all whether it kept them.
+func (c *changeTracker) missed(refused int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.began)*c.nodes - len(c.inForce)
+	return max(0, (len(c.began)-refused)*c.nodes-len(c.inForce))
 }
 
 // times are those from each change to its being in force at each node.
--- a/internal/scale/watchers.go
+++ b/internal/scale/watchers.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sloerail/internal/node"
@@ -33,7 +35,7 @@
 		return err
 	}
 	defer w.close()
-	tracker := newChangeTracker(p.held.Nodes)
+	tracker := newChangeTracker(p.held.Nodes, p.held.Servers)
 	overhead, err := w.overhead(ctx)
 	if err != nil {
 		return err
@@ -69,7 +71,8 @@
 	service *rig.Registry
 	clients []*registry.Client // of the writers
 	entries []registry.Entry
-	changes int // made so far
+	changes int          // made so far,
+	refused atomic.Int64 // and those of them that the service turned away
 }
 
 // newWatched starts a replica and registers the servers.
@@ -151,13 +154,18 @@
 func (w *watched) changeFor(ctx context.Context, span time.Duration, before func(due time.Time)) error {
 	every := time.Duration(float64(time.Minute) / w.held.Changes)
 	began, first := time.Now(), w.changes
-	due := make(chan int, int(span/every)+1) // all of the span, so that nobody waits for the writers
+	due := make(chan int, int(max(0, span)/every)+1) // all of the span, so that nobody waits for the writers
 	var all sync.WaitGroup
 	failed := make([]error, len(w.clients))
 	for i, client := range w.clients {
 		all.Go(func() {
 			for number := range due {
-				failed[i] = cmp.Or(failed[i], w.change(ctx, client, number))
+				err := w.change(ctx, client, number)
+				if tooMuch(err) {
+					w.refused.Add(1)
+					continue
+				}
+				failed[i] = cmp.Or(failed[i], err)
 			}
 		})
 	}
@@ -174,6 +182,12 @@
 	return err
 }
 
+// tooMuch tells whether the list service turned a change away, time and again, for it has no room for more.
+func tooMuch(err error) bool {
+	var refused registry.ErrRefused
+	return errors.As(err, &refused) && refused.Status == http.StatusServiceUnavailable
+}
+
 // schedule calls do at a steady pace, until the span is over.
 func (w *watched) schedule(ctx context.Context, began time.Time, span, every time.Duration, do func(due time.Time)) error {
 	for at := time.Duration(0); at < span; at += every {
@@ -242,6 +256,12 @@
 	return u, err
 }
 
+// count has the tracker count the changes from now on.
+func (w *watched) count(tracker *changeTracker) {
+	tracker.begin(w.changes)
+	w.refused.Store(0)
+}
+
 // recordSpan changes the list for the scenario's span, and records what that took.
 func (w *watched) recordSpan(ctx context.Context, tracker *changeTracker, nodes []*node.Hollow, overhead float64) error {
 	before, err := w.usage(nodes)
@@ -249,7 +269,7 @@
 		return err
 	}
 	first := w.changes
-	tracker.begin(first)
+	w.count(tracker)
 	if err := w.changeFor(ctx, w.scenario.Span.Duration, tracker.made); err != nil {
 		return err
 	}
@@ -258,7 +278,9 @@
 		return err
 	}
 	span := after.at.Sub(before.at).Seconds()
-	w.record.Record(ChangeRate, float64(w.changes-first)/span)
+	refused := w.refused.Load()
+	w.record.Record(ChangeRate, (float64(w.changes-first)-float64(refused))/span)
+	w.record.Record(ChangesRefused, float64(refused))
 	own := (after.own-before.own).Seconds()/span - overhead
 	w.record.Record(ControlCPU, 100*max(0, own)/float64(len(nodes)))
 	w.record.Record(RegistryCPU, 100*(after.replica.cpu-before.replica.cpu).Seconds()/span)
@@ -287,7 +309,7 @@
 	late, cancel := context.WithTimeout(ctx, latestChange)
 	defer cancel()
 	// Its error says that some are not in force, and those are counted below.
-	_ = rig.Await(late, "the changes", func() bool { return tracker.missed() == 0 })
+	_ = rig.Await(late, "the changes", func() bool { return tracker.missed(int(w.refused.Load())) == 0 })
 	if err := ctx.Err(); err != nil {
 		return err
 	}
@@ -299,6 +321,6 @@
 	w.record.Record(InForceP50, float64(times.ValueAtQuantile(50))/perMs)
 	w.record.Record(InForceP99, float64(times.ValueAtQuantile(99))/perMs)
 	w.record.Record(InForceLast, float64(times.Max())/perMs)
-	w.record.Record(ChangesMissed, float64(tracker.missed()))
+	w.record.Record(ChangesMissed, float64(tracker.missed(int(w.refused.Load()))))
 	return nil
 }
