--- a/internal/node/calltimes.go
+++ b/internal/node/calltimes.go
@@ -39,6 +39,7 @@
 	return callTimes{wait: patience / 4, patience: patience, whole: min(wholeTime, patience)}
 }
 
+// newTarget takes what a configuration says of the list service.
 func newTarget(c Config) target {
-	return target{addr: c.Discovery, subscribe: c.Settings.Subscribe, times: newCallTimes(c.Settings)}
+	return target{addr: c.Discovery, subscribe: c.Settings.Subscribe, times: newCallTimes(c.Settings), scope: c.Scope}
 }
