--- a/internal/scale/watchers.go
+++ b/internal/scale/watchers.go
@@ -18,13 +18,14 @@
 )
 
 const (
-	writers       = 8                // that register and change servers at a time
-	lease         = 10 * time.Minute // of each server: longer than a point takes
-	settleFor     = time.Second      // after all nodes have the list, before anything is measured
-	overheadFor   = time.Second      // of changes with no node, whose processor time is the measuring's own
-	latestChange  = 30 * time.Second // after the last change, until what isn't in force counts as missed
-	replicaName   = "r0"
-	instancesPath = "/registry/instances/"
+	writers        = 8                // that register and change servers at a time
+	lease          = 10 * time.Minute // of each server: longer than a point takes
+	registerWithin = time.Minute      // all servers
+	settleFor      = time.Second      // after all nodes have the list, before anything is measured
+	overheadFor    = time.Second      // of changes with no node, whose processor time is the measuring's own
+	latestChange   = 30 * time.Second // after the last change, until what isn't in force counts as missed
+	replicaName    = "r0"
+	instancesPath  = "/registry/instances/"
 )
 
 // measureWatchers measures one replica of the list service, a process of its own, and hollow nodes in this process that
@@ -107,14 +108,25 @@
 	return w.registerAll(ctx)
 }
 
+// registerPatiently registers a server, again and again while the service has no room or no leader.
+func registerPatiently(ctx context.Context, client *registry.Client, e registry.Entry) error {
+	for {
+		if err := register(ctx, client, e); !tooMuch(err) || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
 // registerAll registers all servers, several at a time.
 func (w *watched) registerAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, registerWithin)
+	defer cancel()
 	var all sync.WaitGroup
 	failed := make([]error, len(w.clients))
 	for i, client := range w.clients {
 		all.Go(func() {
 			for at := i; at < len(w.entries) && failed[i] == nil; at += len(w.clients) {
-				failed[i] = register(ctx, client, w.entries[at])
+				failed[i] = registerPatiently(ctx, client, w.entries[at])
 			}
 		})
 	}
