--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"cobaltward/internal/emulator"
-	"cobaltward/internal/lab"
+	"sloerail/internal/emulator"
+	"sloerail/internal/lab"
 )
 
 const (
@@ -223,7 +223,7 @@
 	}
 	s := &http.Server{Handler: h}
 	w.parts.Go(func() { _ = s.Serve(ln) })
-	context.AfterFunc(w.ctx, func() { s.Close() })
+	context.AfterFunc(w.ctx, func() { _ = s.Close() })
 	return w.rig.RelayTCP(node, party, ln.Addr().String())
 }
 
