Bound how little many nodes trust a server with at first, for the walk past such servers

Cause: a threshold under one is kept in time, so a choice walks past the servers that it was sent to lately: as many as the node's requests a second, times the latency, times the nodes over ten. At 5,100 nodes without load reports that would be the whole list again. Change: first trust is divided by 300 nodes at most. Up to there nothing changes.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -210,7 +210,8 @@
 
 const (
 	manyNodes             = 3         // nodes; more would jam the first server, so each walks from elsewhere
-	startFew              = 10.0      // attempts first trusted to a server by all nodes
+	startFew              = 10.0      // attempts first trusted to a server by all nodes,
+	startNodes            = 300.0     // up to so many: a walk past servers of a yet smaller part would be long
 	leastPart             = 0.25      // part of its start below which no threshold falls but by lost attempts
 	thresholdGrow         = 0.05      // attempts a good answer adds; against slowCut, a sixth may be slow
 	slowCut               = 0.25      // attempts a slow answer takes off
@@ -259,11 +260,9 @@
 		return nil
 	}
 	for _, e := range b.warming[:min(len(b.warming), coldLooked)] {
-		if s := e.server; s.segment == nil || s.segment != b.segments[0] || !b.usable(r, s) || !b.hasRoom(s) {
-			continue
-		}
-		if best == nil || e.server.cold.tokens > best.cold.tokens {
-			best = e.server
+		if s := e.server; s.segment != nil && s.segment == b.segments[0] && b.usable(r, s) && b.hasRoom(s) &&
+			(best == nil || s.cold.tokens > best.cold.tokens) {
+			best = s
 		}
 	}
 	return best
@@ -288,7 +287,7 @@
 	if b.measured() {
 		return 1
 	}
-	return startFew / float64(b.set.Nodes)
+	return startFew / min(startNodes, float64(b.set.Nodes))
 }
 
 // crowding sets attempts in flight against what s was seen to take, lest one that others fill look idle.
