--- a/internal/scale/process_requests.go
+++ b/internal/scale/process_requests.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	if err := sleep(ctx, settleTime); err != nil {
+	if err := sleep(ctx, min(settleTime, spec.Window)); err != nil {
 		return err
 	}
 	direct, through := newWay(at), newWay(func(int) string { return n.Listen })
--- a/internal/scale/process_servers.go
+++ b/internal/scale/process_servers.go
@@ -132,7 +132,7 @@
 	}
 	rec.Record(ListBytes, float64(list.bytes.Load()-before))
 	runtime.GC() // of the list service, which shares this machine
-	if err := sleep(ctx, settleTime); err != nil {
+	if err := sleep(ctx, min(settleTime, spec.Window)); err != nil {
 		return err
 	}
 	if err := watchRest(ctx, spec, n, list.counted(), rec); err != nil {
@@ -232,7 +232,7 @@
 	if err != nil {
 		return err
 	}
-	if err := sleep(ctx, settleTime); err != nil {
+	if err := sleep(ctx, min(settleTime, spec.Window)); err != nil {
 		return err
 	}
 	if err := watchRest(ctx, spec, n, list.counted(), rec); err != nil {
--- a/internal/scale/process_test.go
+++ b/internal/scale/process_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -168,3 +169,49 @@
 		t.Errorf("the last was told after %v ms, half of them after %v", got[WatcherToldLast.Name], got[WatcherToldP50.Name])
 	}
 }
+
+const realScenario = `
+name = "mine"
+dimension = "real-tenants"
+sizes = [1, 2, 4, 8, 16]
+runs = 1
+seed = 7
+for = "2m"
+span = "100ms"
+target = 100
+`
+
+// A scenario of a real dimension runs through the same command as the others, and has its laws.
+func TestRealScenarioRunsAsOthersDo(t *testing.T) {
+	s, err := Parse([]byte(realScenario))
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := Run(t.Context(), s, Options{})
+	if err != nil || report.Stopped != "" {
+		t.Fatal(err, report.Stopped)
+	}
+	if got := report.Sizes(); !slices.Equal(got, s.Sizes) {
+		t.Errorf("measured at %v", got)
+	}
+	if got := report.Sources(); !slices.Equal(got, []Source{Process}) {
+		t.Errorf("measured of %v", got)
+	}
+	if !slices.ContainsFunc(report.Laws, func(l Extrapolate) bool { return l.Measure == ConfigBytes && l.Law != "" }) {
+		t.Errorf("no law of %q, which grows with each tenant: %+v", ConfigBytes.Name, report.Laws)
+	}
+}
+
+func TestBadRealScenariosNameTheKey(t *testing.T) {
+	for _, bad := range []struct{ was, is, says string }{
+		{"8, 16]", "8, 2000000]", "sizes[4]: want at most"},
+		{`span = "100ms"`, "", "span:"},
+		{`"real-tenants"`, `"real-colours"`, "dimension: unknown"},
+		{"target = 100\n", "target = 100\n[[budgets]]\nmeasure = \"shine\"\nmost = 1\n", "budgets[0].measure:"},
+	} {
+		_, err := Parse([]byte(strings.Replace(realScenario, bad.was, bad.is, 1)))
+		if err == nil || !strings.HasPrefix(err.Error(), bad.says) {
+			t.Errorf("%s for %s: got %v, want %s", bad.is, bad.was, err, bad.says)
+		}
+	}
+}
