--- a/internal/node/calltimes.go
+++ b/internal/node/calltimes.go
@@ -40,5 +40,5 @@
 }
 
 func newTarget(c Config) target {
-	return target{addr: c.Discovery, subscribe: c.Settings.Subscribe, times: newCallTimes(c.Settings)}
+	return target{addr: c.Discovery, subscribe: c.Settings.Subscribe, times: newCallTimes(c.Settings), scope: c.Scope}
 }
--- /dev/null
+++ b/internal/node/scope_test.go
@@ -0,0 +1,223 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sloerail/policy"
+)
+
+const testScope = "service=a&service=b&subset=20&position=3&nodes=9&zone=z"
+
+// scopedAnswer is what a list service answers, within the scope or not.
+type scopedAnswer struct {
+	scoped bool
+	body   string
+}
+
+func whole(revision int, entries ...string) string {
+	return strings.Replace(delta(revision, entries...), `"complete":false`, `"complete":true`, 1)
+}
+
+// scopedWatch watches a list service that plays answers in turn, and then holds the calls.
+func scopedWatch(t *testing.T, scope string, answers ...scopedAnswer) (d *discovery, told chan news, calls chan *http.Request) {
+	t.Helper()
+	told, calls = make(chan news, 100), make(chan *http.Request, 100)
+	next := make(chan scopedAnswer, len(answers))
+	for _, a := range answers {
+		next <- a
+	}
+	c := testConfig(t, knownList("127.0.0.1:9"))
+	c.Scope = scope
+	c.Discovery = httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		calls <- r
+		select {
+		case a := <-next:
+			if a.scoped {
+				w.Header().Set(scopedHeader, "true")
+			}
+			_, _ = io.WriteString(w, a.body)
+		default:
+			<-r.Context().Done()
+		}
+	})
+	d = newDiscovery(c, func(ev any) { told <- ev.(news) })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { d.run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); receive(t, "the end of discovery", ended) })
+	return d, told, calls
+}
+
+func wantCalls(t *testing.T, calls chan *http.Request, want ...string) {
+	t.Helper()
+	for i, uri := range want {
+		if got := receive(t, "a call", calls).URL.RequestURI(); got != uri {
+			t.Errorf("call %d is for %s, want %s", i, got, uri)
+		}
+	}
+}
+
+func wantNews(t *testing.T, told chan news, kind policy.ListKind, ids ...string) {
+	t.Helper()
+	n := receive(t, "the news", told)
+	var got []string
+	for _, m := range n.members {
+		got = append(got, m.Server)
+	}
+	if diff := cmp.Diff(ids, got); diff != "" || n.kind != kind {
+		t.Errorf("told kind %v: %s", n.kind, diff)
+	}
+}
+
+const listURI = "/registry/instances"
+
+var testTimes = newCallTimes(policy.Settings{})
+
+// watchOf is the URI of a watch from a revision on.
+func watchOf(revision int, scope string) string {
+	return fmt.Sprintf("%s?index=%d&wait=%d%s", listURI, revision, testTimes.wait.Milliseconds(), scope)
+}
+
+// Without the section, calls for the list are what they were before there was one, byte for byte, whatever the
+// answers' headers say.
+func TestCallsWithoutAScope(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		_, told, calls := scopedWatch(t, "", scopedAnswer{true, delta(8, entry("s9", "up"))})
+		first := receive(t, "a call", calls)
+		diff := cmp.Diff(http.Header{"User-Agent": {"Go-http-client/1.1"}}, first.Header)
+		if uri := first.URL.RequestURI(); uri != watchOf(7, "") || diff != "" {
+			t.Errorf("called %s with other headers: %s", uri, diff)
+		}
+		wantNews(t, told, policy.ListUpdate, "s9")
+		wantCalls(t, calls, watchOf(8, ""))
+	})
+}
+
+// With a scope the node begins with a whole list of it, and watches in it. A scope that changes is fetched whole.
+func TestCallsWithAScope(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		d, told, calls := scopedWatch(t, testScope, scopedAnswer{true, whole(30, entry("s1", "up"))},
+			scopedAnswer{true, delta(31, entry("s1", "draining"))}, scopedAnswer{true, delta(40)})
+		wantNews(t, told, policy.ListReplace, "s1")
+		wantNews(t, told, policy.ListUpdate, "s1")
+		wantCalls(t, calls, listURI+"?"+testScope, watchOf(30, "&"+testScope), watchOf(31, "&"+testScope), watchOf(40, "&"+testScope))
+		if len(told) != 0 {
+			t.Errorf("told of an answer with nothing new: %+v", <-told)
+		}
+		addrs := strings.TrimSuffix(strings.TrimPrefix(d.urls[0], "http://"), listURI)
+		d.move(target{addr: addrs, scope: "service=c", times: testTimes})
+		wantCalls(t, calls, listURI+"?service=c")
+		d.move(target{addr: addrs, times: testTimes})
+		wantCalls(t, calls, listURI)
+	})
+}
+
+// A list service that ignores the scope is followed as ever. Where one that heeds it takes its place, changes of the
+// scope are not added to the whole list: the list of the scope is called for, and the other way round.
+func TestScopeHeededAndIgnored(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		_, told, calls := scopedWatch(t, testScope, scopedAnswer{false, whole(30, entry("s1", "up"), entry("s2", "up"))},
+			scopedAnswer{false, delta(31, entry("s3", "up"))},
+			scopedAnswer{true, delta(32, entry("s4", "up"))},
+			scopedAnswer{true, whole(32, entry("s1", "up"), entry("s4", "up"))},
+			scopedAnswer{false, delta(33, entry("s5", "up"))})
+		wantNews(t, told, policy.ListReplace, "s1", "s2")
+		wantNews(t, told, policy.ListUpdate, "s3")
+		wantNews(t, told, policy.ListReplace, "s1", "s4")
+		all, scope := listURI+"?"+testScope, "&"+testScope
+		wantCalls(t, calls, all, watchOf(30, scope), watchOf(31, scope), all, watchOf(32, scope), all)
+		if len(told) != 0 {
+			t.Errorf("told %+v", <-told)
+		}
+	})
+}
+
+// A refusal of the scope is told with its reason.
+func TestScopeRefused(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := testConfig(t, knownList("127.0.0.1:9"))
+		c.Scope = testScope
+		c.Discovery = httpServer(t, func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "service: unknown: a, b", http.StatusNotFound)
+		})
+		d := newDiscovery(c, func(any) {})
+		defer d.client.CloseIdleConnections()
+		_, err := d.watch(context.Background())
+		if want := "answered 404 Not Found: service: unknown: a, b"; err == nil || err.Error() != want {
+			t.Errorf("got %v, want %s", err, want)
+		}
+	})
+}
+
+func TestLoadsScope(t *testing.T) {
+	for section, want := range map[string]string{
+		`{"services":["b","a"],"subset":20}`: "nodes=1&position=0&service=a&service=b&subset=20&zone=a",
+		`{"services":["a"]}`:                 "service=a",
+	} {
+		text := strings.Replace(goodConfig, `"seed"`, `"scope":`+section+`,"seed"`, 1)
+		c, err := LoadConfig(configFile(t, text))
+		if err != nil || c.Scope != want {
+			t.Errorf("%s: %q, %v, want %q", section, c.Scope, err, want)
+		}
+	}
+	if c, err := LoadConfig(configFile(t, goodConfig)); err != nil || c.Scope != "" {
+		t.Errorf("without the section: %q, %v", c.Scope, err)
+	}
+}
+
+func TestBadScopeNamesTheField(t *testing.T) {
+	var many, long []string
+	for i := range mostScopeServices + 1 {
+		many = append(many, fmt.Sprintf("%q", fmt.Sprint("s", i)))
+	}
+	for i := range 100 {
+		long = append(long, fmt.Sprintf("%q", fmt.Sprint(strings.Repeat("s", 100), i)))
+	}
+	for section, want := range map[string]string{
+		`{}`:                              "scope.services: names no service",
+		`{"services":[]}`:                 "scope.services: names no service",
+		`{"services":["a",""]}`:           "scope.services[1]: want 1 to",
+		`{"services":["a","b","a"]}`:      `scope.services[2]: "a" is there twice`,
+		`{"services":["a b"]}`:            "scope.services[0]: want printable",
+		`{"services":["a,b"]}`:            "scope.services[0]: want printable",
+		`{"services":["a"],"subset":0}`:   "scope.subset: want 1 to",
+		`{"services":["a"],"subset":-3}`:  "scope.subset: want 1 to",
+		`{"services":["a"],"subset":"x"}`: "scope: json",
+		`{"services":["a"],"subsets":3}`:  "subsets",
+		`{"services":"a"}`:                "scope: json",
+		`[]`:                              "scope: json",
+		`{"services":[` + strings.Join(many, ",") + `]}`: "scope.services: want 256 at most",
+		`{"services":[` + strings.Join(long, ",") + `]}`: "scope.services: want 8192 bytes at most",
+	} {
+		text := strings.Replace(goodConfig, `"seed"`, `"scope":`+section+`,"seed"`, 1)
+		_, err := LoadConfig(configFile(t, text))
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.80s: got %v, want one line that names %q", section, err, want)
+		}
+	}
+}
+
+// The section may come, change and go with a SIGHUP.
+func TestScopeIsReloaded(t *testing.T) {
+	plain := fileText(knownList("127.0.0.1:9"), testSettings)
+	with := strings.Replace(plain, `"seed"`, `"scope":{"services":["a"]},"seed"`, 1)
+	c, reload := loadFile(t, with)
+	if c.Scope != "service=a" {
+		t.Errorf("loaded %q", c.Scope)
+	}
+	for text, want := range map[string]string{plain: "", with: "service=a", strings.Replace(with, `["a"]`, `["b"]`, 1): "service=b"} {
+		if c, err := reload(text); err != nil || c.Scope != want {
+			t.Errorf("reloaded %q, %v, want %q", c.Scope, err, want)
+		}
+	}
+	if _, err := reload(strings.Replace(with, `["a"]`, `[]`, 1)); err == nil || !strings.Contains(err.Error(), "scope.services") {
+		t.Errorf("an empty scope: %v", err)
+	}
+}
