--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -123,6 +123,8 @@
 func ProcessDimensions() []ProcessDimension {
 	return []ProcessDimension{
 		{Name: "real-servers", Least: 1, Most: 200_000, measure: measureRealServers},
+		{Name: "real-scoped", Least: 1, Most: mostScoped, measure: measureRealScoped},
+		{Name: "real-day", Least: 1, Most: mostScoped, measure: measureRealDay},
 		{Name: "real-requests", Least: 1, Most: 150_000, measure: measureRealRequests},
 		{Name: "real-tenants", Least: 1, Most: mostTenants, measure: measureRealTenants},
 		{Name: "real-registry", Least: 1, Most: mostListed, measure: measureRealInstances},
--- a/internal/scale/process_registry.go
+++ b/internal/scale/process_registry.go
@@ -81,15 +81,26 @@
 	return float64(n) / time.Since(began).Seconds(), errors.Join(errors.Join(errs...), ctx.Err())
 }
 
+// put makes one write until it is taken: replicas that are short of the processor may have no leader for seconds.
+func put(ctx context.Context, c *registry.Client, path string, body any) error {
+	for {
+		err := c.Do(ctx, http.MethodPut, path, body, nil, 0)
+		var refused registry.ErrRefused
+		if ctx.Err() != nil || !errors.As(err, &refused) || refused.Status != http.StatusServiceUnavailable {
+			return err
+		}
+	}
+}
+
 func (g *registryRun) registerAll(ctx context.Context, n int) (rate float64, err error) {
 	return g.writeAll(ctx, n, func(c *registry.Client, i int) error {
-		return c.Do(ctx, http.MethodPut, "/registry/instances/"+serverName(i), instance(i, 1), nil, 0)
+		return put(ctx, c, "/registry/instances/"+serverName(i), instance(i, 1))
 	})
 }
 
 func (g *registryRun) renewAll(ctx context.Context, n int) (rate float64, err error) {
 	return g.writeAll(ctx, n, func(c *registry.Client, i int) error {
-		return c.Do(ctx, http.MethodPut, "/registry/instances/"+serverName(i)+"/lease", nil, nil, 0)
+		return put(ctx, c, "/registry/instances/"+serverName(i)+"/lease", nil)
 	})
 }
 
@@ -217,7 +228,7 @@
 	}
 	for change := range watchedChanges {
 		w.begin(int64(change + 100))
-		if err := c.Do(ctx, http.MethodPut, "/registry/instances/"+serverName(0), instance(0, change+100), nil, 0); err != nil {
+		if err := put(ctx, c, "/registry/instances/"+serverName(0), instance(0, change+100)); err != nil {
 			return err
 		}
 		if err := rig.Await(ctx, "all to be told", count(&w.told, n)); err != nil {
