--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -41,10 +41,10 @@
 	hungUp      func() bool // asks the client's socket for that; nil where there is none
 }
 
-// clientLeft tells whether the client has gone. One that has waited is looked for at its socket: nobody reads that
-// while its body waits for a server, or with bytes of a further request read already.
-func (x *exchange) clientLeft(waited bool) bool {
-	if waited && x.hungUp != nil && x.hungUp() {
+// clientLeft tells whether the client has gone, and asks its socket: nobody reads that while its body waits for a
+// server, with bytes of a further request read already, or where its reader has had no turn since.
+func (x *exchange) clientLeft() bool {
+	if x.hungUp != nil && x.hungUp() {
 		x.left.Store(true)
 	}
 	return x.left.Load()
@@ -105,13 +105,12 @@
 // place tells whether a client has a place. One that came over the limit while descriptors come from the process
 // before this one waits for the next few of them.
 func (s *server) place(p *peer) bool {
-	for end := time.Now().Add(2 * handoverTell); p.over && s.sharing.Load() && time.Now().Before(end); {
-		if s.peers.fits(p) {
-			return true
+	for end := time.Now().Add(2 * handoverTell); p.over && !s.peers.fits(p); time.Sleep(placePoll) {
+		if !s.sharing.Load() || !time.Now().Before(end) {
+			return false
 		}
-		time.Sleep(placePoll)
 	}
-	return !p.over
+	return true
 }
 
 // fault is what is wrong with a request.
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -50,11 +50,13 @@
 	eases   bool          // the module may send for a moment to what the list lacks
 	relayed *metrics.Counter
 	sockets *sockets
+	waits   time.Duration // for a descriptor
 
-	mu    sync.Mutex
-	pools map[string]*pool
-	open  int // connections, those being made among them
-	most  int // that may be open, besides what the clients leave; 0 for no such limit
+	mu      sync.Mutex
+	pools   map[string]*pool
+	open    int // connections, those being made among them
+	most    int // that may be open, besides what the clients leave; 0 for no such limit
+	waiting socketQueue
 }
 
 // pool holds the idle connections to one process of one server, the last used at the end.
@@ -101,7 +103,7 @@
 }
 
 func newUpstream(c Config, shared *sockets, fig *figures) *upstream {
-	u := &upstream{relayed: fig.relayed, pools: make(map[string]*pool), sockets: shared}
+	u := &upstream{relayed: fig.relayed, pools: make(map[string]*pool), sockets: shared, waits: socketWait}
 	u.retune(c)
 	return u
 }
@@ -238,29 +240,32 @@
 	}
 }
 
-// acquire takes an idle connection to the server, or makes one, for f, and tells which.
-func (u *upstream) acquire(f *flight, id string) (c *conn, made bool, err error) {
+// acquire takes an idle connection to the server, or makes one, for f.
+func (u *upstream) acquire(f *flight, id string) (*conn, error) {
 	p, c, err := u.reserve(id)
+	if err == errNoSockets {
+		p, c, err = u.awaitSocket(f, id)
+	}
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
-	if made = c == nil; made {
+	if c == nil {
 		conn, err := u.dial(f, p.addr)
 		if err != nil {
 			u.unreserve()
-			return nil, true, err
+			return nil, err
 		}
 		c = newConn(conn, p)
 		if !u.wanted(id, p) {
 			u.release(c, id, false)
-			return nil, true, errLeaving
+			return nil, errLeaving
 		}
 	}
 	if err := f.board(c.Conn); err != nil {
 		u.release(c, id, true) // nothing was written
-		return nil, made, err
+		return nil, err
 	}
-	return c, made, nil
+	return c, nil
 }
 
 // reserve returns an idle connection, or counts one that the caller is to make.
@@ -313,6 +318,9 @@
 func (u *upstream) count(n int) {
 	u.open += n
 	u.sockets.servers.Store(int64(u.open))
+	if n < 0 {
+		u.waiting.wake()
+	}
 }
 
 // limit is how many connections may be open now.
@@ -328,6 +336,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.most = 0
+	u.waiting.wakeAll()
 }
 
 // yield closes idle connections beyond the part that is the servers' in any case.
@@ -371,6 +380,7 @@
 		c.used = time.Now()
 		c.looked = c.used
 		c.pool.idle = append(c.pool.idle, c)
+		u.waiting.wake() // it may be closed for another
 		return
 	}
 	c.Close()
@@ -388,7 +398,6 @@
 type outgoing struct {
 	*exchange
 	waits  time.Duration // for the answer
-	waited bool          // the client has, for long enough to have left unseen
 	flight *flight
 	begin  func(answer) // takes an answer that is passed on as it comes
 	left   func()       // hears that the client has gone
@@ -397,11 +406,11 @@
 // attempt sends x to the server once, and waits for the whole answer until its flight ends. That closes the
 // connection, which is how a server learns that nobody waits.
 func (u *upstream) attempt(id string, x outgoing) result {
-	c, made, err := u.acquire(x.flight, id)
+	c, err := u.acquire(x.flight, id)
 	if err != nil {
 		return result{code: x.flight.broken(err, false)}
 	}
-	if x.clientLeft(made || x.waited) {
+	if x.clientLeft() {
 		x.flight.land()
 		u.release(c, id, true)
 		x.left()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -83,7 +83,7 @@
 		key = bucketKey{}
 	}
 	k := b.bucketOf(key, l.Burst)
-	if !b.ceded {
+	if !b.handedOver {
 		k.refill(b.now, l.perSecond(), l.Burst)
 	}
 	if k.tokens <= 0 {
@@ -103,13 +103,17 @@
 		c = was
 	}
 	if c == nil { // not in the settings: one safe try, never repeated
-		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, open: &b.pool, lane: &lane{index: -1}}
+		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, open: &b.pool, classStats: &classStats{index: -1}}
 	}
 	r := &request{Request: e, class: c, most: max(1, b.set.Allowed.MaxAttempts)}
 	b.due(r)
 	b.reqs[r.ID] = r
 	b.took = append(b.took, b.now)
 	b.trimBudget()
+	if b.shed(c) {
+		b.refuse(r, 0)
+		return
+	}
 	if ok, wait := b.admit(e.Tenant, e.Class); !ok {
 		b.refuse(r, wait)
 		return
@@ -117,6 +121,15 @@
 	b.dispatch(r)
 }
 
+// shed draws whether a request is given up at once, since the dearest find no room: the more of them, and the
+// less it is worth, the likelier. Where reports tell of room, the crowd limits do that.
+func (b *Balancer) shed(c *class) bool {
+	if b.measured() || b.starved == 0 || c.Worth >= b.dearest {
+		return false
+	}
+	return b.rng.Float64() < min(shedMost, starveCut*b.starved*(1-c.Worth/b.dearest))
+}
+
 // due sets by when r is to be answered. A request that isn't whole has time: the node sees to it that
 // its bytes keep coming, and until the last of them no server works on it.
 func (b *Balancer) due(r *request) {
@@ -140,7 +153,7 @@
 	r.Partial = false
 	b.due(r)
 	if n := len(r.attempts) - 1; r.pending > 0 {
-		b.do(Action{Kind: Bound, ID: r.ID, Attempt: n, Until: r.worthTo})
+		b.emit(Action{Kind: Bound, ID: r.ID, Attempt: n, Until: r.worthTo})
 		if r.attempts[n].sent = b.now; r.attempts[n].light {
 			b.occupy(&r.attempts[n], 1)
 		}
@@ -172,6 +185,7 @@
 	paceShare         = 1.5        // above, only while few answers are bad
 	paceBad, badGain  = 0.06, 0.01 // of the answers, and the weight of one
 	lostGain          = 0.05       // the same among those that came too late, or of servers that were full
+	shedMost          = 0.9        // of a class: some go on, lest room that comes back stay unseen
 	paceMost          = 3.0        // above, there is little worth left to win
 )
 
@@ -197,7 +211,7 @@
 const (
 	manyNodes             = 3         // nodes; more would jam the first server, so each walks from elsewhere
 	startFew              = 10.0      // attempts first trusted to a server by all nodes
-	leastPart             = 0.25      // part of its start below which no threshold falls
+	leastPart             = 0.25      // part of its start below which no threshold falls but by lost attempts
 	thresholdGrow         = 0.05      // attempts a good answer adds; against slowCut, a sixth may be slow
 	slowCut               = 0.25      // attempts a slow answer takes off
 	failureCut            = 0.3       // attempts a full answer or a failure takes off
@@ -214,6 +228,9 @@
 func (b *Balancer) pick(r *request) (s *server, room bool) {
 	crowd, most := b.crowd(), b.crowdMost(r.class)
 	b.choosePlaces(r)
+	if s = b.slowStart(r); s != nil {
+		return s, true
+	}
 	var least *server
 	for s := range r.class.open.all {
 		if !b.usable(r, s) {
@@ -233,6 +250,25 @@
 	return least, least != nil && !least.felt
 }
 
+// slowStart returns a cold server of the nearest that may get a request now: the walk meets those behind
+// servers with room too seldom for them to use their part, and they are missed when others fail. The dearest
+// class goes there once it is short of room, and no further attempt does. Only a few cold ones are looked at.
+func (b *Balancer) slowStart(r *request) (best *server) {
+	dearest := r.class.Worth >= b.dearest && b.starved < starvedLittle
+	if b.settleWarm(); b.measured() || dearest || len(r.attempts) > 0 {
+		return nil
+	}
+	for _, e := range b.warming[:min(len(b.warming), coldLooked)] {
+		if s := e.server; s.segment == nil || s.segment != b.segments[0] || !b.usable(r, s) || !b.hasRoom(s) {
+			continue
+		}
+		if best == nil || e.server.cold.tokens > best.cold.tokens {
+			best = e.server
+		}
+	}
+	return best
+}
+
 // crowdMost is how many times its limit the least busy server is filled for a class. Without room for
 // all, what is worth less is given up first; beyond the most, answers would only be late.
 func (b *Balancer) crowdMost(c *class) float64 {
@@ -252,7 +288,7 @@
 	if b.measured() {
 		return 1
 	}
-	return max(1, startFew/float64(b.set.Nodes))
+	return startFew / float64(b.set.Nodes)
 }
 
 // crowding sets attempts in flight against what s was seen to take, lest one that others fill look idle.
@@ -353,9 +389,14 @@
 		b.fault(s, code, latency, blame)
 		return
 	}
-	track(&b.lost, lostGain, code == TimedOut || code == Full)
+	lost := code == TimedOut || code == Full
+	if s.lostInRow++; !lost || !b.staggered() { // of few nodes each sees by itself what it may send
+		s.lostInRow = 0
+	}
+	track(&b.lost, lostGain, lost)
 	s.felt = s.felt || step < 0
-	s.threshold = max(leastPart*b.start(), s.threshold+step*min(1, s.threshold))
+	least := leastPart * b.start() / float64(1+s.lostInRow) // a choked server recovers only by a rest
+	s.threshold = max(least, s.threshold+step*min(1, s.threshold))
 }
 
 // ---- Load reports: what servers say of themselves ----
@@ -401,13 +442,13 @@
 	if b.usual.n > 0 {
 		size = b.capacity(s) / b.usual.rate
 	}
-	return s.threshold * size * max(partLeast, spread*b.window()/max(1, b.warmth())*b.parts(s))
+	return s.threshold * size * max(partLeast, spread*b.window()/max(1, b.warmWeight())*b.parts(s))
 }
 
 // window is how many attempts this node may have out: its part of what servers are first trusted with,
 // scaled by the trust.
 func (b *Balancer) window() float64 {
-	return max(1, b.trust*startTold*b.warmth()/float64(b.set.Nodes))
+	return max(1, b.trust*startTold*b.warmWeight()/float64(b.set.Nodes))
 }
 
 // capacity is how many attempts a second s can serve: by its own reports, or as others of its kind.
@@ -557,7 +598,7 @@
 // mayRepeat guards the sixth rule: attempts beyond each request's first stay within the site's budget, or the
 // default one. It is counted exactly over its sliding span, and on the safe side at its edges.
 func (b *Balancer) mayRepeat() bool {
-	if b.ceded {
+	if b.handedOver {
 		return false
 	}
 	b.trimBudget()
@@ -568,7 +609,7 @@
 	if len(r.attempts) > 0 {
 		b.extra = append(b.extra, b.now)
 	}
-	b.do(Action{Kind: Send, ID: r.ID, Server: s.Server, Until: r.worthTo})
+	b.emit(Action{Kind: Send, ID: r.ID, Server: s.Server, Until: r.worthTo})
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, trial: trial,
 		paced: b.paced(s), light: r.Partial})
 	r.pending++
@@ -586,7 +627,7 @@
 	if c := r.class; c.index >= 0 {
 		due := b.now + time.Duration(tailMargin*float64(c.tail))
 		c.watched = append(c.watched, watch{r, len(r.attempts) - 1, due})
-		b.arm(c.lane)
+		b.arm(c.classStats)
 	}
 }
 
@@ -608,7 +649,7 @@
 
 // sweep looks at the attempts of a class that have been out for long: a server silent since then
 // gets a strike. No second copy goes out: an attempt at a time is the rule.
-func (b *Balancer) sweep(c *lane) {
+func (b *Balancer) sweep(c *classStats) {
 	c.armed = false
 	for len(c.watched) > 0 && c.watched[0].due <= b.now {
 		w := c.watched[0]
@@ -630,7 +671,7 @@
 		b.refuse(r, 0)
 		return
 	}
-	b.do(Action{Kind: Fail, ID: r.ID})
+	b.emit(Action{Kind: Fail, ID: r.ID})
 	b.end(r)
 }
 
@@ -694,8 +735,11 @@
 		s.latency += latencyGain * (e.Latency.Seconds() - s.latency)
 	}
 	b.hear(s, e.Report)
-	if e.Code == OK {
+	if e.Code == OK && b.ramp(s) >= 1 {
 		b.done, b.doneAt = b.doneRate()+1/doneSpan.Seconds(), b.now
+		b.carried()
+	}
+	if e.Code == OK {
 		c.observe(e.Latency)
 	}
 	b.judge(a, e.Code, blame)
@@ -808,17 +852,21 @@
 const (
 	coldMargin = 0.7 // of the multiple beyond one: that one is left to chance, heavy work and unequal servers
 	coldFloor  = 1.0 // requests a second by all nodes to a cold server when nothing is known yet
+
+	coldLooked    = 16          // cold servers that a choice looks at before its walk
+	starvedLittle = 0.05        // part of the dearest without room up to which they keep to warm servers
+	carriedSpan   = time.Minute // in which it is forgotten what a warm server carried at most
 )
 
-// coldRoom guards the fourth rule. This node's mean rate per server, summed over the nodes, is what a warm
-// server takes; a cold one may get its present part of that, and no more. Where load is reported, what warm
-// ones of its kind can serve stands in for that: a mean over servers that are mostly cold is too little.
+// coldRoom guards the fourth rule. What a warm server carries for this node, summed over the nodes, is what
+// one can take; a cold one may get its present part of that, and no more. Where load is reported, what warm
+// ones of its kind can serve stands in for that.
 func (b *Balancer) coldRoom(s *server) bool {
 	part := b.ramp(s)
-	if part >= 1 || b.ceded {
+	if part >= 1 || b.handedOver {
 		return part >= 1
 	}
-	mean := b.doneRate() / float64(max(1, b.length))
+	mean := b.carried()
 	if k := b.kinds[s.Kind]; k != nil {
 		mean = k.rate / float64(b.set.Nodes)
 		part = max(part, min(1, utilAim*s.rate/k.rate))
@@ -841,11 +889,11 @@
 // (sooner where the settings say so), and a call that it turns away then has to leave time for further ones.
 const askAgain, askMost = 500 * time.Millisecond, time.Second
 
-func (b *Balancer) askList() { b.do(Action{Kind: WatchList, On: true}) }
+func (b *Balancer) askList() { b.emit(Action{Kind: WatchList, On: true}) }
 
 // askIn calls for the list after a wait.
 func (b *Balancer) askIn(wait time.Duration) {
-	b.do(Action{Kind: SetTimer, Wait: wait, Token: listToken})
+	b.emit(Action{Kind: SetTimer, Wait: wait, Token: listToken})
 }
 
 func (b *Balancer) onList(e MemberList) {
@@ -902,11 +950,12 @@
 
 // ---- Replacement: two processes as one node ----
 
-// onCeded leaves to the process that takes over what both may spend only once: refills and half of the tokens
-// of each bucket, further attempts, and all that goes to cold servers. Taken back from one that never served,
-// it is as before; what one that served has spent is not known, so nothing is repeated while that may count.
-func (b *Balancer) onCeded(e Ceded) {
-	b.ceded = e.On
+// onHandOver leaves to the process that takes over what both may spend only once: refills and half of the
+// tokens of each bucket, further attempts, and all that goes to cold servers. Taken back from one that
+// never served, it is as before; what one that served has spent is not known, so nothing is repeated while
+// that may count.
+func (b *Balancer) onHandOver(e Ceded) {
+	b.handedOver = e.On
 	for _, k := range b.buckets {
 		if e.On {
 			k.tokens -= k.tokens / 2
--- a/policy/sums.go
+++ b/policy/sums.go
@@ -130,13 +130,28 @@
 	}
 }
 
-// warmth counts the warm servers of places that aren't left, by how many even parts of each this node has.
-func (b *Balancer) warmth() float64 {
+// settleWarm counts those that have become warm by now.
+func (b *Balancer) settleWarm() {
 	for len(b.warming) > 0 && b.warming[0].at <= b.now {
 		s := b.warming.next()
 		s.counted.warming = false
 		b.countWarm(s)
 	}
+}
+
+// warmServers counts the warm servers of the order.
+func (b *Balancer) warmServers() int {
+	b.settleWarm()
+	n := b.warmUnjudged[0] + b.warmUnjudged[1]
+	for _, p := range b.places {
+		n += p.warm
+	}
+	return n
+}
+
+// warmWeight counts the warm servers of places that aren't left, by how many even parts of each this node has.
+func (b *Balancer) warmWeight() float64 {
+	b.settleWarm()
 	far, near := b.warmUnjudged[0], b.warmUnjudged[1]
 	for _, p := range b.places {
 		switch {
@@ -255,7 +270,7 @@
 	if s.segment == nil { // it has been taken out of them, and off their counts
 		return
 	}
-	b.pool.ejected += by
+	b.ejected += by
 	for _, c := range b.ranked {
 		if c.bound() && c.permits(s) {
 			c.open.ejected += by
