--- a/policy/state.go
+++ b/policy/state.go
@@ -58,8 +58,10 @@
 	budget         Budget     // of attempts beyond the first of each request
 	took           []Time     // requests taken in the span of the budget of attempts, oldest first
 	extra          []Time     // attempts beyond a request's first in it
-	done           float64    // answers a second, as of doneAt
+	done           float64    // answers of warm servers a second, as of doneAt
 	doneAt         Time
+	carriedMost    float64 // answers a second by a warm server at most of late, as of carriedAt
+	carriedAt      Time
 	handedOver     bool // another process of this node has taken over
 	fleet          presence
 	bad            float64       // part of bad answers lately,
@@ -187,6 +189,7 @@
 	place     *place   // nil where the settings name none
 	segment   *segment // of the packing order; nil where it isn't in it
 	counted   counted
+	lostInRow int     // attempts that timed out or found it full since it last answered otherwise
 	felt      bool    // the threshold was cut at least once, or a report told
 	doubt     float64 // evidence against its place
 	judged    Time    // and when that was last added to
@@ -544,6 +547,15 @@
 	}
 }
 
+// carried is how many requests a second a warm server was seen to answer for this node, at most of late. What
+// is answered now falls with the servers that fail, and those that return would be kept cold by that.
+func (b *Balancer) carried() float64 {
+	now := b.doneRate() / max(1, float64(b.warmServers()))
+	b.carriedMost = max(now, b.carriedMost*math.Exp(-(b.now-b.carriedAt).Seconds()/carriedSpan.Seconds()))
+	b.carriedAt = b.now
+	return b.carriedMost
+}
+
 // refuse ends r with a wait that its client is told; 0 for none.
 func (b *Balancer) refuse(r *request, wait time.Duration) {
 	b.emit(Action{Kind: Refuse, ID: r.ID, Wait: wait})
