--- a/internal/rig/zones_test.go
+++ b/internal/rig/zones_test.go
@@ -88,8 +88,8 @@
 	if n := x.crossing(); n > 0 {
 		t.Errorf("%d attempts crossed at rest", n)
 	}
-	fault := func(f emulator.BoxFault) {
-		x.w.Zone("a", func(b *emulator.Box) { b.Fault = f })
+	fault := func(f emulator.ServerFault) {
+		x.w.EachInZone("a", func(b *emulator.Server) { b.Fault = f })
 	}
 	cut := func(on bool) {
 		for i := range 12 {
@@ -107,7 +107,7 @@
 		on, off func()
 		back    string // how it is to be held again: the second return takes four times as long
 	}{
-		{"half of the requests fail", func() { fault(emulator.BoxFault{Errors: 0.5}) }, func() { fault(emulator.BoxFault{}) }, "well"},
+		{"half of the requests fail", func() { fault(emulator.ServerFault{Errors: 0.5}) }, func() { fault(emulator.ServerFault{}) }, "well"},
 		{"nothing passes, and nothing is told", func() { cut(true) }, func() { cut(false) }, "returning"},
 	} {
 		trouble.on()
@@ -122,9 +122,9 @@
 		t.Logf("%s: left by both near nodes after %v, %s %v after its end", trouble.name, left, trouble.back, back)
 	}
 	before := x.crossing()
-	x.w.Vanish("a", true)
+	x.w.Unlist("a", true)
 	x.served(10) // some of the nodes know, and go on
-	x.w.Vanish("a", false)
+	x.w.Unlist("a", false)
 	x.served(300)
 	t.Logf("the list lacked the zone for a moment: %d of its requests crossed", x.crossing()-before)
 	x.finish()
@@ -142,16 +142,16 @@
 		if strings.HasPrefix(m.Scenario, "large") || *scenarios != "all" && !slices.Contains(strings.Split(*scenarios, ","), m.Scenario) {
 			continue
 		}
-		for _, name := range []string{m.Scenario, lab.HeldAgainst(m.Scenario)} {
+		for _, name := range []string{m.Scenario, lab.BaselineOf(m.Scenario)} {
 			if _, played := runs[name]; !played && name != "" {
 				runs[name] = playReal(t, name)
 			}
 		}
 		run := runs[m.Scenario]
-		run.Held = runs[lab.HeldAgainst(m.Scenario)].Outcome
+		run.Baseline = runs[lab.BaselineOf(m.Scenario)].Outcome
 		v := m.Of(run)
 		t.Logf("| %s | %.3f | %d rules broken %q", m.Name, v, run.Broken, run.BrokenRules)
-		if v < m.Least || v > m.Most || run.Broken > 0 {
+		if v < m.Min || v > m.Max || run.Broken > 0 {
 			t.Logf("NOT REACHED: %s", m.Name)
 			for _, line := range run.Table(5) {
 				t.Log(line)
