--- a/policy/policy.go
+++ b/policy/policy.go
@@ -210,9 +210,8 @@
 
 const (
 	manyNodes             = 3         // nodes; more would jam the first server, so each walks from elsewhere
-	startFew              = 10.0      // attempts first trusted to a server by all nodes,
-	startNodes            = 300.0     // up to so many: a walk past servers of a yet smaller part would be long
-	leastPart             = 0.25      // part of its start below which no threshold falls but by lost attempts
+	startFew              = 10.0      // attempts first trusted to a server by all nodes
+	leastPart             = 0.25      // part of its start below which no threshold falls
 	thresholdGrow         = 0.05      // attempts a good answer adds; against slowCut, a sixth may be slow
 	slowCut               = 0.25      // attempts a slow answer takes off
 	failureCut            = 0.3       // attempts a full answer or a failure takes off
@@ -287,7 +286,7 @@
 	if b.measured() {
 		return 1
 	}
-	return startFew / min(startNodes, float64(b.set.Nodes))
+	return max(1, startFew/float64(b.set.Nodes))
 }
 
 // crowding sets attempts in flight against what s was seen to take, lest one that others fill look idle.
@@ -388,14 +387,9 @@
 		b.fault(s, code, latency, blame)
 		return
 	}
-	lost := code == TimedOut || code == Full
-	if s.lostInRow++; !lost || !b.staggered() { // of few nodes each sees by itself what it may send
-		s.lostInRow = 0
-	}
-	track(&b.lost, lostGain, lost)
+	track(&b.lost, lostGain, code == TimedOut || code == Full)
 	s.felt = s.felt || step < 0
-	least := leastPart * b.start() / float64(1+s.lostInRow) // a choked server recovers only by a rest
-	s.threshold = max(least, s.threshold+step*min(1, s.threshold))
+	s.threshold = max(leastPart*b.start(), s.threshold+step*min(1, s.threshold))
 }
 
 // ---- Load reports: what servers say of themselves ----
--- a/policy/state.go
+++ b/policy/state.go
@@ -189,7 +189,6 @@
 	place     *place   // nil where the settings name none
 	segment   *segment // of the packing order; nil where it isn't in it
 	counted   counted
-	lostInRow int     // attempts that timed out or found it full since it last answered otherwise
 	felt      bool    // the threshold was cut at least once, or a report told
 	doubt     float64 // evidence against its place
 	judged    Time    // and when that was last added to
