--- a/cmd/sloerail/scale.go
+++ b/cmd/sloerail/scale.go
@@ -16,6 +16,7 @@
 	"github.com/schollz/progressbar/v3"
 	"github.com/spf13/cobra"
 
+	"sloerail/internal/output"
 	"sloerail/internal/scale"
 )
 
@@ -55,17 +56,18 @@
 }
 
 func listScales(out io.Writer) error {
+	printer := output.NewPrinter(out)
 	for _, name := range scale.Shipped() {
 		s, err := scale.Read(name)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(out, "%-10s %s\n", name, s.What)
+		printer.Printf("%-10s %s\n", name, s.What)
 	}
 	for _, d := range scale.NotMeasured {
-		fmt.Fprintf(out, "%-10s not measured yet\n", d)
+		printer.Printf("%-10s not measured yet\n", d)
 	}
-	return nil
+	return printer.Err()
 }
 
 func runScale(cmd *cobra.Command, name string, flags scaleFlags) error {
@@ -96,9 +98,10 @@
 func scaleProgress(errs io.Writer, dimension scale.Dimension) func(scale.Progress) {
 	file, ok := errs.(*os.File)
 	if !ok || !isatty.IsTerminal(file.Fd()) {
+		printer := output.NewPrinter(errs)
 		return func(p scale.Progress) {
 			if p.Run > 0 {
-				fmt.Fprintf(errs, "%d of %d: %s %d, run %d\n", p.Done+1, p.Points, dimension, p.Size, p.Run)
+				printer.Printf("%d of %d: %s %d, run %d\n", p.Done+1, p.Points, dimension, p.Size, p.Run)
 			}
 		}
 	}
@@ -126,7 +129,10 @@
 			return err
 		}
 	} else {
-		printScale(out, r)
+		printer := output.NewPrinter(out)
+		if printScale(printer, r); printer.Err() != nil {
+			return printer.Err()
+		}
 	}
 	if r.Stopped != "" {
 		return fmt.Errorf("stopped before all was measured: %s", r.Stopped)
@@ -142,11 +148,11 @@
 	return errors.Join(r.WriteSVG(file), file.Close())
 }
 
-func printScale(out io.Writer, r *scale.Report) {
+func printScale(out *output.Printer, r *scale.Report) {
 	s := r.Scenario
-	fmt.Fprintf(out, "%s: %s\nseed %d, %d runs, begun %s, %d cores, %.1f GB, %s\n", s.Name, s.What, s.Seed, s.Runs,
+	out.Printf("%s: %s\nseed %d, %d runs, begun %s, %d cores, %.1f GB, %s\n", s.Name, s.What, s.Seed, s.Runs,
 		r.Began.Format("2006-01-02 15:04:05 UTC"), r.Machine.Cores, float64(r.Machine.Memory)/1e9, r.Machine.Go)
-	fmt.Fprintf(out, "held: %s\n", heldOf(s))
+	out.Printf("held: %s\n", heldOf(s))
 	printValues(out, r)
 	printRatios(out, r)
 	printLaws(out, r)
@@ -154,7 +160,7 @@
 	for _, d := range r.NotMeasured {
 		missing = append(missing, string(d))
 	}
-	fmt.Fprintf(out, "dimensions not measured: %s\n", strings.Join(missing, ", "))
+	out.Printf("dimensions not measured: %s\n", strings.Join(missing, ", "))
 }
 
 // heldOf names the sizes that don't grow.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }() // it is a temporary one
 	defer rig.Clean()
 	limit := s.For.Duration
 	if o.For > 0 {
@@ -155,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }() // it is a temporary one
 	if d, isReal := realDimension(s.Dimension); isReal {
 		return d.Measure(ctx, ProcessSpec{Seed: s.Seed + uint64(run), Window: s.Span.Duration}, size, run)
 	}
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -141,10 +141,11 @@
 		f := newFleet(Held{Servers: 50, Tenants: 2, Nodes: 1}, t.TempDir(), seed, run)
 		return string(encodeList(1, true, f.servers()...))
 	}
-	if list(1, 1) != list(1, 1) {
+	first, again := list(1, 1), list(1, 1)
+	if first != again {
 		t.Error("the same seed and run made another list")
 	}
-	if list(1, 1) == list(2, 1) || list(1, 1) == list(1, 2) {
+	if first == list(2, 1) || first == list(1, 2) {
 		t.Error("another seed or run made the same list")
 	}
 }
