Collect a report's distinct sizes, measures and sources in one place

Cause: the same loop stood three times in internal/scale/report.go. Change: distinct; what the three methods return is the same. Measured: tests of cmd/sloerail with -race and of internal/scale's reports, laws and scenarios pass; no new linter finding.

--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -72,36 +72,29 @@
 	return o
 }
 
-// Sources are those that were measured, in order.
-func (r *Report) Sources() (all []Source) {
-	for _, v := range r.Measurements {
-		if !slices.Contains(all, v.Source) {
-			all = append(all, v.Source)
+// distinct returns what the measurements have, each value once, in the order in which they first came.
+func distinct[T comparable](measurements []Measurement, value func(Measurement) T) (all []T) {
+	for _, m := range measurements {
+		if v := value(m); !slices.Contains(all, v) {
+			all = append(all, v)
 		}
 	}
-	slices.Sort(all)
 	return all
 }
 
+// Sources are those that were measured, in order.
+func (r *Report) Sources() []Source {
+	return slices.Sorted(slices.Values(distinct(r.Measurements, func(m Measurement) Source { return m.Source })))
+}
+
 // Measures are those that were measured, in the order in which they were first.
-func (r *Report) Measures() (all []Measure) {
-	for _, v := range r.Measurements {
-		if !slices.Contains(all, v.Measure) {
-			all = append(all, v.Measure)
-		}
-	}
-	return all
+func (r *Report) Measures() []Measure {
+	return distinct(r.Measurements, func(m Measurement) Measure { return m.Measure })
 }
 
 // Sizes are those that were measured, ascending.
-func (r *Report) Sizes() (all []int) {
-	for _, v := range r.Measurements {
-		if !slices.Contains(all, v.Size) {
-			all = append(all, v.Size)
-		}
-	}
-	slices.Sort(all)
-	return all
+func (r *Report) Sizes() []int {
+	return slices.Sorted(slices.Values(distinct(r.Measurements, func(m Measurement) int { return m.Size })))
 }
 
 // Values are those of a measure at a size, in the order of the runs.
