Show that a planned restart cuts off answers that are still being given

Cause: the drain ends 3.5 s after SIGTERM by the longest deadline and then closes all connections, also those whose answer is being streamed, though an answer that has begun has no deadline.

--- a/review/standins/rig/rig.go
+++ b/review/standins/rig/rig.go
@@ -320,16 +320,45 @@
 	// Pace is how long the body takes; it is sent in BodyPieces pieces.
 	Pace       time.Duration
 	BodyPieces int
+	// ReadDelay is how long the client waits between the head of the answer and its body, AnswerTime how long it reads the
+	// body at most, beyond the deadline.
+	ReadDelay, AnswerTime time.Duration
 }
 
+// Client is a client's connection.
+type Client struct {
+	rig  *Rig
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// Dial opens a client's connection.
+func (r *Rig) Dial(address string) (*Client, error) {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{rig: r, conn: conn, in: bufio.NewReader(conn)}, nil
+}
+
+// Close closes the connection.
+func (c *Client) Close() { _ = c.conn.Close() }
+
 // Send sends one request on a connection of its own and waits for the answer up to the deadline.
 func (r *Rig) Send(address string, q Request) Answer {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+	c, err := r.Dial(address)
 	if err != nil {
 		r.Log("client %s: %v", q.ID, err)
 		return Answer{Err: err}
 	}
-	defer conn.Close()
+	defer c.Close()
+	return c.Send(q)
+}
+
+// Send sends one request and waits for the answer up to the deadline.
+func (c *Client) Send(q Request) Answer {
+	r, conn := c.rig, c.conn
+	var err error
 	method := "GET"
 	if q.Body != nil {
 		method = "POST"
@@ -354,12 +383,15 @@
 	} else if q.Pace > 0 {
 		r.Log("client %s: the last byte of the body is sent", q.ID)
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(q.Deadline + 600*time.Millisecond))
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	_ = conn.SetReadDeadline(time.Now().Add(q.Deadline + q.AnswerTime + 600*time.Millisecond))
+	resp, err := http.ReadResponse(c.in, nil)
 	if err != nil {
 		r.Log("client %s: no answer: %v", q.ID, err)
 		return Answer{Err: err}
 	}
+	if q.ReadDelay > 0 {
+		time.Sleep(q.ReadDelay)
+	}
 	body, err := io.ReadAll(resp.Body)
 	r.Log("client %s: answer %d, %d bytes, error %v", q.ID, resp.StatusCode, len(body), err)
 	return Answer{Status: resp.StatusCode, Body: body, Err: err}
