Show that a hung server holds up the answer to a long body for 5 s

Cause: for a body over 64 KiB the node begins the client's time only when it has read the last byte itself. A server that takes nothing keeps it from reading, and only the stall timeout of 5 s ends the attempt.

--- a/review/standins/rig/rig.go
+++ b/review/standins/rig/rig.go
@@ -310,6 +310,9 @@
 	Status int // 0 for none
 	Body   []byte
 	Err    error
+	// Written says that the request's last byte was written; Took is the time from then to the answer's last byte.
+	Written bool
+	Took    time.Duration
 }
 
 // Request is a client's request.
@@ -320,9 +323,7 @@
 	// Pace is how long the body takes; it is sent in BodyPieces pieces.
 	Pace       time.Duration
 	BodyPieces int
-	// ReadDelay is how long the client waits between the head of the answer and its body, AnswerTime how long it reads the
-	// body at most, beyond the deadline.
-	ReadDelay, AnswerTime time.Duration
+	AnswerTime time.Duration // how long the client waits at most, beyond the deadline
 }
 
 // Client is a client's connection.
@@ -380,21 +381,24 @@
 	}
 	if err != nil {
 		r.Log("client %s: write: %v", q.ID, err)
-	} else if q.Pace > 0 {
+	} else if len(q.Body) > 0 {
 		r.Log("client %s: the last byte of the body is sent", q.ID)
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(q.Deadline + q.AnswerTime + 600*time.Millisecond))
+	a := Answer{Written: err == nil}
+	written := time.Now()
+	_ = conn.SetReadDeadline(written.Add(q.Deadline + q.AnswerTime + 600*time.Millisecond))
 	resp, err := http.ReadResponse(c.in, nil)
 	if err != nil {
-		r.Log("client %s: no answer: %v", q.ID, err)
-		return Answer{Err: err}
-	}
-	if q.ReadDelay > 0 {
-		time.Sleep(q.ReadDelay)
-	}
-	body, err := io.ReadAll(resp.Body)
-	r.Log("client %s: answer %d, %d bytes, error %v", q.ID, resp.StatusCode, len(body), err)
-	return Answer{Status: resp.StatusCode, Body: body, Err: err}
+		a.Err, a.Took = err, time.Since(written)
+		r.Log("client %s: no answer, %d ms after the last byte: %v", q.ID, a.Took.Milliseconds(), err)
+		return a
+	}
+	a.Status = resp.StatusCode
+	a.Body, a.Err = io.ReadAll(resp.Body)
+	a.Took = time.Since(written)
+	r.Log("client %s: answer %d, %d bytes, error %v, %d ms after the last byte", q.ID, a.Status, len(a.Body), a.Err,
+		a.Took.Milliseconds())
+	return a
 }
 
 func sendSlowly(conn net.Conn, q Request) error {
@@ -412,6 +416,12 @@
 // Server starts a server that listens on l, and returns its address. handle is called once a request's last byte has
 // arrived, with the body.
 func (r *Rig) Server(id string, l net.Listener, handle func(w http.ResponseWriter, req *http.Request, body []byte)) string {
+	return r.ServerWithHead(id, l, func(*http.Request) {}, handle)
+}
+
+// ServerWithHead is Server, and calls begin once a request's head has arrived.
+func (r *Rig) ServerWithHead(id string, l net.Listener, begin func(req *http.Request),
+	handle func(w http.ResponseWriter, req *http.Request, body []byte)) string {
 	if l == nil {
 		var err error
 		if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
@@ -420,6 +430,7 @@
 	}
 	go func() {
 		err := http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			begin(req)
 			body, err := io.ReadAll(req.Body)
 			if err != nil {
 				r.Log("server %s: incomplete request %s: %v", id, req.Header.Get("X-Request-Id"), err)
