--- a/review/standins/rig/rig.go
+++ b/review/standins/rig/rig.go
@@ -323,7 +323,7 @@
 	// Pace is how long the body takes; it is sent in BodyPieces pieces.
 	Pace       time.Duration
 	BodyPieces int
-	AnswerTime time.Duration // how long the client waits at most, beyond the deadline
+	AnswerTime time.Duration // how long the client waits beyond the deadline, and 100 ms more
 }
 
 // Client is a client's connection.
@@ -386,7 +386,7 @@
 	}
 	a := Answer{Written: err == nil}
 	written := time.Now()
-	_ = conn.SetReadDeadline(written.Add(q.Deadline + q.AnswerTime + 600*time.Millisecond))
+	_ = conn.SetReadDeadline(written.Add(q.Deadline + q.AnswerTime + 100*time.Millisecond))
 	resp, err := http.ReadResponse(c.in, nil)
 	if err != nil {
 		a.Err, a.Took = err, time.Since(written)
