--- a/review/_standins/lateconn/main.go
+++ b/review/_standins/lateconn/main.go
@@ -20,6 +20,7 @@
 	deadline   = 4500 * time.Millisecond
 	resetAfter = 1200 * time.Millisecond // from a first copy's last byte to the reset of its connection
 	releaseIn  = 200 * time.Millisecond  // from the reset to when connections come up again
+	lateBy     = 800 * time.Millisecond  // less than the second after which a SYN is repeated
 )
 
 // order is what the servers of the cell know of a key.
@@ -65,7 +66,7 @@
 				o.runs = append(o.runs, id)
 			}
 			isLate := late[key]
-			if isLate && !first && age < resetAfter+releaseIn {
+			if isLate && !first && age < resetAfter+lateBy {
 				onTime++
 			}
 			mu.Unlock()
@@ -80,11 +81,13 @@
 				return
 			}
 			others := func(do func(*rig.LateListener)) {
+				var done sync.WaitGroup
 				for j, other := range listeners {
 					if j != i && isLate {
-						do(other)
+						done.Go(func() { do(other) })
 					}
 				}
+				done.Wait()
 			}
 			others((*rig.LateListener).Hold)
 			time.Sleep(resetAfter - (r.Since() - now))
--- a/review/_standins/rig/backlog.go
+++ b/review/_standins/rig/backlog.go
@@ -53,21 +53,29 @@
 	return l.Listener.Accept()
 }
 
-// Hold fills the queue with connections of its own, until a further one doesn't come up.
+// Hold fills the queue with connections of its own, until two further ones in a row don't come up.
 func (l *LateListener) Hold() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.held = true
-	for range 8 {
-		conn, err := net.DialTimeout("tcp", l.Addr().String(), 30*time.Millisecond)
+	for refused, tries := 0, 0; refused < 2; tries++ {
+		if tries == maxFillers {
+			l.rig.NotRun("the queue of connections can't be filled")
+		}
+		conn, err := net.DialTimeout("tcp", l.Addr().String(), fillTimeout)
 		if err != nil {
-			return
+			refused++
+			continue
 		}
-		l.fillers = append(l.fillers, conn)
+		refused, l.fillers = 0, append(l.fillers, conn)
 	}
-	l.rig.NotRun("the queue of connections can't be filled")
 }
 
+const (
+	maxFillers  = 8
+	fillTimeout = 150 * time.Millisecond // far above the time that a connection takes on a busy machine
+)
+
 // Release lets connections come up again.
 func (l *LateListener) Release() {
 	l.mu.Lock()
