Bind a request to the class that its head was accepted under, by value

Two reloads came 0.3 s apart while the bodies arrived: the first made the class free, the second single_shot again.

Cause: Server.readRequest found the right class when the head was read, but passed on only its name and a mark "former". loop.startRequest set the mark after any reload, and classRegistry.find then looked the name up in "the settings before those in force". After two reloads that is the one in between. A class that the one in between lacks came from the settings in force. The limit of attempts was looked up late in the same way (onRequest), after one reload already.

Ruled out: retry safety changing for a request that the balancer has (its class is kept; "idempotent after one more reload" held before), and the form of the head (it was accepted as a POST of the first configuration).

Change: the node hands the balancer the class itself, with the limit of attempts of the same settings (policy.AcceptedClass), and there is no second lookup. The registry finds the class with these settings, or makes one that shares the measurements of its name; a restricted one gets its pool at once. The mark and its guards are gone. The recorded events carry the former class in place of the mark, with equal actions.

TestRequestKeepsItsClassThroughSeveralReloads and TestRequestKeepsItsAttemptsThroughReloads fail without it.

--- a/internal/node/downstream/exchange.go
+++ b/internal/node/downstream/exchange.go
@@ -20,12 +20,11 @@
 // Exchange is one request of a client and the channel for its response. Its exported fields must not change once it is
 // passed to a Handler. Its methods may be called from any goroutine.
 type Exchange struct {
-	Request      policy.Request
-	Forwarded    upstream.Request // the request as sent to servers
-	ReceivedAt   policy.Time      // when the request was read; with a streamed body, when the buffered part was
-	Timeout      time.Duration    // how long the client waits, counted from ReceivedAt
-	RequestRules RequestRules     // the rules in force when the request was read
-	Reply        chan Response    // takes one response without blocking
+	Request    policy.Request
+	Forwarded  upstream.Request // the request as sent to servers
+	ReceivedAt policy.Time      // when the request was read; with a streamed body, when the buffered part was
+	Timeout    time.Duration    // how long the client waits, counted from ReceivedAt
+	Reply      chan Response    // takes one response without blocking
 
 	upload           *upload         // equals Forwarded.Stream; nil if the body is buffered
 	counter          ResponseCounter // counts the responses to the request's class
@@ -76,8 +75,7 @@
 	if !isValidRequestID(id) {
 		return nil, &requestError{status: http.StatusBadRequest, text: "X-Request-Id: missing or malformed"}
 	}
-	rules := s.handler.RequestRules()
-	class, former, ok := rules.Class(r.class, r.method, r.idempotencyKey != "")
+	class, ok := s.handler.RequestRules().Class(r.class, r.method, r.idempotencyKey != "")
 	if !ok {
 		return nil, &requestError{status: http.StatusBadRequest, text: "X-Class: unknown"}
 	}
@@ -85,7 +83,7 @@
 	if err != nil || timeout == 0 || timeout > maxTimeoutMillis {
 		return nil, &requestError{status: http.StatusBadRequest, text: "X-Deadline-Ms: want whole milliseconds above 0"}
 	}
-	method := MethodFor(class)
+	method := MethodFor(class.Class)
 	if r.method != method {
 		return nil, &requestError{status: http.StatusMethodNotAllowed, text: "this class takes " + method, allowedMethod: method}
 	}
@@ -104,13 +102,12 @@
 	}
 	hint, _ := strconv.ParseUint(r.costHint, 10, 32) // only an estimate: malformed counts as 0, too large as the maximum
 	x = &Exchange{
-		Request: policy.Request{ID: id, Class: class.Name, Tenant: r.tenant, Key: r.affinityKey,
-			EstimatedWork: time.Duration(hint) * time.Microsecond, ClientRetry: r.retry == "1",
-			Incomplete: u != nil, FormerClass: former},
+		Request: policy.Request{ID: id, Class: class.Name, Accepted: class, Tenant: r.tenant, Key: r.affinityKey,
+			EstimatedWork: time.Duration(hint) * time.Microsecond, ClientRetry: r.retry == "1", Incomplete: u != nil},
 		Forwarded: upstream.Request{ID: id, Method: method, Path: r.path, Host: r.host, IdempotencyKey: r.idempotencyKey,
 			ContentType: r.contentType, Body: body, Length: r.Length},
 		upload: u, ReceivedAt: s.handler.Now(),
-		Timeout: time.Duration(timeout) * time.Millisecond, RequestRules: rules,
+		Timeout: time.Duration(timeout) * time.Millisecond,
 		counter: s.handler.ResponseCounter(class.Name), Reply: c.reply, isClosedByClient: c.isClosedByClient,
 	}
 	if u != nil {
--- a/internal/node/downstream/server.go
+++ b/internal/node/downstream/server.go
@@ -45,13 +45,12 @@
 	AddOpenRequests(n int)
 }
 
-// RequestRules are the rules for reading requests. Two values are equal if no reload of the configuration came between
-// them: each reload makes a new value.
+// RequestRules are the rules for reading requests. They are immutable: a reload of the configuration makes new ones.
 type RequestRules interface {
-	// Class returns the class with the name; ok is false if there is none. Just after a change of the configuration, it
-	// returns the former class of that name, with former set, if that class matches the request's method and whether
-	// the request has an idempotency key.
-	Class(name, method string, hasKey bool) (c policy.Class, former, ok bool)
+	// Class returns the class with the name, which binds the request until it ends; ok is false if there is none. Just
+	// after a change of the configuration, it returns the former class of that name if that class matches the request's
+	// method and whether the request has an idempotency key.
+	Class(name, method string, hasKey bool) (c *policy.AcceptedClass, ok bool)
 }
 
 // ResponseCounter counts responses by status. A streamed response that the server didn't complete counts as 502.
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -22,38 +22,37 @@
 // classTable holds the classes that clients' requests are checked against. It is immutable: a changed configuration
 // makes a new one.
 type classTable struct {
-	byName      map[string]policy.Class
+	byName      map[string]*policy.AcceptedClass
 	list        []policy.Class
 	former      *classTable // the classes before the last change, valid until formerUntil
 	formerUntil time.Time
 }
 
-func newClassTable(classes []policy.Class) *classTable {
-	t := &classTable{byName: make(map[string]policy.Class), list: classes}
-	for _, c := range classes {
-		t.byName[c.Name] = c
+func newClassTable(settings policy.Settings) *classTable {
+	t := &classTable{byName: make(map[string]*policy.AcceptedClass), list: settings.Classes}
+	for _, c := range settings.Classes {
+		t.byName[c.Name] = &policy.AcceptedClass{Class: c, MaxAttempts: settings.Allowed.MaxAttempts}
 	}
 	return t
 }
 
-// next returns the table of the new classes, with the classes of t as the former ones.
-func (t *classTable) next(classes []policy.Class, now time.Time) *classTable {
-	n := newClassTable(classes)
+// next returns the table of the new settings' classes, with the classes of t as the former ones.
+func (t *classTable) next(settings policy.Settings, now time.Time) *classTable {
+	n := newClassTable(settings)
 	n.former, n.formerUntil = &classTable{byName: t.byName, list: t.list}, now.Add(formerClassPeriod)
 	return n
 }
 
 // Class returns the class of a request by its name. For formerClassPeriod after a configuration change, it returns the
-// former class of that name if the request has the former class's form; former is then true. ok is false if there is no
-// class of that name.
-func (t *classTable) Class(name, method string, hasKey bool) (c policy.Class, former, ok bool) {
+// former class of that name if the request has the former class's form. ok is false if there is no class of that name.
+func (t *classTable) Class(name, method string, hasKey bool) (c *policy.AcceptedClass, ok bool) {
 	if t.former != nil && time.Now().Before(t.formerUntil) {
-		if c, ok := t.former.byName[name]; ok && matchesClass(c, method, hasKey) {
-			return c, true, true
+		if c, ok := t.former.byName[name]; ok && matchesClass(c.Class, method, hasKey) {
+			return c, true
 		}
 	}
 	c, ok = t.byName[name]
-	return c, false, ok
+	return c, ok
 }
 
 // matchesClass reports whether a request has the form of a class: the class's retry safety determines the method and
@@ -91,7 +90,7 @@
 		l.metrics.class(class.Name)
 		names = append(names, class.Name)
 	}
-	l.classes.Store(l.classes.Load().next(c.Settings.Classes, time.Now()))
+	l.classes.Store(l.classes.Load().next(c.Settings, time.Now()))
 	if target := discoveryTarget(c); target != l.listTarget {
 		l.listTarget = target
 		l.listClient.Retarget(target)
--- /dev/null
+++ b/internal/node/reload_requests_test.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sloerail/internal/node/nodetest"
+)
+
+// The class "charge" in the settings of these tests, by its retry safety.
+const (
+	unsafeCharge     = `{"name":"charge","aim":4000,"deadline":9000,"repeat":"single_shot"}`
+	idempotentCharge = `{"name":"charge","aim":4000,"deadline":9000,"repeat":"free"}`
+	keyedCharge      = `{"name":"charge","aim":4000,"deadline":9000,"repeat":"guarded","group":"all","window":4000}`
+)
+
+// reloadableNode is a node whose settings a test changes while requests are under way.
+type reloadableNode struct {
+	t       *testing.T
+	addr    string
+	changes chan<- Change
+	reload  func(services string, maxAttempts int) Change
+	ran     atomic.Int32 // requests that servers ran
+}
+
+// startReloadableNode starts a node with the services, in the form of the settings file, and servers that answer each
+// request with 500, so that the node retries what it may retry.
+func startReloadableNode(t *testing.T, services string, maxAttempts int) *reloadableNode {
+	t.Helper()
+	n := &reloadableNode{t: t}
+	var servers []string
+	for range 4 {
+		servers = append(servers, nodetest.HTTPServer(t, func(w http.ResponseWriter, _ *http.Request) {
+			n.ran.Add(1)
+			w.WriteHeader(http.StatusInternalServerError)
+		}))
+	}
+	fill := func(services string, maxAttempts int) string {
+		settings := strings.NewReplacer("SERVICES", services, "ATTEMPTS", fmt.Sprint(maxAttempts)).Replace(
+			`{"position":0,"groupSize":1,"zone":"a","services":[{"name":"read","deadline":9000,"repeat":"free"}SERVICES],
+				"limits":{"maxAttempts":ATTEMPTS}}`)
+		return nodetest.FillConfig(nodetest.KnownList(servers...), settings)
+	}
+	c, reload := loadFile(t, fill(services, maxAttempts))
+	changes := make(chan Change)
+	n.changes = changes
+	n.addr, _ = startNodeAt(t, c, Listeners{Clients: nodetest.Listener(t)}, changes)
+	n.reload = func(services string, maxAttempts int) Change {
+		next, err := reload(fill(services, maxAttempts))
+		return Change{Config: next, Err: err}
+	}
+	return n
+}
+
+// change reloads the configuration with the services, and waits until the node has applied it.
+func (n *reloadableNode) change(services string, maxAttempts int) {
+	n.t.Helper()
+	c := n.reload(services, maxAttempts)
+	if c.Err != nil {
+		n.t.Fatal(c.Err)
+	}
+	n.changes <- c
+	synctest.Wait()
+}
+
+// send writes the parts of a request, and calls between after each part but the last. It returns the response's status.
+func (n *reloadableNode) send(parts []string, between func(part int)) (status int) {
+	n.t.Helper()
+	conn := nodetest.Dial(n.t, n.addr)
+	for i, part := range parts {
+		if _, err := conn.Write([]byte(part)); err != nil {
+			n.t.Fatal(err)
+		}
+		synctest.Wait()
+		if i < len(parts)-1 {
+			between(i)
+		}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	nodetest.CloseIgnoringClosed(n.t, resp.Body)
+	return resp.StatusCode
+}
+
+// chargeHead returns the head of a request of the class "charge" with a body of bodyBytes. headers are further lines.
+func chargeHead(method string, bodyBytes int, headers ...string) string {
+	lines := append([]string{method + " /api HTTP/1.1", "Host: origin.svc", "X-Request-Id: c", "X-Class: charge", "X-Tenant: t",
+		"X-Deadline-Ms: 8000", fmt.Sprint("Content-Length: ", bodyBytes)}, headers...)
+	return strings.Join(lines, "\r\n") + "\r\n\r\n"
+}
+
+// Guards against a duplicate: a non-idempotent request whose body was arriving while the configuration changed twice was
+// sent again under the class of the configuration in between, or of the last one.
+func TestRequestKeepsItsClassThroughSeveralReloads(t *testing.T) {
+	for name, changes := range map[string][]string{
+		"idempotent in between":            {"," + idempotentCharge, "," + unsafeCharge},
+		"dropped, then back as idempotent": {"", "," + idempotentCharge},
+		"idempotent, then dropped":         {"," + idempotentCharge, ""},
+		"idempotent after one more reload": {"," + unsafeCharge, "," + idempotentCharge},
+		"idempotent in the second of four": {"," + keyedCharge, "," + idempotentCharge, "", "," + keyedCharge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nodetest.Bubble(t, func(t *testing.T) {
+				n := startReloadableNode(t, ","+unsafeCharge, 4)
+				status := n.send([]string{chargeHead("POST", 4), "pa", "id"}, func(part int) {
+					if part == 0 {
+						return
+					}
+					for _, services := range changes {
+						n.change(services, 4)
+						time.Sleep(50 * time.Millisecond)
+					}
+				})
+				if ran := n.ran.Load(); ran != 1 || status != http.StatusBadGateway {
+					t.Errorf("got %d runs and status %d, want 1 run, then 502", ran, status)
+				}
+			})
+		})
+	}
+}
+
+// Guards against attempts beyond the limit of the settings under which a request began to arrive.
+func TestRequestKeepsItsAttemptsThroughReloads(t *testing.T) {
+	nodetest.Bubble(t, func(t *testing.T) {
+		n := startReloadableNode(t, ","+keyedCharge, 2)
+		n.send([]string{chargeHead("POST", 4, "Idempotency-Key: k"), "paid"}, func(int) { n.change(","+keyedCharge, 4) })
+		if ran := n.ran.Load(); ran != 2 {
+			t.Errorf("runs of a request that began under a limit of 2 attempts: got %d, want 2", ran)
+		}
+	})
+}
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -118,23 +119,23 @@
 	removed := policy.Class{Name: "gone"}
 	now := time.Now()
 	for _, c := range []struct {
-		changedAt   time.Time
-		method      string
-		class       string
-		former, ok  bool
-		retrySafety policy.RetrySafety
+		changedAt time.Time
+		method    string
+		class     string
+		want      *policy.Class // nil: the request is rejected
 	}{
-		{now, "GET", "c", true, true, policy.Idempotent},
-		{now, "POST", "c", false, true, policy.NonIdempotent},
-		{now, "POST", "gone", true, true, policy.NonIdempotent},
-		{now.Add(-2 * formerClassPeriod), "GET", "c", false, true, policy.NonIdempotent},
-		{now.Add(-2 * formerClassPeriod), "POST", "gone", false, false, policy.NonIdempotent},
+		{now, "GET", "c", &idempotent},
+		{now, "POST", "c", &nonIdempotent},
+		{now, "POST", "gone", &removed},
+		{now.Add(-2 * formerClassPeriod), "GET", "c", &nonIdempotent}, // rejected for its method
+		{now.Add(-2 * formerClassPeriod), "POST", "gone", nil},
 	} {
-		got, former, ok := newClassTable([]policy.Class{idempotent, removed}).
-			next([]policy.Class{nonIdempotent}, c.changedAt).Class(c.class, c.method, false)
-		if former != c.former || ok != c.ok || got.RetrySafety != c.retrySafety {
-			t.Errorf("%s of class %s, changed %v ago: got former %v, ok %v, retry safety %v, want %v, %v, %v",
-				c.method, c.class, now.Sub(c.changedAt), former, ok, got.RetrySafety, c.former, c.ok, c.retrySafety)
+		table := newClassTable(policy.Settings{Classes: []policy.Class{idempotent, removed}}).
+			next(policy.Settings{Classes: []policy.Class{nonIdempotent}}, c.changedAt)
+		got, ok := table.Class(c.class, c.method, false)
+		if ok != (c.want != nil) || ok && !reflect.DeepEqual(got.Class, *c.want) {
+			t.Errorf("%s of class %s, changed %v ago: got class %+v, %v, want %+v",
+				c.method, c.class, now.Sub(c.changedAt), got, ok, c.want)
 		}
 	}
 }
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -59,7 +59,6 @@
 	l.unanswered++
 	r.backstop = &timer{backstopOf: r}
 	req := x.Request
-	req.FormerClass = req.FormerClass || x.RequestRules != l.classes.Load() // the configuration changed while it was read
 	if req.Incomplete {
 		r.setDeadlines(l.clock.now() + maxUploadTime)
 		req.Timeout = x.Timeout - r.margin()
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -183,6 +183,9 @@
 		return // duplicate of an open request
 	}
 	r := &request{Request: e, class: b.classOfRequest(e), maxAttempts: b.settings.Allowed.attemptsPerRequest()}
+	if e.Accepted != nil {
+		r.maxAttempts = attemptsPerRequest(e.Accepted.MaxAttempts)
+	}
 	b.setDeadlines(r)
 	b.requests[r.ID] = r
 	b.retryBudget.recordRequest(b.now)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -56,8 +56,9 @@
 		now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.NodeIndex))), classes: newClassRegistry(),
 		rateLimiter: rateLimiter{buckets: newBucketTable()}, rateMultiplier: rateMultiplier{value: 1},
 		servers: make(map[string]*server), requests: make(map[string]*request),
-		loads:  loadReports{byKind: make(map[string]*serverLoad)},
-		window: concurrencyWindow{scale: initialWindowScale},
+		loads:   loadReports{byKind: make(map[string]*serverLoad)},
+		window:  concurrencyWindow{scale: initialWindowScale},
+		packing: packingOrder{classes: make(map[*class]bool)},
 	}
 	b.zones.servers, b.zones.rng, b.zones.logf = &b.packing.pool, b.rng, b.logf
 	b.applySettings(set)
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -159,9 +159,9 @@
 		t.Error("a request was retried, though the new settings make its class non-idempotent")
 	}
 	formerClassRequest := newRequest("was", "free")
-	formerClassRequest.FormerClass = true
+	formerClassRequest.Accepted = &AcceptedClass{Class: testSettings(1).Classes[0], MaxAttempts: 2}
 	if !isRetried("was", sentTo(t, b.Handle(2*ms, formerClassRequest))) {
-		t.Error("a request with FormerClass was not retried, though the former settings make it idempotent")
+		t.Error("a request of a former class was not retried, though the former settings make it idempotent")
 	}
 	if isRetried("dropped", sentTo(t, b.Handle(2*ms, newRequest("dropped", "once")))) {
 		t.Error("a request of a class that the new settings drop was retried")
--- a/policy/class.go
+++ b/policy/class.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"reflect"
 	"slices"
 	"time"
 )
@@ -12,6 +13,8 @@
 	// tailStep sets how far one response moves the estimate: a slower response raises it by the fraction
 	// tailStep*tailQuantile, and a faster one lowers it by the fraction tailStep*(1-tailQuantile).
 	tailStep = 0.1
+	// noTimer is the timerIndex of a class that the settings never named.
+	noTimer = -1
 )
 
 // class is a request class, with the servers that it may use and its measurements. A request whose class the
@@ -25,7 +28,7 @@
 // classStats holds the measurements of a class. A class of new settings takes over those of the former class
 // with the same name.
 type classStats struct {
-	timerIndex      int           // index in statsByTimer; negative if settings never named the class
+	timerIndex      int           // index in statsByTimer; noTimer if settings never named the class
 	tailLatency     time.Duration // estimated tailQuantile of the latency, at most the objective
 	slowAttempts    slowAttemptWatch
 	firstTryTimeout time.Duration          // longest timeout of a client's first try
@@ -36,8 +39,9 @@
 // of all classes by name.
 type classRegistry struct {
 	byName       map[string]*class
-	former       map[string]*class // classes of the former settings by name
-	ordered      []*class          // in the order of the settings
+	former       map[string]*class         // classes of the former settings by name
+	accepted     map[*AcceptedClass]*class // of the requests since the settings last changed
+	ordered      []*class                  // in the order of the settings
 	stats        map[string]*classStats
 	statsByTimer []*classStats // by timerIndex
 }
@@ -49,10 +53,9 @@
 // its deadline as the objective.
 func (c *classRegistry) configure(classes []Class, pool *serverPool) {
 	c.former, c.byName, c.ordered = c.byName, make(map[string]*class), nil
+	c.accepted = make(map[*AcceptedClass]*class)
 	for _, settings := range classes {
-		if settings.LatencyObjective == 0 {
-			settings.LatencyObjective = settings.Deadline
-		}
+		settings = settings.withDefaults()
 		current := &class{Class: settings, eligible: pool, classStats: c.statsOf(settings)}
 		c.ordered = append(c.ordered, current)
 		c.byName[settings.Name] = current
@@ -75,32 +78,67 @@
 	return stats
 }
 
-// find returns the class of a request. If the head of the request arrived under the former settings
-// (FormerClass) and they name the class, it is the class of the former settings. Otherwise it is the class of
-// the settings in force, or nil if they don't name it.
-func (c *classRegistry) find(e Request) *class {
-	if e.FormerClass {
-		if former := c.former[e.Class]; former != nil {
-			return former
+// withDefaults returns the class with its deadline as the latency objective if it has none.
+func (c Class) withDefaults() Class {
+	if c.LatencyObjective == 0 {
+		c.LatencyObjective = c.Deadline
+	}
+	return c
+}
+
+// find returns the class of a request: the one that it was accepted under or, if the request doesn't tell,
+// the one that the settings in force name. It returns nil if they don't name it either.
+func (c *classRegistry) find(e Request, order *packingOrder) *class {
+	if e.Accepted == nil {
+		return c.byName[e.Class]
+	}
+	found := c.accepted[e.Accepted]
+	if found == nil {
+		found = c.withSettings(e.Accepted.withDefaults(), order)
+		c.accepted[e.Accepted] = found
+	}
+	return found
+}
+
+// withSettings returns a known class with exactly these settings, or else a new one. A new one shares the
+// measurements of the other classes with its name.
+func (c *classRegistry) withSettings(settings Class, order *packingOrder) *class {
+	for _, known := range []*class{c.byName[settings.Name], c.former[settings.Name]} {
+		if known != nil && reflect.DeepEqual(known.Class, settings) {
+			return known
 		}
 	}
-	return c.byName[e.Class]
+	for _, known := range c.accepted {
+		if reflect.DeepEqual(known.Class, settings) {
+			return known
+		}
+	}
+	stats := c.stats[settings.Name]
+	if stats == nil {
+		stats = &classStats{timerIndex: noTimer, tailLatency: settings.LatencyObjective / 2}
+	}
+	added := &class{Class: settings, eligible: &order.pool, classStats: stats}
+	if added.isRestricted() {
+		order.addRestricted(added)
+	}
+	return added
 }
 
 // classOfRequest returns the class of a request. If the settings don't name the class, the request gets a new
 // non-idempotent class that may use any server, with the request's timeout as the latency objective.
 func (b *Balancer) classOfRequest(e Request) *class {
-	if known := b.classes.find(e); known != nil {
+	if known := b.classes.find(e, &b.packing); known != nil {
 		return known
 	}
 	return &class{Class: Class{LatencyObjective: e.Timeout, LateWeight: 1}, eligible: &b.packing.pool,
-		classStats: &classStats{timerIndex: -1}}
+		classStats: &classStats{timerIndex: noTimer}}
 }
 
 // classesInUse returns the classes for which the packing order keeps pools and each server's retrySafety:
-// those of the settings in force, those of the former settings, and those of older requests that are still
-// open. Classes that the settings never named are left out. They need no pools, as they may use any server,
-// and they don't change any retrySafety, as they are NonIdempotent, the lowest value.
+// those of the settings in force, those of the former settings, those under which requests were accepted
+// since the settings last changed, and those of older requests that are still open. Classes that the settings
+// never named are left out. They need no pools, as they may use any server, and they don't change any
+// retrySafety, as they are NonIdempotent, the lowest value.
 func (b *Balancer) classesInUse() map[*class]bool {
 	inUse := make(map[*class]bool)
 	for _, c := range b.classes.ordered {
@@ -109,6 +147,9 @@
 	for _, c := range b.classes.former {
 		inUse[c] = true
 	}
+	for _, c := range b.classes.accepted {
+		inUse[c] = true
+	}
 	for _, r := range b.requests {
 		if r.class.timerIndex >= 0 {
 			inUse[r.class] = true
--- a/policy/class_test.go
+++ b/policy/class_test.go
@@ -8,7 +8,8 @@
 func TestClassRegistryFindsClassesByFormerSettings(t *testing.T) {
 	registry := newClassRegistry()
 	pool := new(serverPool)
-	registry.configure([]Class{{Name: "read", LatencyObjective: time.Second, Deadline: 2 * time.Second}}, pool)
+	formerSettings := Class{Name: "read", LatencyObjective: time.Second, Deadline: 2 * time.Second}
+	registry.configure([]Class{formerSettings}, pool)
 	former := registry.byName["read"]
 	former.firstTryTimeout = time.Second
 	registry.configure([]Class{{Name: "read", Deadline: time.Second},
@@ -20,12 +21,12 @@
 		want    *class
 	}{
 		{"current settings", Request{Class: "read"}, current},
-		{"former settings", Request{Class: "read", FormerClass: true}, former},
-		{"a class that the former settings lack", Request{Class: "write", FormerClass: true},
-			registry.byName["write"]},
+		{"former settings", Request{Class: "read", Accepted: &AcceptedClass{Class: formerSettings}}, former},
+		{"settings equal to the current ones", Request{Class: "write",
+			Accepted: &AcceptedClass{Class: Class{Name: "write", Deadline: time.Second}}}, registry.byName["write"]},
 		{"an unknown class", Request{Class: "unknown"}, nil},
 	} {
-		if got := registry.find(c.request); got != c.want {
+		if got := registry.find(c.request, new(packingOrder)); got != c.want {
 			t.Errorf("class for %s: got %p, want %p", c.name, got, c.want)
 		}
 	}
--- a/policy/events.go
+++ b/policy/events.go
@@ -63,11 +63,14 @@
 // Request is a client's request. It gets exactly one final response, unless its client disconnects.
 type Request struct {
 	ID, Class, Tenant, Key string
-	Timeout                time.Duration // how long the client waits in this try
-	EstimatedWork          time.Duration // expected CPU time; 0 if unknown
-	ClientRetry, Write     bool
-	FormerClass            bool // its head arrived under the former settings, which define its class if known
-	Incomplete             bool // its last byte is yet to arrive, and Timeout counts from RequestComplete
+	// Accepted is the class named Class by the settings under which the request was accepted. It binds the
+	// request for as long as it is open, however often the settings change. If Accepted is nil, the settings in
+	// force at the Request event do.
+	Accepted           *AcceptedClass
+	Timeout            time.Duration // how long the client waits in this try
+	EstimatedWork      time.Duration // expected CPU time; 0 if unknown
+	ClientRetry, Write bool
+	Incomplete         bool // its last byte is yet to arrive, and Timeout counts from RequestComplete
 }
 
 // RequestComplete reports that the last byte of an Incomplete request has arrived.
--- a/policy/packing_order.go
+++ b/policy/packing_order.go
@@ -77,6 +77,24 @@
 	s.segment = nil
 }
 
+// addRestricted gives a restricted class that isn't in the order yet a pool of its own, which follows the
+// order from then on.
+func (o *packingOrder) addRestricted(c *class) {
+	c.eligible = &serverPool{}
+	for _, g := range o.pool.segments {
+		for _, s := range g.servers {
+			if c.permits(s) {
+				s.retrySafety = max(s.retrySafety, c.RetrySafety)
+				c.eligible.insert(s, g.cost)
+			}
+		}
+	}
+	o.classes[c] = true
+	for _, g := range o.pool.segments {
+		o.rotate(g)
+	}
+}
+
 // needsRebuild reports whether the order must be rebuilt, or a rebuild costs less than changing it server by
 // server.
 func (o *packingOrder) needsRebuild(classes map[*class]bool) bool {
--- a/policy/packing_order_test.go
+++ b/policy/packing_order_test.go
@@ -19,8 +19,9 @@
 	now             Time
 	list            map[string]Endpoint
 	sent            int
-	pendingOutcomes []Outcome // outcomes that arrive later
-	allSucceed      bool      // no attempt fails, so that probation succeeds
+	pendingOutcomes []Outcome        // outcomes that arrive later
+	allSucceed      bool             // no attempt fails, so that probation succeeds
+	accepted        []*AcceptedClass // classes of all former settings
 }
 
 func newOrderSimulation(t *rapid.T) *orderSimulation {
@@ -107,6 +108,9 @@
 			ReachableInZone: rapid.IntRange(0, 1).Draw(t, "in zone")})
 		sim.handle(Timer{Token: fleetSizeTimerToken})
 	case 5:
+		for _, c := range sim.set.Classes {
+			sim.accepted = append(sim.accepted, &AcceptedClass{Class: c, MaxAttempts: sim.set.Allowed.MaxAttempts})
+		}
 		sim.set.Rules.SlowStartDuration = time.Duration(rapid.IntRange(0, 12).Draw(t, "slow start")) * time.Second
 		sim.set.Classes = slices.Clone(sim.set.Classes)
 		sim.set.Classes[1].Kinds = []string{rapid.SampledFrom([]string{"k0", "k1"}).Draw(t, "restricted to")}
@@ -129,7 +133,12 @@
 	default:
 		sim.allSucceed = rapid.Bool().Draw(t, "succeeds")
 		for i := range rapid.IntRange(1, 12).Draw(t, "requests") {
-			sim.handle(newRequest(fmt.Sprint("r", sim.now, i), sim.set.Classes[i%len(sim.set.Classes)].Name))
+			r := newRequest(fmt.Sprint("r", sim.now, i), sim.set.Classes[i%len(sim.set.Classes)].Name)
+			if len(sim.accepted) > 0 && i%3 == 0 {
+				r.Accepted = rapid.SampledFrom(sim.accepted).Draw(t, "accepted")
+				r.Class = r.Accepted.Name
+			}
+			sim.handle(r)
 		}
 	}
 	return (event <= 3 || event == 5) && len(sim.b.requests) == requests
--- a/policy/random_events_test.go
+++ b/policy/random_events_test.go
@@ -32,15 +32,21 @@
 
 	requestsAt []Time
 	retriesAt  []Time
+
+	generations [][]*AcceptedClass // the classes of recent settings, newest last; empty if requests carry none
 }
 
+// maxGenerations is how many settings back a request may have been accepted.
+const maxGenerations = 4
+
 // openRequest is a request that the node received, with the attempts that it sent.
 type openRequest struct {
 	Request
-	class    Class
-	deadline Time
-	attempts []sentAttempt
-	ended    bool
+	class       Class
+	maxAttempts int
+	deadline    Time
+	attempts    []sentAttempt
+	ended       bool
 }
 
 // sentAttempt is one attempt of a request.
@@ -210,9 +216,9 @@
 			}
 		}
 	}
-	if pending > 0 || len(p.attempts) >= w.set.Allowed.MaxAttempts {
+	if maxAttempts := min(p.maxAttempts, w.set.Allowed.MaxAttempts); pending > 0 || len(p.attempts) >= maxAttempts {
 		w.t.Errorf("attempt sent with %d pending and %d previous attempts, want 0 and fewer than %d: %+v", pending,
-			len(p.attempts), w.set.Allowed.MaxAttempts, a)
+			len(p.attempts), maxAttempts, a)
 	}
 }
 
@@ -326,7 +332,13 @@
 	}
 	r := Request{ID: fmt.Sprint("r", w.ids), Class: c.Name, Tenant: []string{"t", "t", "u", "?", ""}[w.rng.IntN(5)],
 		Timeout: time.Duration(1+w.rng.IntN(600)) * ms, Key: fmt.Sprint(w.rng.IntN(30))}
-	p := &openRequest{Request: r, class: c, deadline: w.now + r.Timeout}
+	p := &openRequest{Request: r, class: c, maxAttempts: w.set.Allowed.MaxAttempts, deadline: w.now + r.Timeout}
+	if n := len(w.generations); n > 0 {
+		classes := w.generations[w.rng.IntN(n)]
+		r.Accepted = classes[w.rng.IntN(len(classes))]
+		r.Class = r.Accepted.Name
+		p.Request, p.class, p.maxAttempts = r, r.Accepted.Class, r.Accepted.MaxAttempts
+	}
 	w.open[r.ID] = p
 	w.requestsAt = append(w.requestsAt, w.now)
 	w.event(r)
@@ -369,6 +381,56 @@
 	w.event(EndpointList{Kind: ListReplace, Endpoints: w.endpoints()})
 }
 
+// acceptCurrent makes requests carry the class under which they were accepted: one of the settings in force, or of
+// recent former ones.
+func (w *eventSimulation) acceptCurrent() {
+	var classes []*AcceptedClass
+	for _, c := range w.set.Classes {
+		classes = append(classes, &AcceptedClass{Class: c, MaxAttempts: w.set.Allowed.MaxAttempts})
+	}
+	w.generations = append(w.generations, classes)
+	w.generations = w.generations[max(0, len(w.generations)-maxGenerations):]
+}
+
+// reload changes the effect, the dedup scope and window, the restrictions or the presence of classes, and the number of
+// attempts.
+func (w *eventSimulation) reload() {
+	classes := slices.Clone(w.set.Classes)
+	c := &classes[w.rng.IntN(len(classes))]
+	c.RetrySafety, c.DedupScope = RetrySafety(w.rng.IntN(3)), DedupScope(w.rng.IntN(3))
+	c.DedupWindow = time.Duration(20+w.rng.IntN(150)) * ms
+	c.Kinds, c.Zones = [][]string{nil, {"k0"}, {"k1", "k2"}}[w.rng.IntN(3)], [][]string{nil, nil, {"b"}}[w.rng.IntN(3)]
+	if dropped := w.rng.IntN(len(classes)); len(classes) > 3 {
+		classes = slices.Delete(classes, dropped, dropped+1)
+	} else {
+		classes = slices.Clone(testSettings(1).Classes)
+	}
+	w.set.Classes, w.set.Allowed.MaxAttempts = classes, 1+w.rng.IntN(4)
+	w.event(w.set)
+	w.acceptCurrent()
+}
+
+// Guards against decisions by another configuration than the one under which a request was accepted: requests come
+// with the classes of several settings back, while the settings change again and again.
+func TestRandomReloadsKeepTheRulesOfEachRequest(t *testing.T) {
+	for seed := range uint64(40) {
+		w := newEventSimulation(t, seed)
+		w.acceptCurrent()
+		for range 1500 {
+			w.step()
+			if w.rng.IntN(30) == 0 {
+				w.reload()
+			}
+		}
+		if t.Failed() {
+			t.Fatalf("rules broken with seed %d", seed)
+		}
+		if n := len(w.b.classes.accepted); n > maxGenerations*len(testSettings(1).Classes) {
+			t.Fatalf("classes kept for accepted requests: got %d, want at most those of %d settings", n, maxGenerations)
+		}
+	}
+}
+
 func TestRandomEventsKeepTheRules(t *testing.T) {
 	for seed := range uint64(40) {
 		w := newEventSimulation(t, seed)
--- a/policy/recorded_events_test.go
+++ b/policy/recorded_events_test.go
@@ -270,7 +270,7 @@
 	case e.Request != nil:
 		r := e.Request
 		return Request{ID: r.ID, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Timeout: time.Duration(r.Timeout),
-			EstimatedWork: time.Duration(r.EstimatedWork), ClientRetry: r.ClientRetry, Write: r.Write, FormerClass: r.FormerClass, Incomplete: r.Incomplete}
+			EstimatedWork: time.Duration(r.EstimatedWork), ClientRetry: r.ClientRetry, Write: r.Write, Incomplete: r.Incomplete}
 	case e.RequestComplete != "":
 		return RequestComplete{ID: e.RequestComplete}
 	case e.FirstByte != nil:
@@ -298,14 +298,22 @@
 }
 
 // replayer hands recorded events to the processes of a node.
-type replayer struct{ processes []*Balancer }
+type replayer struct {
+	processes []*Balancer
+	settings  []settingsHistory // of each process
+}
+
+// settingsHistory holds the settings in force, and those before them.
+type settingsHistory struct{ current, former Settings }
 
 // apply makes one recorded call. It returns the actions, and the other results of the call as a text.
 func (p *replayer) apply(e *recordedEvent) (actions []Action, result string, err error) {
 	now := Time(e.At)
 	if e.New != nil {
-		b, err := New(e.New.Settings.settings(), now, e.New.Seed)
+		settings := e.New.Settings.settings()
+		b, err := New(settings, now, e.New.Seed)
 		p.processes = append(p.processes, b)
+		p.settings = append(p.settings, settingsHistory{current: settings})
 		return nil, fmt.Sprint("made ", err == nil), nil
 	}
 	if e.Process >= len(p.processes) || p.processes[e.Process] == nil {
@@ -323,12 +331,31 @@
 		return nil, observed(b, now), nil
 	}
 	event := e.event()
-	if event == nil {
+	switch v := event.(type) {
+	case nil:
 		return nil, "", errors.New("recorded event of unknown kind")
+	case Settings:
+		p.settings[e.Process] = settingsHistory{current: v, former: p.settings[e.Process].current}
+	case Request:
+		if e.Request.FormerClass {
+			v.Accepted = p.settings[e.Process].formerClass(v.Class)
+		}
+		event = v
 	}
 	return b.Handle(now, event), "", nil
 }
 
+// formerClass returns the class of a recorded request that the former settings bind, or nil if they lack the class.
+// When the events were recorded, such a request had the attempts of the settings in force.
+func (h settingsHistory) formerClass(name string) *AcceptedClass {
+	for _, c := range h.former.Classes {
+		if c.Name == name {
+			return &AcceptedClass{Class: c, MaxAttempts: h.current.Allowed.MaxAttempts}
+		}
+	}
+	return nil
+}
+
 // restore hands the state of one process to another as JSON, as a hot restart does. The processes have
 // different clocks.
 func restore(to *Balancer, now Time, from *Balancer, fromNow Time) (string, error) {
--- a/policy/request.go
+++ b/policy/request.go
@@ -3,8 +3,8 @@
 // request is a client request. It is kept until it needs no further response and its attempts have ended.
 type request struct {
 	Request
-	class           *class // by the settings when its head arrived, if they name the class
-	maxAttempts     int    // by the settings in force when the Request event arrived; at least 1
+	class           *class // by Request.Accepted or, without it, by the settings in force at the Request event
+	maxAttempts     int    // by the same settings; at least 1
 	deadline        Time   // when the client stops waiting
 	usefulUntil     Time   // when a response loses its value
 	queueUntil      Time   // until when it may wait for a server
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -45,6 +45,13 @@
 	Regions          []string      // regions of Settings.Topology that requests may be sent to; any if empty
 }
 
+// AcceptedClass is a class as it binds the requests that were accepted under it. Many requests may share one;
+// it must not be modified.
+type AcceptedClass struct {
+	Class
+	MaxAttempts int // Allowed.MaxAttempts of the same settings; 0 counts as 1
+}
+
 // Tenant is one customer with its quota over all nodes.
 type Tenant struct {
 	Name  string
@@ -76,7 +83,9 @@
 }
 
 // attemptsPerRequest returns MaxAttempts, or 1 if it is lower.
-func (a Allowed) attemptsPerRequest() int { return max(1, a.MaxAttempts) }
+func (a Allowed) attemptsPerRequest() int { return attemptsPerRequest(a.MaxAttempts) }
+
+func attemptsPerRequest(maxAttempts int) int { return max(1, maxAttempts) }
 
 // RetryBudget bounds a node's retries: in any Window, it makes fewer retries than MinRetries plus RetryRatio
 // times the requests that it received in the Window.
