Accept the form of each configuration that clients may still go by

Cause: classTable kept only one former configuration, so the second reload dropped the first one at once.

--- a/internal/node/downstream/client_conn.go
+++ b/internal/node/downstream/client_conn.go
@@ -194,7 +194,7 @@
 // rejectRequest responds with an error to a request that isn't passed to the handler.
 func (c *clientConn) rejectRequest(m *requestHead, problem *requestError) {
 	handler := c.server.handler
-	class, known := handler.RequestRules().Class(m.class, m.method, m.idempotencyKey != "")
+	class, known := handler.RequestRules().Class(m.class, m.method, m.idempotencyKey != "", time.Now())
 	if known && !problem.incomplete {
 		handler.ResponseCounter(class.Name).Count(problem.status)
 	}
--- a/internal/node/downstream/exchange.go
+++ b/internal/node/downstream/exchange.go
@@ -75,7 +75,7 @@
 	if !isValidRequestID(id) {
 		return nil, &requestError{status: http.StatusBadRequest, text: "X-Request-Id: missing or malformed"}
 	}
-	class, ok := s.handler.RequestRules().Class(r.class, r.method, r.idempotencyKey != "")
+	class, ok := s.handler.RequestRules().Class(r.class, r.method, r.idempotencyKey != "", time.Now())
 	if !ok {
 		return nil, &requestError{status: http.StatusBadRequest, text: "X-Class: unknown"}
 	}
@@ -166,3 +166,17 @@
 	}
 	return http.MethodPost
 }
+
+// RetrySafetyOf returns the retry safety of the classes whose requests have a method and either have an idempotency key
+// or don't. ok is false if there are no such classes.
+func RetrySafetyOf(method string, hasKey bool) (s policy.RetrySafety, ok bool) {
+	switch {
+	case method == http.MethodGet && !hasKey:
+		return policy.Idempotent, true
+	case method == http.MethodPost && hasKey:
+		return policy.IdempotencyKeyed, true
+	case method == http.MethodPost:
+		return policy.NonIdempotent, true
+	}
+	return 0, false
+}
--- a/internal/node/downstream/server.go
+++ b/internal/node/downstream/server.go
@@ -47,10 +47,10 @@
 
 // RequestRules are the rules for reading requests. They are immutable: a reload of the configuration makes new ones.
 type RequestRules interface {
-	// Class returns the class with the name, which binds the request until it ends; ok is false if there is none. Just
-	// after a change of the configuration, it returns the former class of that name if that class matches the request's
-	// method and whether the request has an idempotency key.
-	Class(name, method string, hasKey bool) (c *policy.AcceptedClass, ok bool)
+	// Class returns the class that binds a request until it ends; ok is false if there is none with the name. Just after a
+	// change of the configuration, clients may still go by the former one, so the class depends on the request's method,
+	// on whether it has an idempotency key, and on when it began to arrive.
+	Class(name, method string, hasKey bool, receivedAt time.Time) (c *policy.AcceptedClass, ok bool)
 }
 
 // ResponseCounter counts responses by status. A streamed response that the server didn't complete counts as 502.
--- a/internal/node/reload_requests_test.go
+++ b/internal/node/reload_requests_test.go
@@ -20,6 +20,9 @@
 	keyedCharge      = `{"name":"charge","aim":4000,"deadline":9000,"repeat":"guarded","group":"all","window":4000}`
 )
 
+// reloadInterval is the time between two changes of the configuration.
+const reloadInterval = 300 * time.Millisecond
+
 // reloadableNode is a node whose settings a test changes while requests are under way.
 type reloadableNode struct {
 	t       *testing.T
@@ -137,3 +140,38 @@
 		}
 	})
 }
+
+// Guards against rejecting a client that goes by the configuration before the last but one, when two changes come within
+// formerClassPeriod: each class is accepted in the form of every configuration that clients may still go by.
+func TestEachFormIsAcceptedForAWhileAfterSeveralReloads(t *testing.T) {
+	type form struct {
+		method  string
+		headers []string
+	}
+	unsafe, idempotent, keyed := form{"POST", nil}, form{"GET", nil}, form{"POST", []string{"Idempotency-Key: k"}}
+	for _, c := range []struct {
+		sinceSecond time.Duration // time since the second change
+		form        form
+		runs        int32
+	}{
+		{0, unsafe, 1}, {0, idempotent, 4}, {0, keyed, 4},
+		{formerClassPeriod - reloadInterval - time.Millisecond, unsafe, 1},
+		{formerClassPeriod - reloadInterval, unsafe, 0},
+		{formerClassPeriod - reloadInterval, idempotent, 4},
+		{formerClassPeriod, idempotent, 0},
+		{formerClassPeriod, keyed, 4},
+	} {
+		nodetest.Bubble(t, func(t *testing.T) {
+			n := startReloadableNode(t, ","+unsafeCharge, 4)
+			n.change(","+idempotentCharge, 4)
+			time.Sleep(reloadInterval)
+			n.change(","+keyedCharge, 4)
+			time.Sleep(c.sinceSecond)
+			status := n.send([]string{chargeHead(c.form.method, 0, c.form.headers...)}, nil)
+			if ran := n.ran.Load(); ran != c.runs {
+				t.Errorf("%v after the second change, %v: got status %d and %d runs, want %d runs", c.sinceSecond, c.form, status,
+					ran, c.runs)
+			}
+		})
+	}
+}
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -132,7 +132,7 @@
 	} {
 		table := newClassTable(policy.Settings{Classes: []policy.Class{idempotent, removed}}).
 			next(policy.Settings{Classes: []policy.Class{nonIdempotent}}, c.changedAt)
-		got, ok := table.Class(c.class, c.method, false)
+		got, ok := table.Class(c.class, c.method, false, now)
 		if ok != (c.want != nil) || ok && !reflect.DeepEqual(got.Class, *c.want) {
 			t.Errorf("%s of class %s, changed %v ago: got class %+v, %v, want %+v",
 				c.method, c.class, now.Sub(c.changedAt), got, ok, c.want)
