Check a request against the configuration in force when its first byte arrived

Seen: a keyed request whose head was arriving while its class changed from group "cell" to group "all" ran at four servers of four cells, after its client had sent it under "cell". A non-idempotent one of a class that became free, or a free one of a class that became single_shot, got 405; so did the second of two pipelined requests, which waited behind the first while the configuration changed. A head may take 2.3 s, longer than the 1.2 s for which a former configuration is accepted, and a request behind another one may wait for as long as that one takes.

The count of a rejected request uses the same class.

Measured: TestRequestIsBoundByTheRulesOfItsFirstByte and TestPipelinedRequestIsBoundByTheRulesOfItsArrival; on the unchanged program 4 runs in place of 1, and 405 in the other orders.

--- a/internal/node/class_table.go
+++ b/internal/node/class_table.go
@@ -79,9 +79,9 @@
 	return all
 }
 
-// Class returns the class that binds a request until it ends. If a client may still go by former configurations, that is
-// the class of the oldest of them that has the class's name and the request's form. Otherwise it is the current class of
-// that name; ok is false if there is none.
+// Class returns the class that binds a request until it ends, by the time at which its first byte was received. If its
+// client may have gone by former configurations then, that is the class of the oldest of them that has the name and the
+// request's form. Otherwise it is the current class of that name; ok is false if there is none.
 func (t *classTable) Class(name, method string, hasKey bool, receivedAt time.Time) (c *policy.AcceptedClass, ok bool) {
 	if retrySafety, ok := downstream.RetrySafetyOf(method, hasKey); ok {
 		if c := t.periodAt(receivedAt).byForm[classForm{name, retrySafety}]; c != nil {
--- a/internal/node/downstream/client_conn.go
+++ b/internal/node/downstream/client_conn.go
@@ -36,6 +36,7 @@
 	server          *Server
 	tracked         *trackedConn
 	lastReceived    atomic.Int64 // when bytes last arrived, in Unix nanoseconds; 0 for never
+	lastArrival     arrival      // of the bytes last read; used by the goroutine that reads
 	reader          *bufio.Reader
 	heads           http1.HeadReader
 	readDeadline    time.Time     // zero for none
@@ -55,6 +56,12 @@
 	requiresWriteDeadline bool  // set by a streamed response, since bytesSent doesn't count it
 }
 
+// arrival is the arrival of bytes from a client.
+type arrival struct {
+	at    time.Time
+	rules RequestRules // those in force then
+}
+
 var readBuffers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
 
 // newClientConn returns a clientConn for conn and tracks it. The caller must then call serve.
@@ -85,6 +92,10 @@
 	}()
 	c.updateReadDeadline(time.Now().Add(headTimeout))
 	for first := true; ; first = false {
+		if _, err := c.reader.Peek(1); err != nil {
+			return
+		}
+		began := c.lastArrival // of the request's first byte: the rest of the head may arrive under other rules
 		h, err := c.heads.Read(c.reader, http1.MaxHeadBytes)
 		if err != nil {
 			c.rejectUnreadable(err)
@@ -98,6 +109,7 @@
 			c.sendError(problem, true)
 			return
 		}
+		m.began = began
 		if first {
 			writer.Go(c.writeResponses)
 		}
@@ -112,11 +124,12 @@
 // NetConn returns the connection that c wraps.
 func (c *clientConn) NetConn() net.Conn { return c.Conn }
 
-// Read reads from the connection and records when bytes arrive.
+// Read reads from the connection and records the arrival of bytes.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.lastReceived.Store(time.Now().UnixNano())
+		c.lastArrival = arrival{at: time.Now(), rules: c.server.handler.RequestRules()}
+		c.lastReceived.Store(c.lastArrival.at.UnixNano())
 	}
 	return n, err
 }
@@ -193,10 +206,8 @@
 
 // rejectRequest responds with an error to a request that isn't passed to the handler.
 func (c *clientConn) rejectRequest(m *requestHead, problem *requestError) {
-	handler := c.server.handler
-	class, known := handler.RequestRules().Class(m.class, m.method, m.idempotencyKey != "", time.Now())
-	if known && !problem.incomplete {
-		handler.ResponseCounter(class.Name).Count(problem.status)
+	if class, known := m.acceptedClass(); known && !problem.incomplete {
+		c.server.handler.ResponseCounter(class.Name).Count(problem.status)
 	}
 	c.sendError(problem, m.Chunked || m.Length > int64(c.reader.Buffered()))
 }
--- a/internal/node/downstream/exchange.go
+++ b/internal/node/downstream/exchange.go
@@ -75,7 +75,7 @@
 	if !isValidRequestID(id) {
 		return nil, &requestError{status: http.StatusBadRequest, text: "X-Request-Id: missing or malformed"}
 	}
-	class, ok := s.handler.RequestRules().Class(r.class, r.method, r.idempotencyKey != "", time.Now())
+	class, ok := r.acceptedClass()
 	if !ok {
 		return nil, &requestError{status: http.StatusBadRequest, text: "X-Class: unknown"}
 	}
--- a/internal/node/downstream/request_head.go
+++ b/internal/node/downstream/request_head.go
@@ -10,6 +10,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"sloerail/internal/node/http1"
+	"sloerail/policy"
 )
 
 // Header fields of clients' requests.
@@ -27,7 +28,8 @@
 // requestHead is the parsed head of a client's request.
 type requestHead struct {
 	http1.Framing
-	minor           int // minor version of HTTP/1: 0 or 1
+	began           arrival // of its first byte
+	minor           int     // minor version of HTTP/1: 0 or 1
 	method          string
 	path            string // path and query
 	host            string // empty if absent
@@ -108,6 +110,11 @@
 	return path == ReadyPath && (m.method == http.MethodGet || m.method == http.MethodHead)
 }
 
+// acceptedClass returns the class that binds the request: by the rules in force when its first byte arrived.
+func (m *requestHead) acceptedClass() (c *policy.AcceptedClass, ok bool) {
+	return m.began.rules.Class(m.class, m.method, m.idempotencyKey != "", m.began.at)
+}
+
 // setTarget sets the path and query, and reports whether the target is valid. A target that is only a path and query is
 // forwarded unchanged. From an absolute URL, setTarget also sets the host.
 func (m *requestHead) setTarget(target string) bool {
--- a/internal/node/downstream/server.go
+++ b/internal/node/downstream/server.go
@@ -37,7 +37,8 @@
 	NodeReady() bool
 	// Now returns the current time on the clock of Exchange.ReceivedAt.
 	Now() policy.Time
-	// RequestRules returns the current rules for reading requests.
+	// RequestRules returns the current rules for reading requests. It is called for all bytes that arrive, and must not
+	// block.
 	RequestRules() RequestRules
 	// ResponseCounter returns the counter of responses to requests of a class.
 	ResponseCounter(class string) ResponseCounter
--- a/internal/node/reload_requests_test.go
+++ b/internal/node/reload_requests_test.go
@@ -18,10 +18,18 @@
 	unsafeCharge     = `{"name":"charge","aim":4000,"deadline":9000,"repeat":"single_shot"}`
 	idempotentCharge = `{"name":"charge","aim":4000,"deadline":9000,"repeat":"free"}`
 	keyedCharge      = `{"name":"charge","aim":4000,"deadline":9000,"repeat":"guarded","group":"all","window":4000}`
+	keyedCellCharge  = `{"name":"charge","aim":4000,"deadline":9000,"repeat":"guarded","group":"cell","window":4000}`
 )
 
-// reloadInterval is the time between two changes of the configuration.
-const reloadInterval = 300 * time.Millisecond
+const (
+	// reloadInterval is the time between two changes of the configuration.
+	reloadInterval = 300 * time.Millisecond
+	// slowHeadTime is how long a slow head takes: longer than clients may go by a former configuration, and shorter than
+	// the node waits for a head.
+	slowHeadTime = 2 * time.Second
+	// slowRunTime is how long servers run the request with the ID "slow".
+	slowRunTime = 2 * time.Second
+)
 
 // reloadableNode is a node whose settings a test changes while requests are under way.
 type reloadableNode struct {
@@ -33,22 +41,29 @@
 }
 
 // startReloadableNode starts a node with the services, in the form of the settings file, and servers that answer each
-// request with 500, so that the node retries what it may retry.
+// request with 500, so that the node retries what it may retry. Each server is a cell of its own.
 func startReloadableNode(t *testing.T, services string, maxAttempts int) *reloadableNode {
 	t.Helper()
 	n := &reloadableNode{t: t}
 	var servers []string
 	for range 4 {
-		servers = append(servers, nodetest.HTTPServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		servers = append(servers, nodetest.HTTPServer(t, func(w http.ResponseWriter, r *http.Request) {
 			n.ran.Add(1)
+			if r.Header.Get("X-Request-Id") == "slow" {
+				time.Sleep(slowRunTime)
+			}
 			w.WriteHeader(http.StatusInternalServerError)
 		}))
 	}
+	known := nodetest.KnownList(servers...)
+	for cell := range servers {
+		known = strings.Replace(known, `"cell":1,`, fmt.Sprintf(`"cell":%d,`, 10+cell), 1)
+	}
 	fill := func(services string, maxAttempts int) string {
 		settings := strings.NewReplacer("SERVICES", services, "ATTEMPTS", fmt.Sprint(maxAttempts)).Replace(
 			`{"position":0,"groupSize":1,"zone":"a","services":[{"name":"read","deadline":9000,"repeat":"free"}SERVICES],
 				"limits":{"maxAttempts":ATTEMPTS}}`)
-		return nodetest.FillConfig(nodetest.KnownList(servers...), settings)
+		return nodetest.FillConfig(known, settings)
 	}
 	c, reload := loadFile(t, fill(services, maxAttempts))
 	changes := make(chan Change)
@@ -175,3 +190,59 @@
 		})
 	}
 }
+
+// Guards against a duplicate and against rejecting a valid request: a request whose head was arriving while the
+// configuration changed was checked against the configuration at the end of the head.
+func TestRequestIsBoundByTheRulesOfItsFirstByte(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after string
+		head          string
+		runs          int32
+	}{
+		"cell, then all": {keyedCellCharge, keyedCharge, chargeHead("POST", 0, "Idempotency-Key: k"), 1},
+		"other form":     {unsafeCharge, idempotentCharge, chargeHead("POST", 0), 1},
+		"stricter form":  {idempotentCharge, unsafeCharge, chargeHead("GET", 0), 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nodetest.Bubble(t, func(t *testing.T) {
+				n := startReloadableNode(t, ","+c.before, 4)
+				status := n.send([]string{c.head[:20], c.head[20:]}, func(int) {
+					n.change(","+c.after, 4)
+					time.Sleep(slowHeadTime)
+				})
+				if ran := n.ran.Load(); ran != c.runs {
+					t.Errorf("got status %d and %d runs, want %d runs", status, ran, c.runs)
+				}
+			})
+		})
+	}
+}
+
+// Guards against rejecting or repeating a request that waited behind another one on its connection while the
+// configuration changed.
+func TestPipelinedRequestIsBoundByTheRulesOfItsArrival(t *testing.T) {
+	nodetest.Bubble(t, func(t *testing.T) {
+		n := startReloadableNode(t, ","+unsafeCharge, 4)
+		conn := nodetest.Dial(t, n.addr)
+		slow := strings.Replace(chargeHead("POST", 0), "X-Request-Id: c", "X-Request-Id: slow", 1)
+		if _, err := conn.Write([]byte(slow + chargeHead("POST", 0))); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		n.change(","+idempotentCharge, 4)
+		r := bufio.NewReader(conn)
+		for _, id := range []string{"slow", "c"} {
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			nodetest.CloseIgnoringClosed(t, resp.Body)
+			if resp.StatusCode != http.StatusBadGateway {
+				t.Errorf("request %s: got status %d, want 502", id, resp.StatusCode)
+			}
+		}
+		if ran := n.ran.Load(); ran != 2 {
+			t.Errorf("runs of two non-idempotent requests: got %d, want 2", ran)
+		}
+	})
+}
