Keep a request to the bounds of both configurations just after a change

Seen: 1.19 s after a keyed class changed from group "all" to group "cell", a request was still repeated at four cells. From 1.2 s after the signal on, clients go by the new configuration, but the node counts its 1.2 s from the moment in which it has read and applied the file, so a request may be bound by the new rules and handled by the former ones.

Cause: classTable.Class returned the former class alone.

Change: where several configurations that a client may go by have the class in the same form, the smaller dedup scope, the shorter window and the lower number of attempts hold. The form tells apart the classes of different retry safety, so nothing changes for those. Ruled out: counting from the signal, which leaves the same gap on the other side, for a request that is sent before the switch and read after it.

--- a/internal/node/class_table.go
+++ b/internal/node/class_table.go
@@ -26,7 +26,8 @@
 type classPeriod struct {
 	end     time.Time // zero for the current configuration
 	classes []policy.Class
-	// byForm holds the classes of the configuration and, for other names and forms, of those that followed it.
+	// byForm holds the classes of the configuration and, for other names and forms, of those that followed it. Where
+	// several have the same name and form, a client may already go by a later one, so the bounds of all of them hold.
 	byForm map[classForm]*policy.AcceptedClass
 }
 
@@ -67,13 +68,16 @@
 	return n
 }
 
-// withLater returns the classes of a period, after a change of the configuration added the later classes.
+// withLater returns the classes of a period after a change of the configuration to the later classes.
 func withLater(classes, later map[classForm]*policy.AcceptedClass) map[classForm]*policy.AcceptedClass {
 	all := make(map[classForm]*policy.AcceptedClass, len(later))
 	for form, c := range later {
 		all[form] = c
 	}
 	for form, c := range classes {
+		if other := later[form]; other != nil {
+			c = c.RestrictedBy(other)
+		}
 		all[form] = c
 	}
 	return all
@@ -81,7 +85,8 @@
 
 // Class returns the class that binds a request until it ends, by the time at which its first byte was received. If its
 // client may have gone by former configurations then, that is the class of the oldest of them that has the name and the
-// request's form. Otherwise it is the current class of that name; ok is false if there is none.
+// request's form, within the bounds of the later ones. Otherwise it is the current class of that name; ok is false if
+// there is none.
 func (t *classTable) Class(name, method string, hasKey bool, receivedAt time.Time) (c *policy.AcceptedClass, ok bool) {
 	if retrySafety, ok := downstream.RetrySafetyOf(method, hasKey); ok {
 		if c := t.periodAt(receivedAt).byForm[classForm{name, retrySafety}]; c != nil {
--- a/internal/node/reload_requests_test.go
+++ b/internal/node/reload_requests_test.go
@@ -246,3 +246,33 @@
 		}
 	})
 }
+
+// Guards against a duplicate: just after a change, a keyed request was repeated by the wider of the two dedup scopes, or
+// the higher of the two limits of attempts, though its client could go by either configuration.
+func TestRequestIsBoundByBothConfigurationsAfterAChange(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after                 string
+		attemptsBefore, attemptsAfter int
+		wait                          time.Duration
+		runs                          int32
+	}{
+		"all, then cell":          {keyedCharge, keyedCellCharge, 4, 4, formerClassPeriod - time.Millisecond, 1},
+		"cell, then all":          {keyedCellCharge, keyedCharge, 4, 4, formerClassPeriod - time.Millisecond, 1},
+		"cell, then all for long": {keyedCellCharge, keyedCharge, 4, 4, formerClassPeriod, 4},
+		"more attempts":           {keyedCharge, keyedCharge, 2, 4, 0, 2},
+		"more attempts for long":  {keyedCharge, keyedCharge, 2, 4, formerClassPeriod, 4},
+		"fewer attempts":          {keyedCharge, keyedCharge, 4, 2, 0, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nodetest.Bubble(t, func(t *testing.T) {
+				n := startReloadableNode(t, ","+c.before, c.attemptsBefore)
+				n.change(","+c.after, c.attemptsAfter)
+				time.Sleep(c.wait)
+				status := n.send([]string{chargeHead("POST", 0, "Idempotency-Key: k")}, nil)
+				if ran := n.ran.Load(); ran != c.runs {
+					t.Errorf("got status %d and %d runs, want %d runs", status, ran, c.runs)
+				}
+			})
+		})
+	}
+}
--- a/policy/class_test.go
+++ b/policy/class_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"reflect"
 	"testing"
 	"time"
 )
@@ -51,3 +52,19 @@
 		t.Errorf("tail latency after a very slow response: got %v, want at most the objective", c.tailLatency)
 	}
 }
+
+// A class that is restricted by another one keeps the bounds of both, and otherwise its own settings.
+func TestRestrictedClassKeepsTheBoundsOfBoth(t *testing.T) {
+	wide := &AcceptedClass{Class: Class{Name: "order", RetrySafety: IdempotencyKeyed, DedupScope: DedupEverywhere,
+		DedupWindow: time.Second, Deadline: 2 * time.Second}, MaxAttempts: 3}
+	narrow := &AcceptedClass{Class: Class{Name: "order", RetrySafety: IdempotencyKeyed, DedupScope: DedupPerZone,
+		DedupWindow: 2 * time.Second, Deadline: time.Second}}
+	want := &AcceptedClass{Class: Class{Name: "order", RetrySafety: IdempotencyKeyed, DedupScope: DedupPerZone,
+		DedupWindow: time.Second, Deadline: 2 * time.Second}, MaxAttempts: 1}
+	if got := wide.RestrictedBy(narrow); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if want.Deadline = time.Second; !reflect.DeepEqual(narrow.RestrictedBy(wide), want) {
+		t.Errorf("the other way round: got %+v, want %+v", narrow.RestrictedBy(wide), want)
+	}
+}
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -52,6 +52,16 @@
 	MaxAttempts int // Allowed.MaxAttempts of the same settings; 0 counts as 1
 }
 
+// RestrictedBy returns the class with the bounds on its attempts that both c and other set: the smaller dedup
+// scope, the shorter dedup window, and the lower number of attempts. Both must have the same RetrySafety.
+func (c *AcceptedClass) RestrictedBy(other *AcceptedClass) *AcceptedClass {
+	restricted := *c
+	restricted.DedupScope = min(c.DedupScope, other.DedupScope)
+	restricted.DedupWindow = min(c.DedupWindow, other.DedupWindow)
+	restricted.MaxAttempts = min(attemptsPerRequest(c.MaxAttempts), attemptsPerRequest(other.MaxAttempts))
+	return &restricted
+}
+
 // Tenant is one customer with its quota over all nodes.
 type Tenant struct {
 	Name  string
