Measure the timeouts of first tries for each deadline of a class apart

Seen by reading, and then in the policy: after a reload that changes a class's deadline, one request that was accepted under the former deadline set the longest timeout of a first try (3 s in the test) for the class of the new settings for good, also after the reload had reset it; so did a class that was dropped and came back with another deadline. First tries under the new deadline then count as retries that began long ago, and their retries lose most of their latency objective.

Cause: the figure stood in classStats, which the classes of all settings with one name share.

Change: it stands in the class, and new settings take it over if the deadline is the same.

Measured: TestFirstTryTimeoutIsOfTheClassesOwnDeadline fails in three of four orders without the change (3 s in place of 0).

--- a/policy/class.go
+++ b/policy/class.go
@@ -21,18 +21,18 @@
 // settings don't name gets a class of its own (classOfRequest).
 type class struct {
 	Class
-	eligible *serverPool // servers that the class may use
+	eligible        *serverPool   // servers that the class may use
+	firstTryTimeout time.Duration // longest timeout of a client's first try; clients derive it from the deadline
 	*classStats
 }
 
-// classStats holds the measurements of a class. A class of new settings takes over those of the former class
-// with the same name.
+// classStats holds the measurements of a class that don't depend on its settings. The classes of different
+// settings with the same name share them.
 type classStats struct {
-	timerIndex      int           // index in statsByTimer; noTimer if settings never named the class
-	tailLatency     time.Duration // estimated tailQuantile of the latency, at most the objective
-	slowAttempts    slowAttemptWatch
-	firstTryTimeout time.Duration          // longest timeout of a client's first try
-	typicalByKind   map[string]*serverLoad // typical latency by kind of server; recorded only with a topology
+	timerIndex    int           // index in statsByTimer; noTimer if settings never named the class
+	tailLatency   time.Duration // estimated tailQuantile of the latency, at most the objective
+	slowAttempts  slowAttemptWatch
+	typicalByKind map[string]*serverLoad // typical latency by kind of server; recorded only with a topology
 }
 
 // classRegistry holds the classes of the settings in force and of the former settings, and the measurements
@@ -57,6 +57,9 @@
 	for _, settings := range classes {
 		settings = settings.withDefaults()
 		current := &class{Class: settings, eligible: pool, classStats: c.statsOf(settings)}
+		if former := c.former[settings.Name]; former != nil && former.Deadline == settings.Deadline {
+			current.firstTryTimeout = former.firstTryTimeout
+		}
 		c.ordered = append(c.ordered, current)
 		c.byName[settings.Name] = current
 	}
@@ -71,9 +74,6 @@
 		c.stats[settings.Name] = stats
 		c.statsByTimer = append(c.statsByTimer, stats)
 	}
-	if former := c.former[settings.Name]; former != nil && former.Deadline != settings.Deadline {
-		stats.firstTryTimeout = 0 // clients derive it from the deadline
-	}
 	stats.tailLatency = min(stats.tailLatency, settings.LatencyObjective)
 	return stats
 }
--- a/policy/class_test.go
+++ b/policy/class_test.go
@@ -32,8 +32,8 @@
 		}
 	}
 	if current.classStats != former.classStats || current.firstTryTimeout != 0 {
-		t.Errorf("measurements under new settings: got %+v, want those of the former class and firstTryTimeout 0",
-			current.classStats)
+		t.Errorf("measurements under new settings: got %+v and firstTryTimeout %v, want those of the former class and 0",
+			current.classStats, current.firstTryTimeout)
 	}
 	if current.LatencyObjective != current.Deadline {
 		t.Errorf("latency objective of a class without one: got %v, want its deadline", current.LatencyObjective)
@@ -68,3 +68,40 @@
 		t.Errorf("the other way round: got %+v, want %+v", narrow.RestrictedBy(wide), want)
 	}
 }
+
+// Guards against a wrong latency objective after a reload: the timeouts of requests that were accepted under another
+// deadline, or before the class was dropped, counted as those of first tries under the deadline in force.
+func TestFirstTryTimeoutIsOfTheClassesOwnDeadline(t *testing.T) {
+	set := testSettings(1)
+	long := set.Classes[0]
+	long.Deadline = 10 * long.Deadline
+	withClass := func(c Class) Settings {
+		changed := testSettings(1)
+		changed.Classes[0] = c
+		return changed
+	}
+	withoutClass := testSettings(1)
+	withoutClass.Classes = withoutClass.Classes[1:]
+	first := newRequest("first", "free")
+	first.Timeout, first.Accepted = long.Deadline/2, &AcceptedClass{Class: long}
+	for name, events := range map[string][]Event{
+		"accepted before the change": {set, first},
+		"accepted two changes ago":   {set, set, first},
+		"dropped, then back":         {first, withoutClass, set},
+		"unchanged deadline":         {set, newRequest("same", "free"), set},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := startBalancer(t, withClass(long), testEndpoints(4))
+			for _, event := range events {
+				b.Handle(ms, event)
+			}
+			want := time.Duration(0)
+			if name == "unchanged deadline" {
+				want = newRequest("same", "free").Timeout
+			}
+			if got := b.classes.byName["free"].firstTryTimeout; got != want {
+				t.Errorf("longest timeout of a first try: got %v, want %v", got, want)
+			}
+		})
+	}
+}
--- a/policy/deadlines_test.go
+++ b/policy/deadlines_test.go
@@ -17,7 +17,7 @@
 			250 * ms / assumedWaitDivisor},
 	} {
 		k := &class{Class: Class{LatencyObjective: 250 * ms, Deadline: 600 * ms},
-			classStats: &classStats{firstTryTimeout: 300 * ms}}
+			firstTryTimeout: 300 * ms, classStats: &classStats{}}
 		if got := k.timeSinceFirstTry(c.request); got != c.want {
 			t.Errorf("%s: time since the first try: got %v, want %v", c.name, got, c.want)
 		}
