--- a/internal/node/reload_requests_test.go
+++ b/internal/node/reload_requests_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"sloerail/internal/node/nodetest"
@@ -27,6 +26,8 @@
 	// slowHeadTime is how long a slow head takes: longer than clients may go by a former configuration, and shorter than
 	// the node waits for a head.
 	slowHeadTime = 2 * time.Second
+	// firstCell is the number of the first cell of servers.
+	firstCell = 10
 	// slowRunTime is how long servers run the request with the ID "slow".
 	slowRunTime = 2 * time.Second
 )
@@ -37,27 +38,37 @@
 	addr    string
 	changes chan<- Change
 	reload  func(services string, maxAttempts int) Change
-	ran     atomic.Int32 // requests that servers ran
+	ran     *atomic.Int32 // requests that servers ran; set by startReloadableNode
 }
 
-// startReloadableNode starts a node with the services, in the form of the settings file, and servers that answer each
-// request with 500, so that the node retries what it may retry. Each server is a cell of its own.
+// startReloadableNode starts a node with the services, in the form of the settings file, and four servers that answer
+// each request with 500, so that the node retries what it may retry. Each server is a cell of its own.
 func startReloadableNode(t *testing.T, services string, maxAttempts int) *reloadableNode {
 	t.Helper()
-	n := &reloadableNode{t: t}
+	var ran atomic.Int32
 	var servers []string
 	for range 4 {
 		servers = append(servers, nodetest.HTTPServer(t, func(w http.ResponseWriter, r *http.Request) {
-			n.ran.Add(1)
+			ran.Add(1)
 			if r.Header.Get("X-Request-Id") == "slow" {
 				time.Sleep(slowRunTime)
 			}
 			w.WriteHeader(http.StatusInternalServerError)
 		}))
 	}
+	n := newReloadableNode(t, services, maxAttempts, servers, func(server int) (cell int) { return server })
+	n.ran = &ran
+	return n
+}
+
+// newReloadableNode starts a node with the services and the servers.
+func newReloadableNode(
+	t *testing.T, services string, maxAttempts int, servers []string, cellOf func(server int) int,
+) *reloadableNode {
+	t.Helper()
 	known := nodetest.KnownList(servers...)
-	for cell := range servers {
-		known = strings.Replace(known, `"cell":1,`, fmt.Sprintf(`"cell":%d,`, 10+cell), 1)
+	for i := range servers {
+		known = strings.Replace(known, `"cell":1,`, fmt.Sprintf(`"cell":%d,`, firstCell+cellOf(i)), 1)
 	}
 	fill := func(services string, maxAttempts int) string {
 		settings := strings.NewReplacer("SERVICES", services, "ATTEMPTS", fmt.Sprint(maxAttempts)).Replace(
@@ -67,7 +78,7 @@
 	}
 	c, reload := loadFile(t, fill(services, maxAttempts))
 	changes := make(chan Change)
-	n.changes = changes
+	n := &reloadableNode{t: t, changes: changes}
 	n.addr, _ = startNodeAt(t, c, Listeners{Clients: nodetest.Listener(t)}, changes)
 	n.reload = func(services string, maxAttempts int) Change {
 		next, err := reload(fill(services, maxAttempts))
@@ -76,6 +87,9 @@
 	return n
 }
 
+// settle waits until the node has handled all that it was sent: in a Bubble, time passes only then.
+func settle() { time.Sleep(time.Nanosecond) }
+
 // change reloads the configuration with the services, and waits until the node has applied it.
 func (n *reloadableNode) change(services string, maxAttempts int) {
 	n.t.Helper()
@@ -84,34 +98,37 @@
 		n.t.Fatal(c.Err)
 	}
 	n.changes <- c
-	synctest.Wait()
+	settle()
 }
 
-// send writes the parts of a request, and calls between after each part but the last. It returns the response's status.
+// send writes the parts of a request, and calls between after each part but the last. It returns the response's status,
+// or 0 if there is none.
 func (n *reloadableNode) send(parts []string, between func(part int)) (status int) {
 	n.t.Helper()
 	conn := nodetest.Dial(n.t, n.addr)
 	for i, part := range parts {
 		if _, err := conn.Write([]byte(part)); err != nil {
-			n.t.Fatal(err)
+			n.t.Error(err)
+			return 0
 		}
-		synctest.Wait()
+		settle()
 		if i < len(parts)-1 {
 			between(i)
 		}
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		n.t.Fatal(err)
+		n.t.Error(err)
+		return 0
 	}
 	nodetest.CloseIgnoringClosed(n.t, resp.Body)
 	return resp.StatusCode
 }
 
 // chargeHead returns the head of a request of the class "charge" with a body of bodyBytes. headers are further lines.
-func chargeHead(method string, bodyBytes int, headers ...string) string {
-	lines := append([]string{method + " /api HTTP/1.1", "Host: origin.svc", "X-Request-Id: c", "X-Class: charge", "X-Tenant: t",
-		"X-Deadline-Ms: 8000", fmt.Sprint("Content-Length: ", bodyBytes)}, headers...)
+func chargeHead(method, id string, bodyBytes int, headers ...string) string {
+	lines := append([]string{method + " /api HTTP/1.1", "Host: origin.svc", "X-Request-Id: " + id, "X-Class: charge",
+		"X-Tenant: t", "X-Deadline-Ms: 8000", fmt.Sprint("Content-Length: ", bodyBytes)}, headers...)
 	return strings.Join(lines, "\r\n") + "\r\n\r\n"
 }
 
@@ -128,7 +145,7 @@
 		t.Run(name, func(t *testing.T) {
 			nodetest.Bubble(t, func(t *testing.T) {
 				n := startReloadableNode(t, ","+unsafeCharge, 4)
-				status := n.send([]string{chargeHead("POST", 4), "pa", "id"}, func(part int) {
+				status := n.send([]string{chargeHead("POST", "c", 4), "pa", "id"}, func(part int) {
 					if part == 0 {
 						return
 					}
@@ -149,7 +166,7 @@
 func TestRequestKeepsItsAttemptsThroughReloads(t *testing.T) {
 	nodetest.Bubble(t, func(t *testing.T) {
 		n := startReloadableNode(t, ","+keyedCharge, 2)
-		n.send([]string{chargeHead("POST", 4, "Idempotency-Key: k"), "paid"}, func(int) { n.change(","+keyedCharge, 4) })
+		n.send([]string{chargeHead("POST", "c", 4, "Idempotency-Key: k"), "paid"}, func(int) { n.change(","+keyedCharge, 4) })
 		if ran := n.ran.Load(); ran != 2 {
 			t.Errorf("runs of a request that began under a limit of 2 attempts: got %d, want 2", ran)
 		}
@@ -182,7 +199,7 @@
 			time.Sleep(reloadInterval)
 			n.change(","+keyedCharge, 4)
 			time.Sleep(c.sinceSecond)
-			status := n.send([]string{chargeHead(c.form.method, 0, c.form.headers...)}, nil)
+			status := n.send([]string{chargeHead(c.form.method, "c", 0, c.form.headers...)}, nil)
 			if ran := n.ran.Load(); ran != c.runs {
 				t.Errorf("%v after the second change, %v: got status %d and %d runs, want %d runs", c.sinceSecond, c.form, status,
 					ran, c.runs)
@@ -199,9 +216,9 @@
 		head          string
 		runs          int32
 	}{
-		"cell, then all": {keyedCellCharge, keyedCharge, chargeHead("POST", 0, "Idempotency-Key: k"), 1},
-		"other form":     {unsafeCharge, idempotentCharge, chargeHead("POST", 0), 1},
-		"stricter form":  {idempotentCharge, unsafeCharge, chargeHead("GET", 0), 4},
+		"cell, then all": {keyedCellCharge, keyedCharge, chargeHead("POST", "c", 0, "Idempotency-Key: k"), 1},
+		"other form":     {unsafeCharge, idempotentCharge, chargeHead("POST", "c", 0), 1},
+		"stricter form":  {idempotentCharge, unsafeCharge, chargeHead("GET", "c", 0), 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			nodetest.Bubble(t, func(t *testing.T) {
@@ -224,11 +241,10 @@
 	nodetest.Bubble(t, func(t *testing.T) {
 		n := startReloadableNode(t, ","+unsafeCharge, 4)
 		conn := nodetest.Dial(t, n.addr)
-		slow := strings.Replace(chargeHead("POST", 0), "X-Request-Id: c", "X-Request-Id: slow", 1)
-		if _, err := conn.Write([]byte(slow + chargeHead("POST", 0))); err != nil {
+		if _, err := conn.Write([]byte(chargeHead("POST", "slow", 0) + chargeHead("POST", "c", 0))); err != nil {
 			t.Fatal(err)
 		}
-		synctest.Wait()
+		settle()
 		n.change(","+idempotentCharge, 4)
 		r := bufio.NewReader(conn)
 		for _, id := range []string{"slow", "c"} {
@@ -268,7 +284,7 @@
 				n := startReloadableNode(t, ","+c.before, c.attemptsBefore)
 				n.change(","+c.after, c.attemptsAfter)
 				time.Sleep(c.wait)
-				status := n.send([]string{chargeHead("POST", 0, "Idempotency-Key: k")}, nil)
+				status := n.send([]string{chargeHead("POST", "c", 0, "Idempotency-Key: k")}, nil)
 				if ran := n.ran.Load(); ran != c.runs {
 					t.Errorf("got status %d and %d runs, want %d runs", status, ran, c.runs)
 				}
