Hand the former classes over to a successor

Seen: a process that replaces another one just after a reload answered 405 to a client that goes by the former configuration, and would bind a keyed request by the new configuration alone.

Cause: a successor made its class table from its file, without the former configurations of its predecessor.

The key FormerPeriods is absent without a reload lately, so the state is as it was then; a process of an older version ignores it. The class table is now made from the configurations in one way, at the start, after a reload and after a hand-over.

--- a/internal/node/class_table.go
+++ b/internal/node/class_table.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"sloerail/internal/node/downstream"
+	"sloerail/internal/node/hotrestart"
 	"sloerail/policy"
 )
 
@@ -24,8 +27,8 @@
 
 // classPeriod is a time until which clients may go by a configuration.
 type classPeriod struct {
-	end     time.Time // zero for the current configuration
-	classes []policy.Class
+	end     time.Time              // zero for the current configuration
+	classes []policy.AcceptedClass // of the configuration
 	// byForm holds the classes of the configuration and, for other names and forms, of those that followed it. Where
 	// several have the same name and form, a client may already go by a later one, so the bounds of all of them hold.
 	byForm map[classForm]*policy.AcceptedClass
@@ -38,49 +41,65 @@
 	retrySafety policy.RetrySafety
 }
 
-func newClassTable(settings policy.Settings) *classTable {
+// newClassTable returns the table of settings and of former periods, which are sorted by their end.
+func newClassTable(former []classPeriod, settings policy.Settings) *classTable {
 	t := &classTable{byName: make(map[string]*policy.AcceptedClass)}
-	current := classPeriod{classes: settings.Classes, byForm: make(map[classForm]*policy.AcceptedClass)}
-	for _, c := range settings.Classes {
-		accepted := &policy.AcceptedClass{Class: c, MaxAttempts: settings.Allowed.MaxAttempts}
-		t.byName[c.Name] = accepted
-		current.byForm[classForm{c.Name, c.RetrySafety}] = accepted
+	t.periods = append(t.periods, former[max(0, len(former)-maxFormerPeriods):]...)
+	t.periods = append(t.periods, classPeriod{classes: acceptedClasses(settings)})
+	var later map[classForm]*policy.AcceptedClass
+	for i := range slices.Backward(t.periods) {
+		later = classesByForm(t.periods[i].classes, later)
+		t.periods[i].byForm = later
+	}
+	current := &t.periods[len(t.periods)-1]
+	for i := range current.classes {
+		t.byName[current.classes[i].Name] = &current.classes[i]
 	}
-	t.periods = []classPeriod{current}
 	return t
 }
 
-// next returns the table of the new settings' classes. The classes of t become former ones.
-func (t *classTable) next(settings policy.Settings, now time.Time) *classTable {
-	n := newClassTable(settings)
-	current := n.periods[0]
-	var former []classPeriod
-	for _, p := range t.periods {
-		if p.end.IsZero() {
-			p.end = now.Add(formerClassPeriod)
-		}
-		if now.Before(p.end) {
-			p.byForm = withLater(p.byForm, current.byForm)
-			former = append(former, p)
-		}
+// acceptedClasses returns the classes of settings as they bind requests.
+func acceptedClasses(settings policy.Settings) (all []policy.AcceptedClass) {
+	for _, c := range settings.Classes {
+		all = append(all, policy.AcceptedClass{Class: c, MaxAttempts: settings.Allowed.MaxAttempts})
 	}
-	n.periods = append(former[max(0, len(former)-maxFormerPeriods):], current)
-	return n
+	return all
 }
 
-// withLater returns the classes of a period after a change of the configuration to the later classes.
-func withLater(classes, later map[classForm]*policy.AcceptedClass) map[classForm]*policy.AcceptedClass {
-	all := make(map[classForm]*policy.AcceptedClass, len(later))
-	for form, c := range later {
-		all[form] = c
+// classesByForm returns the classes by their forms, together with the later classes, which followed them.
+func classesByForm(
+	classes []policy.AcceptedClass, later map[classForm]*policy.AcceptedClass,
+) map[classForm]*policy.AcceptedClass {
+	byForm := maps.Clone(later)
+	if byForm == nil {
+		byForm = make(map[classForm]*policy.AcceptedClass)
 	}
-	for form, c := range classes {
+	for i := range classes {
+		c := &classes[i]
+		form := classForm{c.Name, c.RetrySafety}
 		if other := later[form]; other != nil {
 			c = c.RestrictedBy(other)
 		}
-		all[form] = c
+		byForm[form] = c
 	}
-	return all
+	return byForm
+}
+
+// next returns the table of new settings. The classes of t become former ones.
+func (t *classTable) next(settings policy.Settings, now time.Time) *classTable {
+	current := len(t.periods) - 1
+	former := append(t.formerPeriods(now), classPeriod{end: now.Add(formerClassPeriod), classes: t.periods[current].classes})
+	return newClassTable(former, settings)
+}
+
+// formerPeriods returns the periods of former configurations that haven't ended.
+func (t *classTable) formerPeriods(now time.Time) (former []classPeriod) {
+	for _, p := range t.periods {
+		if now.Before(p.end) {
+			former = append(former, p)
+		}
+	}
+	return former
 }
 
 // Class returns the class that binds a request until it ends, by the time at which its first byte was received. If its
@@ -106,13 +125,27 @@
 	return &t.periods[i]
 }
 
+// handOver returns the former configurations that a successor's clients may still go by.
+func (t *classTable) handOver(now time.Time) (periods []hotrestart.ClassPeriod) {
+	for _, p := range t.formerPeriods(now) {
+		periods = append(periods, hotrestart.ClassPeriod{Remaining: p.end.Sub(now), Classes: p.classes})
+	}
+	return periods
+}
+
+// takeOver returns the former periods that the predecessor handed over. Each ends after formerClassPeriod at the latest.
+func takeOver(periods []hotrestart.ClassPeriod, now time.Time) (former []classPeriod) {
+	for _, p := range periods {
+		former = append(former, classPeriod{end: now.Add(min(p.Remaining, formerClassPeriod)), classes: p.Classes})
+	}
+	return former
+}
+
 // longest returns the longest result of waitOf for the configurations that clients may go by.
-func (t *classTable) longest(waitOf func([]policy.Class) time.Duration) (d time.Duration) {
-	now := time.Now()
-	for _, p := range t.periods {
-		if p.end.IsZero() || now.Before(p.end) {
-			d = max(d, waitOf(p.classes))
-		}
+func (t *classTable) longest(waitOf func([]policy.AcceptedClass) time.Duration) time.Duration {
+	longest := waitOf(t.periods[len(t.periods)-1].classes)
+	for _, p := range t.formerPeriods(time.Now()) {
+		longest = max(longest, waitOf(p.classes))
 	}
-	return d
+	return longest
 }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -51,7 +51,7 @@
 }
 
 // maxClientWait returns how long a client of a stopping node may wait: the longest deadline, at most maxDrainTime.
-func maxClientWait(classes []policy.Class) time.Duration {
+func maxClientWait(classes []policy.AcceptedClass) time.Duration {
 	var longest time.Duration
 	for _, class := range classes {
 		longest = max(longest, class.Deadline)
@@ -61,7 +61,7 @@
 
 // maxUsefulLatency returns the longest latency at which a response is still of use to any class. For a class whose late
 // responses have no weight, that is its latency objective, otherwise its deadline.
-func maxUsefulLatency(classes []policy.Class) time.Duration {
+func maxUsefulLatency(classes []policy.AcceptedClass) time.Duration {
 	var longest time.Duration
 	for _, class := range classes {
 		if class.LatencyObjective > 0 && class.LateWeight <= 0 {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -133,6 +133,7 @@
 func (e snapshotRequest) handle(l *loop) {
 	state := hotrestart.State{Policy: l.balancer.Snapshot(l.clock.now()), InFlight: l.balancer.InFlight()}
 	state.SetEndpointList(maps.Values(l.endpoints))
+	state.SetFormerClasses(l.classes.Load().handOver(time.Now()))
 	e.reply <- state
 	l.decide(policy.HandedOver{Active: true})
 }
--- a/internal/node/hot_restart_test.go
+++ b/internal/node/hot_restart_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"sloerail/internal/node/hotrestart"
 
 	"sloerail/internal/node/config"
+	"sloerail/policy"
 )
 
 // restartableConfig returns the configuration of a node that can hand over: it has a fixed address and a shared folder.
@@ -269,3 +271,56 @@
 	}
 	closeListeners(t, listeners)
 }
+
+// Guards against rejecting a client that goes by the former configuration, if the process is replaced just after a
+// reload: the successor accepts former classes for as long as its predecessor would have.
+func TestSuccessorAcceptsFormerClasses(t *testing.T) {
+	t.Parallel()
+	server := nodetest.HTTPServer(t, func(http.ResponseWriter, *http.Request) {})
+	c := restartableConfig(t, nodetest.KnownList(server))
+	changed := c
+	changed.Settings.Classes = slices.Clone(c.Settings.Classes)
+	for i := range changed.Settings.Classes {
+		changed.Settings.Classes[i].RetrySafety = policy.Idempotent
+	}
+	status := func(method, id string) int {
+		resp, _ := do(t, clientRequest(t, c.Listen, method, "pay", id, ""))
+		return resp.StatusCode
+	}
+	const maxTrials = 5
+	for trial := range maxTrials {
+		c.SharedDir = t.TempDir()
+		changed.SharedDir = c.SharedDir
+		listeners, err := Listen(t.Context(), c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		changes := make(chan Change)
+		_, stopFirst := startNodeAt(t, c, listeners, changes)
+		nodetest.Await(t, "the process to listen for a successor", func() bool {
+			_, err := os.Stat(identityOf(c).SocketPath())
+			return err == nil
+		})
+		changedAt := time.Now()
+		changes <- Change{Config: changed}
+		nodetest.Await(t, "the changed configuration", func() bool {
+			return status("GET", fmt.Sprintf("g%d-%d", trial, time.Now().UnixNano())) == http.StatusOK
+		})
+		_, stopSecond := startProcess(t, changed)
+		if err := stopFirst(); err != nil {
+			t.Error(err)
+		}
+		got := status("POST", fmt.Sprint("p", trial))
+		inTime := time.Since(changedAt) < formerClassPeriod
+		if err := stopSecond(); err != nil {
+			t.Error(err)
+		}
+		if got == http.StatusOK {
+			return
+		}
+		if inTime {
+			t.Fatalf("request in the former form at the successor: got status %d, want 200", got)
+		}
+	}
+	t.Fatalf("in %d trials, no successor was asked within %v after the change", maxTrials, formerClassPeriod)
+}
--- a/internal/node/hotrestart/state.go
+++ b/internal/node/hotrestart/state.go
@@ -21,6 +21,8 @@
 	Policy    policy.Snapshot `json:"Knowledge"`
 	Sockets   int             `json:"Sockets"` // descriptors that the successor may hold at first
 	InFlight  map[string]int  `json:"Out"`     // the predecessor's attempts in flight, by server
+	// FormerPeriods is absent if the configuration hasn't changed lately, and from a predecessor of an older version.
+	FormerPeriods []classPeriodState `json:"FormerPeriods,omitempty"`
 }
 
 // endpointState is the JSON of an endpoint in a State. The keys are fixed.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -82,7 +82,7 @@
 		events: make(chan event, eventBufferSize), done: make(chan struct{}), ready: make(chan struct{}),
 		requests: make(map[string]*request), endpoints: make(map[string]discovery.Endpoint)}
 	l.listTarget = discoveryTarget(c)
-	l.classes.Store(newClassTable(c.Settings))
+	l.classes.Store(newClassTable(nil, c.Settings))
 	l.listClient = discovery.NewClient(discoveryConfig(c), func(u discovery.Update) { l.send(endpointUpdate{u}) })
 	return l, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,9 @@
 	if err != nil {
 		return err
 	}
+	if state != nil {
+		l.classes.Store(newClassTable(takeOver(state.FormerClasses(), ck.start), c.Settings))
+	}
 	s := newServer(l)
 	s.isSuccessor = state != nil
 	s.AwaitingDescriptors.Store(s.isSuccessor)
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -130,7 +130,7 @@
 		{now.Add(-2 * formerClassPeriod), "GET", "c", &nonIdempotent}, // rejected for its method
 		{now.Add(-2 * formerClassPeriod), "POST", "gone", nil},
 	} {
-		table := newClassTable(policy.Settings{Classes: []policy.Class{idempotent, removed}}).
+		table := newClassTable(nil, policy.Settings{Classes: []policy.Class{idempotent, removed}}).
 			next(policy.Settings{Classes: []policy.Class{nonIdempotent}}, c.changedAt)
 		got, ok := table.Class(c.class, c.method, false, now)
 		if ok != (c.want != nil) || ok && !reflect.DeepEqual(got.Class, *c.want) {
