--- a/policy/packing_order_test.go
+++ b/policy/packing_order_test.go
@@ -108,15 +108,7 @@
 			ReachableInZone: rapid.IntRange(0, 1).Draw(t, "in zone")})
 		sim.handle(Timer{Token: fleetSizeTimerToken})
 	case 5:
-		for _, c := range sim.set.Classes {
-			sim.accepted = append(sim.accepted, &AcceptedClass{Class: c, MaxAttempts: sim.set.Allowed.MaxAttempts})
-		}
-		sim.set.Rules.SlowStartDuration = time.Duration(rapid.IntRange(0, 12).Draw(t, "slow start")) * time.Second
-		sim.set.Classes = slices.Clone(sim.set.Classes)
-		sim.set.Classes[1].Kinds = []string{rapid.SampledFrom([]string{"k0", "k1"}).Draw(t, "restricted to")}
-		sim.set.Classes[0].RetrySafety = rapid.SampledFrom(
-			[]RetrySafety{NonIdempotent, Idempotent}).Draw(t, "retry safety")
-		sim.handle(sim.set)
+		sim.changeSettings(t)
 	case 6:
 		sim.handle(Timer{Token: retainTimerToken})
 	case 7:
@@ -131,19 +123,37 @@
 			b.eject(b.order()[rapid.IntRange(0, b.packing.pool.length-1).Draw(t, "ejected")])
 		}
 	default:
-		sim.allSucceed = rapid.Bool().Draw(t, "succeeds")
-		for i := range rapid.IntRange(1, 12).Draw(t, "requests") {
-			r := newRequest(fmt.Sprint("r", sim.now, i), sim.set.Classes[i%len(sim.set.Classes)].Name)
-			if len(sim.accepted) > 0 && i%3 == 0 {
-				r.Accepted = rapid.SampledFrom(sim.accepted).Draw(t, "accepted")
-				r.Class = r.Accepted.Name
-			}
-			sim.handle(r)
-		}
+		sim.sendRequests(t)
 	}
 	return (event <= 3 || event == 5) && len(sim.b.requests) == requests
 }
 
+// changeSettings changes the slow start, and the restrictions and retry safety of classes.
+func (sim *orderSimulation) changeSettings(t *rapid.T) {
+	for _, c := range sim.set.Classes {
+		sim.accepted = append(sim.accepted, &AcceptedClass{Class: c, MaxAttempts: sim.set.Allowed.MaxAttempts})
+	}
+	sim.set.Rules.SlowStartDuration = time.Duration(rapid.IntRange(0, 12).Draw(t, "slow start")) * time.Second
+	sim.set.Classes = slices.Clone(sim.set.Classes)
+	sim.set.Classes[1].Kinds = []string{rapid.SampledFrom([]string{"k0", "k1"}).Draw(t, "restricted to")}
+	sim.set.Classes[0].RetrySafety = rapid.SampledFrom(
+		[]RetrySafety{NonIdempotent, Idempotent}).Draw(t, "retry safety")
+	sim.handle(sim.set)
+}
+
+// sendRequests passes new requests to the node. One in three was accepted under the class of former settings.
+func (sim *orderSimulation) sendRequests(t *rapid.T) {
+	sim.allSucceed = rapid.Bool().Draw(t, "succeeds")
+	for i := range rapid.IntRange(1, 12).Draw(t, "requests") {
+		r := newRequest(fmt.Sprint("r", sim.now, i), sim.set.Classes[i%len(sim.set.Classes)].Name)
+		if len(sim.accepted) > 0 && i%3 == 0 {
+			r.Accepted = rapid.SampledFrom(sim.accepted).Draw(t, "accepted")
+			r.Class = r.Accepted.Name
+		}
+		sim.handle(r)
+	}
+}
+
 // rebuiltOrder computes the packing order from the list alone.
 func rebuiltOrder(b *Balancer) (order []*server) {
 	byCost := make(map[float64][]*server)
