Let the pool of a class that only a predecessor named follow the list

Found while the change was read again, and shown by TestPoolOfAnAcceptedClassFollowsTheList before this commit: a retry went to s01, which drains. A successor may get requests of a class that its own settings never named, since it was dropped just before. withSettings gave such a class no timer, classesInUse leaves out classes without one, and so the pool of a restricted one wasn't rebuilt once the settings changed again.

Cause: a second way to make measurements, beside statsOf.

Change: withSettings uses statsOf, which makes measurements with a timer for a new name; the cut of the tail latency to the objective of new settings stands in configure.

--- a/policy/class.go
+++ b/policy/class.go
@@ -13,7 +13,7 @@
 	// tailStep sets how far one response moves the estimate: a slower response raises it by the fraction
 	// tailStep*tailQuantile, and a faster one lowers it by the fraction tailStep*(1-tailQuantile).
 	tailStep = 0.1
-	// noTimer is the timerIndex of a class that the settings never named.
+	// noTimer is the timerIndex of a class that neither settings nor an AcceptedClass ever named.
 	noTimer = -1
 )
 
@@ -29,7 +29,7 @@
 // classStats holds the measurements of a class that don't depend on its settings. The classes of different
 // settings with the same name share them.
 type classStats struct {
-	timerIndex    int           // index in statsByTimer; noTimer if settings never named the class
+	timerIndex    int           // index in statsByTimer; noTimer if the class is unknown
 	tailLatency   time.Duration // estimated tailQuantile of the latency, at most the objective
 	slowAttempts  slowAttemptWatch
 	typicalByKind map[string]*serverLoad // typical latency by kind of server; recorded only with a topology
@@ -57,6 +57,7 @@
 	for _, settings := range classes {
 		settings = settings.withDefaults()
 		current := &class{Class: settings, eligible: pool, classStats: c.statsOf(settings)}
+		current.tailLatency = min(current.tailLatency, settings.LatencyObjective)
 		if former := c.former[settings.Name]; former != nil && former.Deadline == settings.Deadline {
 			current.firstTryTimeout = former.firstTryTimeout
 		}
@@ -65,8 +66,8 @@
 	}
 }
 
-// statsOf returns the measurements of the class that the settings name, adapted to these settings. A class
-// that the settings name for the first time gets new measurements.
+// statsOf returns the measurements of the classes with the name that the settings have. A name that is new
+// gets new measurements.
 func (c *classRegistry) statsOf(settings Class) *classStats {
 	stats := c.stats[settings.Name]
 	if stats == nil {
@@ -74,7 +75,6 @@
 		c.stats[settings.Name] = stats
 		c.statsByTimer = append(c.statsByTimer, stats)
 	}
-	stats.tailLatency = min(stats.tailLatency, settings.LatencyObjective)
 	return stats
 }
 
@@ -113,11 +113,7 @@
 			return known
 		}
 	}
-	stats := c.stats[settings.Name]
-	if stats == nil {
-		stats = &classStats{timerIndex: noTimer, tailLatency: settings.LatencyObjective / 2}
-	}
-	added := &class{Class: settings, eligible: &order.pool, classStats: stats}
+	added := &class{Class: settings, eligible: &order.pool, classStats: c.statsOf(settings)}
 	if added.isRestricted() {
 		order.addRestricted(added)
 	}
@@ -136,9 +132,9 @@
 
 // classesInUse returns the classes for which the packing order keeps pools and each server's retrySafety:
 // those of the settings in force, those of the former settings, those under which requests were accepted
-// since the settings last changed, and those of older requests that are still open. Classes that the settings
-// never named are left out. They need no pools, as they may use any server, and they don't change any
-// retrySafety, as they are NonIdempotent, the lowest value.
+// since the settings last changed, and those of older requests that are still open. Classes that were never
+// named are left out. They need no pools, as they may use any server, and they don't change any retrySafety,
+// as they are NonIdempotent, the lowest value.
 func (b *Balancer) classesInUse() map[*class]bool {
 	inUse := make(map[*class]bool)
 	for _, c := range b.classes.ordered {
--- a/policy/class_test.go
+++ b/policy/class_test.go
@@ -105,3 +105,25 @@
 		})
 	}
 }
+
+// Guards against a request to a server that drains: the pool of a restricted class that the settings never named, as a
+// successor gets it from its predecessor, no longer followed the list once the settings changed.
+func TestPoolOfAnAcceptedClassFollowsTheList(t *testing.T) {
+	dropped := Class{Name: "dropped", Deadline: 600 * ms, RetrySafety: Idempotent, Kinds: []string{"k1"}} // s01, s04, s07
+	set := testSettings(1)
+	list := testEndpoints(9)
+	b := startBalancer(t, set, list)
+	r := newRequest("r", "dropped")
+	r.Accepted = &AcceptedClass{Class: dropped, MaxAttempts: 4}
+	first := sentTo(t, b.Handle(ms, r))
+	b.Handle(2*ms, set)
+	next := list[4]
+	if next.ID == first {
+		next = list[1]
+	}
+	next.Availability = Draining
+	b.Handle(3*ms, EndpointList{Kind: ListUpdate, Endpoints: []Endpoint{next}})
+	if second := sentTo(t, b.Handle(4*ms, outcome("r", 0, first, ServerError, ms))); second == next.ID {
+		t.Errorf("the request was sent to %s, which drains", second)
+	}
+}
--- a/policy/slow_attempts.go
+++ b/policy/slow_attempts.go
@@ -50,7 +50,7 @@
 	return due, true
 }
 
-// watchLatency watches r's newest attempt if settings have ever named r's class.
+// watchLatency watches r's newest attempt, unless r's class is unknown (noTimer).
 func (b *Balancer) watchLatency(r *request) {
 	if r.class.timerIndex < 0 {
 		return
