--- a/internal/node/hot_restart_test.go
+++ b/internal/node/hot_restart_test.go
@@ -45,13 +45,21 @@
 
 // startProcess runs a process of a node, here inside the test's process, and waits until it can hand over.
 func startProcess(t *testing.T, c config.Config) (listeners Listeners, stop func() error) {
+	t.Helper()
+	return startReloadableProcess(t, c, nil)
+}
+
+// startReloadableProcess is startProcess with configuration changes.
+func startReloadableProcess(
+	t *testing.T, c config.Config, changes <-chan Change,
+) (listeners Listeners, stop func() error) {
 	t.Helper()
 	listeners, err := Listen(t.Context(), c)
 	if err != nil {
 		t.Fatal(err)
 	}
 	before, _ := os.Stat(identityOf(c).SocketPath())
-	_, stop = startNodeAt(t, c, listeners, nil)
+	_, stop = startNodeAt(t, c, listeners, changes)
 	nodetest.Await(t, "the process to listen for a successor", func() bool {
 		now, err := os.Stat(identityOf(c).SocketPath())
 		return err == nil && !os.SameFile(before, now)
@@ -291,16 +299,8 @@
 	for trial := range maxTrials {
 		c.SharedDir = t.TempDir()
 		changed.SharedDir = c.SharedDir
-		listeners, err := Listen(t.Context(), c)
-		if err != nil {
-			t.Fatal(err)
-		}
 		changes := make(chan Change)
-		_, stopFirst := startNodeAt(t, c, listeners, changes)
-		nodetest.Await(t, "the process to listen for a successor", func() bool {
-			_, err := os.Stat(identityOf(c).SocketPath())
-			return err == nil
-		})
+		_, stopFirst := startReloadableProcess(t, c, changes)
 		changedAt := time.Now()
 		changes <- Change{Config: changed}
 		nodetest.Await(t, "the changed configuration", func() bool {
--- a/internal/node/reload_soak_test.go
+++ b/internal/node/reload_soak_test.go
@@ -39,9 +39,6 @@
 	appliedAt   time.Time
 }
 
-// soakRun is one run of a request at a server.
-type soakRun struct{ cell int }
-
 // reloadSoak sends requests to a node whose configuration changes again and again, each by the configuration that its
 // client goes by, and checks the runs of each request against that configuration.
 type reloadSoak struct {
@@ -51,7 +48,7 @@
 
 	mu      sync.Mutex
 	configs []soakConfig
-	runs    map[string][]soakRun // by request ID
+	runs    map[string][]int // by request ID: the cells of the servers that ran it, in order
 }
 
 // The random streams of a soak, which all begin with its seed. A server's stream is numbered from serverStream on.
@@ -103,7 +100,7 @@
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
-	s.runs[id] = append(s.runs[id], soakRun{cell})
+	s.runs[id] = append(s.runs[id], cell)
 	if rng.IntN(3) == 0 {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
@@ -132,7 +129,7 @@
 }
 
 // check checks the response to a request and its runs against the configuration that its client went by.
-func (s *reloadSoak) check(id string, c soakConfig, status int, runs []soakRun) {
+func (s *reloadSoak) check(id string, c soakConfig, status int, runs []int) {
 	switch status {
 	case http.StatusOK, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusTooManyRequests:
 	default:
@@ -144,8 +141,8 @@
 	if c.retrySafety == policy.NonIdempotent && len(runs) > 1 {
 		s.t.Errorf("non-idempotent request %s ran %d times", id, len(runs))
 	}
-	for _, run := range runs {
-		if c.perCell && run.cell != runs[0].cell {
+	for _, cell := range runs {
+		if c.perCell && cell != runs[0] {
 			s.t.Errorf("request %s (%+v) ran in the cells %v, want one cell", id, c, runs)
 		}
 	}
@@ -198,7 +195,7 @@
 	for seed := range uint64(soakSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			nodetest.Bubble(t, func(t *testing.T) {
-				s := &reloadSoak{t: t, seed: seed, runs: make(map[string][]soakRun)}
+				s := &reloadSoak{t: t, seed: seed, runs: make(map[string][]int)}
 				first := soakConfig{services: "," + unsafeCharge, maxAttempts: soakMaxAttempts, appliedAt: time.Now()}
 				s.configs = []soakConfig{first}
 				cellOf := func(server int) int { return server / serversPerCell }
