Show the incident's pictures on real processes: memory, cut-off and late answers, repeats

Change: internal/peertest has servers, clients and a memory meter; internal/testcluster/pressure_test.go runs a node with 32 MB and 1,024 descriptors between them.

--- /dev/null
+++ b/internal/peertest/client.go
@@ -0,0 +1,166 @@
+package peertest
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Request is a request of a client.
+type Request struct {
+	ID         string
+	Class      string
+	Method     string
+	Key        string // idempotency key; empty for none
+	Tenant     string
+	Wait       time.Duration // how long the client waits, counted from the last byte that it wrote
+	Behavior   ServerBehavior
+	BodySize   int
+	Chunked    bool // the body has no Content-Length
+	WriteRate  int  // bytes of the body written a second; 0 for no limit
+	ReadRate   int  // bytes of the response read a second; 0 for no limit
+	BufferSize int  // size of the client's socket buffers in bytes; 0 for the system's
+}
+
+// Result is what a client saw of its request.
+type Result struct {
+	Status  int // 0 without a response
+	Whole   bool
+	SentAt  time.Time // when the last byte was written
+	BeganAt time.Time // when the response's first byte arrived
+	EndedAt time.Time
+	Err     error
+}
+
+// String describes the result for a failed test.
+func (r Result) String() string {
+	return fmt.Sprintf("status %d, whole %t, first byte %v and end %v after the request's last byte, error %v", r.Status, r.Whole,
+		r.BeganAt.Sub(r.SentAt).Round(time.Millisecond), r.EndedAt.Sub(r.SentAt).Round(time.Millisecond), r.Err)
+}
+
+// finalAnswerSlack is how long after a client's time its final answer may still come.
+const finalAnswerSlack = 550 * time.Millisecond
+
+// IsAnsweredInTime reports whether a final answer began by the client's time and the slack that the operators' pages give.
+func (r Result) IsAnsweredInTime(wait time.Duration) bool {
+	return r.Status != 0 && r.BeganAt.Sub(r.SentAt) <= wait+finalAnswerSlack
+}
+
+// Head returns the head of the request.
+func (r Request) Head() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: a\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: %s\r\nX-Deadline-Ms: %d\r\n",
+		r.Method, r.Behavior.Path(), r.ID, r.Class, r.Tenant, r.Wait.Milliseconds())
+	if r.Key != "" {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", r.Key)
+	}
+	switch {
+	case r.Chunked:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case r.BodySize > 0:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", r.BodySize)
+	}
+	b.WriteString("\r\n")
+	return b.String()
+}
+
+// Connect opens a connection to a node.
+func Connect(ctx context.Context, address string, bufferSize int) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok && bufferSize > 0 {
+		err = errors.Join(tcp.SetReadBuffer(bufferSize), tcp.SetWriteBuffer(bufferSize))
+	}
+	return c, err
+}
+
+// Do sends the request on a new connection and reads its response. It gives up some seconds after the client's time.
+func (r Request) Do(ctx context.Context, address string) Result {
+	c, err := Connect(ctx, address, r.BufferSize)
+	if err != nil {
+		return Result{SentAt: time.Now(), EndedAt: time.Now(), Err: err}
+	}
+	defer func() { _ = c.Close() }() // nothing is owed to the peer
+	return r.DoOn(ctx, c)
+}
+
+// DoOn sends the request on c and reads its response.
+func (r Request) DoOn(ctx context.Context, c net.Conn) (result Result) {
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	written := make(chan error, 1)
+	go func() { written <- r.write(ctx, c) }()
+	defer func() { result.EndedAt = time.Now() }()
+	response := bufio.NewReader(c)
+	began := make(chan error, 1)
+	go func() {
+		_, err := response.Peek(1)
+		result.BeganAt = time.Now()
+		began <- err
+	}()
+	select {
+	case result.Err = <-written:
+		result.SentAt = time.Now()
+		_ = c.SetReadDeadline(result.SentAt.Add(r.Wait + 6*finalAnswerSlack)) // a closed connection fails the read too
+		if err := <-began; err != nil {
+			result.Err = errors.Join(result.Err, err)
+			return result
+		}
+	case err := <-began: // an early response
+		result.SentAt = time.Now()
+		if err != nil {
+			result.Err = err
+			return result
+		}
+	}
+	_ = c.SetReadDeadline(time.Time{}) // as above
+	r.readResponse(ctx, response, &result)
+	return result
+}
+
+func (r Request) readResponse(ctx context.Context, from *bufio.Reader, result *Result) {
+	response, err := http.ReadResponse(from, nil)
+	if err != nil {
+		result.Err = err
+		return
+	}
+	result.Status = response.StatusCode
+	if r.ReadRate > 0 {
+		_, err = copyAtRate(ctx, io.Discard, response.Body, r.ReadRate)
+	} else {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	result.Whole, result.Err = err == nil, err
+}
+
+func (r Request) write(ctx context.Context, c net.Conn) error {
+	if _, err := io.WriteString(c, r.Head()); err != nil {
+		return err
+	}
+	if r.BodySize == 0 && !r.Chunked {
+		return nil
+	}
+	w := io.Writer(c)
+	if r.Chunked {
+		w = chunkWriter{c}
+	}
+	body := io.LimitReader(repeated('b'), int64(r.BodySize))
+	var err error
+	if r.WriteRate > 0 {
+		_, err = copyAtRate(ctx, w, body, r.WriteRate)
+	} else {
+		_, err = io.Copy(w, body)
+	}
+	if err == nil && r.Chunked {
+		_, err = io.WriteString(c, "0\r\n\r\n")
+	}
+	return err
+}
--- /dev/null
+++ b/internal/peertest/server.go
@@ -0,0 +1,295 @@
+// Package peertest has servers and clients that behave badly on their connections, and a meter of processes' memory. Tests
+// run nodes as real processes between them. Nodes don't use it.
+package peertest
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// pieceInterval is the time between two pieces of a message that is read or written at a limited rate.
+const pieceInterval = 20 * time.Millisecond
+
+// Attempt is a request as a server received it.
+type Attempt struct {
+	ID       string
+	Key      string // idempotency key
+	BeganAt  time.Time
+	Complete bool // its last byte arrived, so the server ran it
+}
+
+// ServerBehavior tells a server how to treat one request. It travels in the request's query.
+type ServerBehavior struct {
+	Delay       time.Duration // before the response
+	Size        int           // length of the response body in bytes
+	Chunked     bool          // the response has no Content-Length
+	WriteRate   int           // bytes of the response body a second; 0 for no limit
+	ReadRate    int           // bytes of the request body read a second; 0 for no limit
+	StopReading int           // the server hangs once it has read so many bytes of the request body; 0 for never
+}
+
+// Path returns the path and query of a request that is treated so.
+func (b ServerBehavior) Path() string {
+	return fmt.Sprintf("/api?delay=%d&size=%d&chunked=%t&write=%d&read=%d&stop=%d", b.Delay.Milliseconds(), b.Size, b.Chunked,
+		b.WriteRate, b.ReadRate, b.StopReading)
+}
+
+// parseBehavior reads the query that Path writes. Absent values are zero.
+func parseBehavior(query url.Values) ServerBehavior {
+	number := func(name string) int {
+		n, _ := strconv.Atoi(query.Get(name))
+		return n
+	}
+	return ServerBehavior{Delay: time.Duration(number("delay")) * time.Millisecond, Size: number("size"),
+		Chunked: query.Get("chunked") == "true", WriteRate: number("write"), ReadRate: number("read"), StopReading: number("stop")}
+}
+
+// Servers is a group of servers that share one record of attempts.
+type Servers struct {
+	ctx       context.Context
+	addresses []string
+
+	mu       sync.Mutex
+	attempts []*Attempt
+}
+
+// serverBufferBytes is the size of the servers' receive buffers. It is small, so that a server that doesn't read soon stops
+// the node's writes.
+const serverBufferBytes = 8 << 10
+
+// StartServers starts n servers on loopback, which run until ctx ends.
+func StartServers(ctx context.Context, n int) (*Servers, error) {
+	s := &Servers{ctx: ctx}
+	for range n {
+		l, err := (&net.ListenConfig{Control: limitReceiveBuffer}).Listen(ctx, "tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		context.AfterFunc(ctx, func() { _ = l.Close() })
+		s.addresses = append(s.addresses, l.Addr().String())
+		go s.accept(l)
+	}
+	return s, nil
+}
+
+// Addresses returns the addresses of the servers.
+func (s *Servers) Addresses() []string { return s.addresses }
+
+// Attempts returns the attempts so far whose request has the ID.
+func (s *Servers) Attempts(id string) (all []Attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.attempts {
+		if a.ID == id {
+			all = append(all, *a)
+		}
+	}
+	return all
+}
+
+// BegunAfter returns the attempts that began after a time.
+func (s *Servers) BegunAfter(at time.Time) (all []Attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.attempts {
+		if a.BeganAt.After(at) {
+			all = append(all, *a)
+		}
+	}
+	return all
+}
+
+// Runs returns how often the request of each ID ran.
+func (s *Servers) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := make(map[string]int)
+	for _, a := range s.attempts {
+		if a.Complete {
+			runs[a.ID]++
+		}
+	}
+	return runs
+}
+
+func limitReceiveBuffer(_, _ string, socket syscall.RawConn) error {
+	var err error
+	controlErr := socket.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, serverBufferBytes)
+	})
+	return errors.Join(controlErr, err)
+}
+
+// UnreachableServer listens on loopback until ctx ends, but no connection to it comes up.
+func UnreachableServer(ctx context.Context) (address string, err error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return "", err
+	}
+	context.AfterFunc(ctx, func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return "", err
+	}
+	if err := unix.Listen(fd, 0); err != nil {
+		return "", err
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		return "", err
+	}
+	bound, ok := name.(*unix.SockaddrInet4)
+	if !ok {
+		return "", fmt.Errorf("address of a socket: got a %T", name)
+	}
+	address = net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.Port))
+	for { // fill the queue of connections that wait to be accepted
+		dialCtx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+		c, err := (&net.Dialer{}).DialContext(dialCtx, "tcp", address)
+		cancel()
+		if err != nil {
+			return address, nil
+		}
+		context.AfterFunc(ctx, func() { _ = c.Close() })
+	}
+}
+
+func (s *Servers) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		stop := context.AfterFunc(s.ctx, func() { _ = c.Close() })
+		go func() {
+			defer stop()
+			defer func() { _ = c.Close() }() // the context's end may have closed it
+			for r := bufio.NewReader(c); s.serve(c, r) == nil; {
+			}
+		}()
+	}
+}
+
+// serve reads one request and answers it. Any error ends the connection.
+func (s *Servers) serve(c net.Conn, r *bufio.Reader) error {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return err
+	}
+	b := parseBehavior(request.URL.Query())
+	a := &Attempt{ID: request.Header.Get("X-Request-Id"), Key: request.Header.Get("Idempotency-Key"), BeganAt: time.Now()}
+	s.mu.Lock()
+	s.attempts = append(s.attempts, a)
+	s.mu.Unlock()
+	if err := s.readBody(request.Body, b); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	a.Complete = true
+	s.mu.Unlock()
+	if err := sleep(s.ctx, b.Delay); err != nil {
+		return err
+	}
+	return s.respond(c, b)
+}
+
+func (s *Servers) readBody(body io.Reader, b ServerBehavior) error {
+	if b.StopReading > 0 {
+		if _, err := io.CopyN(io.Discard, body, int64(b.StopReading)); err != nil {
+			return err
+		}
+		<-s.ctx.Done()
+		return s.ctx.Err()
+	}
+	if b.ReadRate > 0 {
+		_, err := copyAtRate(s.ctx, io.Discard, body, b.ReadRate)
+		return err
+	}
+	_, err := io.Copy(io.Discard, body)
+	return err
+}
+
+func (s *Servers) respond(c net.Conn, b ServerBehavior) error {
+	framing, w := "Content-Length: "+strconv.Itoa(b.Size), io.Writer(c)
+	if b.Chunked {
+		framing, w = "Transfer-Encoding: chunked", chunkWriter{c}
+	}
+	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+framing+"\r\n\r\n"); err != nil {
+		return err
+	}
+	body := io.LimitReader(repeated('a'), int64(b.Size))
+	var err error
+	if b.WriteRate > 0 {
+		_, err = copyAtRate(s.ctx, w, body, b.WriteRate)
+	} else {
+		_, err = io.Copy(w, body)
+	}
+	if err == nil && b.Chunked {
+		_, err = io.WriteString(c, "0\r\n\r\n")
+	}
+	return err
+}
+
+// chunkWriter writes each piece as one chunk.
+type chunkWriter struct{ w io.Writer }
+
+func (c chunkWriter) Write(p []byte) (int, error) {
+	if _, err := fmt.Fprintf(c.w, "%x\r\n%s\r\n", len(p), p); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// repeated is an endless reader of one byte.
+type repeated byte
+
+func (r repeated) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = byte(r)
+	}
+	return len(p), nil
+}
+
+// copyAtRate copies from r to w at a rate in bytes a second, until r ends.
+func copyAtRate(ctx context.Context, w io.Writer, r io.Reader, rate int) (total int64, err error) {
+	piece := max(1, int64(rate)*int64(pieceInterval)/int64(time.Second))
+	for next := time.Now(); ; next = next.Add(pieceInterval) {
+		if err := sleep(ctx, time.Until(next)); err != nil {
+			return total, err
+		}
+		n, err := io.CopyN(w, r, piece)
+		total += n
+		if errors.Is(err, io.EOF) {
+			return total, nil
+		}
+		if err != nil {
+			return total, err
+		}
+	}
+}
+
+// sleep waits for d, and returns early with an error if ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
