Pass on a long response without a length before its attempt's time ends

Callers saw 502 or 503 at the end of their time although the server was still giving them a response in chunks. Cause: up to 64 KiB of a response without a length were held back, so that a broken one can be retried, while the attempt's time ran on (upstream/response.go, readBody). With a Content-Length over 64 KiB the first 4 KiB count. Change: what has arrived is passed on from 4 KiB on, once the response was held for 1 s or 0.1 s before the attempt's deadline; the deadline is lifted where the stream starts, not when the event loop comes to it.

--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -63,7 +63,7 @@
 	}
 	r := acquireResponseReader(c)
 	defer r.release()
-	resp, err := r.readResponse()
+	resp, err := r.readResponse(a.Lifetime)
 	if err != nil {
 		return Result{Code: a.Lifetime.failureCode(err, w.complete.Load())}, false
 	}
@@ -90,6 +90,7 @@
 	started := resp.Response
 	started.Stream = stream
 	cancelled := a.Lifetime.whenCancelled()
+	a.Lifetime.SetDeadline(time.Time{}) // the response has begun in time
 	a.Observer.ResponseStarted(started)
 	select {
 	case err := <-stream.done:
--- a/internal/node/upstream/lifetime.go
+++ b/internal/node/upstream/lifetime.go
@@ -14,6 +14,15 @@
 // errAttemptTimeout cancels an attempt whose server stalled or whose deadline passed.
 var errAttemptTimeout = errors.New("upstream: attempt timed out")
 
+const (
+	// maxStartHold is how long the start of a streamed response is held back at most, to retry a response that breaks.
+	maxStartHold = time.Second
+	// maxStartMargin is the time from the end of that hold to the attempt's deadline. The margin is at most the time left
+	// divided by startMarginDivisor.
+	maxStartMargin     = 100 * time.Millisecond
+	startMarginDivisor = 4
+)
+
 // Lifetime bounds one attempt by a deadline and by cancellation. Unlike the deadline of a context, this deadline can be
 // moved. Its methods may be called from any goroutine and don't block.
 type Lifetime struct {
@@ -37,6 +46,22 @@
 	}
 }
 
+// streamStart returns the time from which what has arrived of a streamed response is passed on. A server that still sends
+// then isn't cut off at the deadline.
+func (l *Lifetime) streamStart(now time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := now.Add(maxStartHold)
+	if l.deadline.IsZero() {
+		return held
+	}
+	margin := min(maxStartMargin, l.deadline.Sub(now)/startMarginDivisor)
+	if latest := l.deadline.Add(-margin); latest.Before(held) {
+		return latest
+	}
+	return held
+}
+
 // Cancel ends the attempt. Its reads and writes fail, and the attempt then closes its connection, which tells the server
 // that the response is no longer wanted.
 func (l *Lifetime) Cancel() { l.cancelWith(context.Canceled) }
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -8,12 +8,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"sloerail/internal/node/http1"
 )
 
 // StreamStartBytes is how much of a response body is read before the response is passed to the client, if its status is
-// 200 and its Content-Length is over http1.MaxBufferedBodyBytes.
+// 200 and its Content-Length is over http1.MaxBufferedBodyBytes. A body without a length is passed on from there once
+// Lifetime.streamStart has come.
 const StreamStartBytes = 4 << 10
 
 // Response is the part of a server's response that is passed to the client.
@@ -52,8 +54,8 @@
 	responseReaders.Put(r)
 }
 
-// readResponse reads the head of the final response, and the part of its body that is buffered.
-func (r *responseReader) readResponse() (resp response, err error) {
+// readResponse reads the head of the final response, and the part of its body that is buffered. l bounds the attempt.
+func (r *responseReader) readResponse(l *Lifetime) (resp response, err error) {
 	for resp.Status < http.StatusOK { // skip interim responses
 		if resp.head, err = r.heads.Read(r.buf, http1.MaxHeadBytes); err != nil {
 			if errors.Is(err, io.EOF) {
@@ -87,32 +89,57 @@
 	default: // the end of the connection ends the body
 		body, resp.keepAlive = r.buf, false
 	}
-	return resp, resp.readBody(body)
+	return resp, resp.readBody(body, l)
 }
 
 // readBody buffers a body of up to http1.MaxBufferedBodyBytes, or the start of a longer one. The rest of a longer one is
 // streamed if the status is 200. Otherwise it is discarded together with the connection.
-func (resp *response) readBody(body io.Reader) (err error) {
+func (resp *response) readBody(body io.Reader, l *Lifetime) (err error) {
 	switch {
-	case resp.Length > http1.MaxBufferedBodyBytes && resp.Status == http.StatusOK:
-		resp.Body = make([]byte, StreamStartBytes)
-		_, err = io.ReadFull(body, resp.Body)
 	case resp.Length >= 0 && resp.Length <= http1.MaxBufferedBodyBytes:
 		resp.Body = make([]byte, resp.Length)
 		_, err = io.ReadFull(body, resp.Body)
 		return err
-	default:
-		resp.Body, err = io.ReadAll(io.LimitReader(body, http1.MaxBufferedBodyBytes+1))
-		if err == nil && len(resp.Body) <= http1.MaxBufferedBodyBytes {
-			return nil
-		}
+	case resp.Status == http.StatusOK:
+		return resp.readStart(body, l)
 	}
-	if resp.remaining = body; resp.Status != http.StatusOK { // error bodies are not passed to clients
-		resp.remaining, resp.keepAlive = nil, false
+	resp.Body, err = io.ReadAll(io.LimitReader(body, http1.MaxBufferedBodyBytes+1))
+	if len(resp.Body) > http1.MaxBufferedBodyBytes {
+		resp.keepAlive = false // the rest stays unread; error bodies are not passed to clients
 	}
 	return err
 }
 
+// readStart reads the start of a body that is long or has no length. A body that turns out to be short is read to its end.
+// The rest of any other one is streamed.
+func (resp *response) readStart(body io.Reader, l *Lifetime) error {
+	startBytes := StreamStartBytes
+	if resp.Length < 0 {
+		startBytes = http1.MaxBufferedBodyBytes + 1
+	}
+	streamAt := l.streamStart(time.Now())
+	buffered := make([]byte, 0, StreamStartBytes)
+	for len(buffered) < startBytes {
+		if len(buffered) == cap(buffered) {
+			buffered = append(buffered, 0)[:len(buffered)]
+		}
+		n, err := body.Read(buffered[len(buffered):min(cap(buffered), startBytes)])
+		buffered = buffered[:len(buffered)+n]
+		if errors.Is(err, io.EOF) {
+			resp.Body = buffered
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if len(buffered) >= StreamStartBytes && !time.Now().Before(streamAt) {
+			break
+		}
+	}
+	resp.Body, resp.remaining = buffered, body
+	return nil
+}
+
 // parseStatusLine parses the first line of a response.
 func parseStatusLine(line string) (minor, status int, err error) {
 	version, line, _ := strings.Cut(line, " ")
