Read a long body to its end whoever takes it, and start its client's time there

Callers got the answer to a body of 4 MB 5.0 s after its last byte, for a wait of 2.5 s, where a server had stopped reading; for 0.75 s and 16 MB to a server reading 100 kB/s none came before the client gave up. Cause: the attempt's goroutine read the body. While a server took nothing, nobody read the client: neither the last byte, from which the client's time counts, nor its close was seen (downstream/request_body.go, upstream/request.go). Change: the connection's goroutine reads the body ahead of the attempt into blocks that are counted under a budget (internal/node/memory, without a limit as yet), and says when the last byte has come. Where the blocks may not grow, the client's time counts from when the node last had to wait for it, and no attempt begins 50 ms after that: its close would be unseen. An attempt that begins after the last byte tells its server what is left of the client's time.

--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -97,7 +97,7 @@
 	r.attempts = append(r.attempts, attempt{server: a.Server, sentAt: now, lifetime: f})
 	params := upstream.Attempt{Request: &r.Forwarded, Timeout: attemptDeadline - now, Lifetime: f,
 		Observer: &attemptObserver{l, r, n}}
-	if r.Request.Incomplete {
+	if !r.received {
 		params.Timeout = r.Timeout - r.margin()
 	}
 	l.attemptsWG.Go(func() { l.send(attemptEnded{r, n, l.up.Do(a.Server, params)}) })
--- a/internal/node/downstream/client_conn.go
+++ b/internal/node/downstream/client_conn.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"sloerail/internal/node/http1"
 )
 
@@ -140,6 +142,11 @@
 	_ = c.SetReadDeadline(deadline) // fails only on a closed connection, where the next read fails too
 }
 
+// mustAwaitClient reports whether a read of the connection waits for the client: nothing it sent is unread.
+func (c *clientConn) mustAwaitClient() bool {
+	return c.reader.Buffered() == 0 && !c.hasPollEvent(unix.POLLIN)
+}
+
 // startHeadTimeout bounds the reading of a further request's head, whose first byte has arrived. It sets no deadline if
 // the whole head has arrived.
 func (c *clientConn) startHeadTimeout() {
@@ -184,7 +191,10 @@
 	c.responsePending.Store(true)
 	c.exchange = x
 	s.handler.HandleRequest(x)
-	if x.upload != nil && !c.awaitUpload(x.upload) {
+	if x.upload != nil && !x.upload.receive() {
+		if <-c.responseWritten { // the handler responds to the incomplete body
+			c.linger(earlyResponseLinger)
+		}
 		return false
 	}
 	if !c.awaitNextRequest(x) {
@@ -212,18 +222,6 @@
 	c.sendError(problem, m.Chunked || m.Length > int64(c.reader.Buffered()))
 }
 
-// awaitUpload waits until nothing more of the body is read, and reports whether the body is complete.
-func (c *clientConn) awaitUpload(u *upload) bool {
-	<-u.done
-	if u.complete.Load() {
-		return true
-	}
-	if <-c.responseWritten { // the handler responds to the incomplete body
-		c.linger(earlyResponseLinger)
-	}
-	return false
-}
-
 // handleReadinessCheck responds to a load balancer's readiness check and waits for the next request. It reports whether
 // there is a next one.
 func (c *clientConn) handleReadinessCheck(m requestHead) bool {
@@ -267,9 +265,14 @@
 
 // finishRequest counts the current request as ended, unless it was already counted.
 func (c *clientConn) finishRequest() {
-	if c.responsePending.CompareAndSwap(true, false) {
-		c.server.handler.AddOpenRequests(-1)
+	if !c.responsePending.CompareAndSwap(true, false) {
+		return
+	}
+	c.server.handler.AddOpenRequests(-1)
+	if c.exchange.upload != nil {
+		c.exchange.upload.close()
 	}
+	c.exchange.held.Release()
 }
 
 // linger closes the sending side and discards, for up to d, what the client still sends after the last response.
--- a/internal/node/downstream/exchange.go
+++ b/internal/node/downstream/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sloerail/internal/node/http1"
+	"sloerail/internal/node/memory"
 	"sloerail/internal/node/upstream"
 	"sloerail/policy"
 )
@@ -26,8 +27,9 @@
 	Timeout    time.Duration    // how long the client waits, counted from ReceivedAt
 	Reply      chan Response    // takes one response without blocking
 
-	upload           *upload         // equals Forwarded.Stream; nil if the body is buffered
-	counter          ResponseCounter // counts the responses to the request's class
+	held             *memory.Reservation // by the handler and the connection, until both have ended the request
+	upload           *upload             // equals Forwarded.Stream; nil if the body is buffered
+	counter          ResponseCounter     // counts the responses to the request's class
 	disconnected     atomic.Bool
 	isClosedByClient func() bool // polls the client's socket; nil if there is no socket
 }
@@ -36,16 +38,20 @@
 func (x *Exchange) Disconnected() bool { return x.disconnected.Load() }
 
 // BodyConsumed reports whether an attempt has read from a streamed body. The request can't be sent again after that.
-func (x *Exchange) BodyConsumed() bool { return x.upload != nil && x.upload.consumed.Load() }
+func (x *Exchange) BodyConsumed() bool { return x.upload != nil && x.upload.isConsumed() }
+
+// Release frees what the request holds. The Handler calls it once, when it and all attempts have ended the request.
+func (x *Exchange) Release() { x.held.Release() }
 
 // CheckDisconnected polls the client's socket and reports whether the client has disconnected. The goroutine
-// that reads the connection may not have noticed the disconnect, for one of three reasons: it doesn't read while the
-// body waits for a server; it stops at the first byte of a further request; or it has not been scheduled yet.
+// that reads the connection may not have noticed the disconnect, for one of two reasons: it stops at the first byte of a
+// further request, or it has not been scheduled yet. A client counts as disconnected too if so much of its body waits for
+// a server that nothing could be read for a while: its disconnect would be unseen.
 func (x *Exchange) CheckDisconnected() bool {
 	if x.isClosedByClient != nil && x.isClosedByClient() {
 		x.disconnected.Store(true)
 	}
-	return x.disconnected.Load()
+	return x.disconnected.Load() || x.upload != nil && x.upload.isUnobserved()
 }
 
 // Response is a response to a client. If ContentType, RetryAfter or AllowedMethod is empty or zero, its header field is
@@ -92,12 +98,15 @@
 	if class.RetrySafety == policy.IdempotencyKeyed && r.idempotencyKey == "" {
 		return nil, &requestError{status: http.StatusBadRequest, text: "Idempotency-Key: missing"}
 	}
-	body, u, err := s.readBody(c, r)
+	held := s.Memory.NewReservation()
+	body, u, err := s.readBody(c, r, held)
 	if err != nil {
+		held.Release()
 		status, text := BodyErrorStatus(err)
 		return nil, &requestError{status: status, text: text, incomplete: true}
 	}
 	if method == http.MethodGet && len(body) > 0 {
+		held.Release()
 		return nil, &requestError{status: http.StatusBadRequest, text: "a GET has no body"}
 	}
 	hint, _ := strconv.ParseUint(r.costHint, 10, 32) // only an estimate: malformed counts as 0, too large as the maximum
@@ -106,20 +115,23 @@
 			EstimatedWork: time.Duration(hint) * time.Microsecond, ClientRetry: r.retry == "1", Incomplete: u != nil},
 		Forwarded: upstream.Request{ID: id, Method: method, Path: r.path, Host: r.host, IdempotencyKey: r.idempotencyKey,
 			ContentType: r.contentType, Body: body, Length: r.Length},
-		upload: u, ReceivedAt: s.handler.Now(),
+		held: held, upload: u, ReceivedAt: s.handler.Now(),
 		Timeout: time.Duration(timeout) * time.Millisecond,
 		counter: s.handler.ResponseCounter(class.Name), Reply: c.reply, isClosedByClient: c.isClosedByClient,
 	}
+	held.AddOwner() // the connection and the handler
 	if u != nil {
 		x.Forwarded.Stream = u
 		u.onEnd = func(err error) { s.handler.HandleBodyEnd(x, err) }
+		u.onReceived = func() { s.handler.HandleBodyReceived(x) }
+		u.clientWaits = x.Timeout - min(maxOverdueMargin, x.Timeout/overdueMarginDivisor)
 	}
 	return x, nil
 }
 
 // readBody reads a body. It reads only the start of a long one, and returns an upload from which an attempt reads the
 // rest.
-func (s *Server) readBody(c *clientConn, r *requestHead) (body []byte, _ *upload, err error) {
+func (s *Server) readBody(c *clientConn, r *requestHead, held *memory.Reservation) (body []byte, _ *upload, err error) {
 	if r.Length == 0 {
 		return nil, nil, nil
 	}
@@ -141,7 +153,7 @@
 	if r.Length > http1.MaxBufferedBodyBytes {
 		maxBytes = UploadStartBytes
 	}
-	u := newUpload(c, r.openBody(c.reader), s.clientConns.requestStartTime(c.tracked))
+	u := newUpload(c, r.openBody(c.reader), s.clientConns.requestStartTime(c.tracked), held)
 	body, complete, err := u.buffer(maxBytes, r.Length)
 	if complete || err != nil {
 		return body, nil, err
--- a/internal/node/downstream/request_body.go
+++ b/internal/node/downstream/request_body.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sloerail/internal/node/memory"
 )
 
 const (
@@ -24,6 +26,15 @@
 	requestTimeout        = 2600 * time.Millisecond
 	bodyGrace             = 600 * time.Millisecond
 	minBodyBytesPerSecond = 51_200 // four fifths of the lowest rate expected of clients
+
+	// maxOverdueMargin is the time from the end of a body that no server takes to its client's timeout. The margin is at most
+	// the client's timeout divided by overdueMarginDivisor.
+	maxOverdueMargin     = 50 * time.Millisecond
+	overdueMarginDivisor = 5
+
+	// maxUnobservedTime is how long nothing may have been read from a client that has sent more, when an attempt begins for
+	// it: its disconnect can't be seen behind unread bytes.
+	maxUnobservedTime = 50 * time.Millisecond
 )
 
 var (
@@ -31,69 +42,73 @@
 	ErrBodyTooLong = errors.New("downstream: request body over 32 MiB")
 
 	errAlreadyResponded = errors.New("downstream: request body read after the response")
+	// errClientTimeOver means that the servers took so little of a body that its client may have waited for long enough.
+	errClientTimeOver = errors.New("downstream: the client's time is over before a server has taken the request body")
 )
 
-// upload is the body of a client's request. One goroutine at a time reads it: first the connection's, which reads the
-// buffered part, and then an attempt's, which reads the rest through the interface upstream.BodyStream.
+// upload is the long body of a client's request. The connection's goroutine reads it to its end, and an attempt takes it
+// through the interface upstream.BodyStream. So the body's end and a disconnect are noticed while no server takes anything.
 type upload struct {
 	body         io.Reader
 	conn         *clientConn
 	headTimeLeft time.Duration // the part of requestTimeout that remained after the head
-	complete     atomic.Bool
-	consumed     atomic.Bool // an attempt has read from it, so it can't be sent again
 	stopped      atomic.Bool
-	done         chan struct{} // closed once nothing more is read
-	onEnd        func(error)   // called once: with nil when an attempt has read the last byte, else with the reason
 
-	mu         sync.Mutex
-	received   int64         // bytes
-	clientTime time.Duration // time spent waiting for the client; waiting for a server doesn't count
-	err        error         // why nothing more is read; io.EOF at the end of the body
+	// The connection's goroutine uses these fields.
+	received    int64         // bytes
+	clientTime  time.Duration // time spent waiting for the client; waiting for a server doesn't count
+	awaitedAt   time.Time     // when the client was last waited for: its last byte was not sent before
+	clientWaits time.Duration // how long the client waits after its last byte
+
+	onReceived func()      // called when the last byte has arrived
+	onEnd      func(error) // called once: with nil when an attempt has taken the last byte, else with the reason
+	endOnce    sync.Once
+
+	mu        sync.Mutex
+	changed   sync.Cond // of the fields below
+	unread    bodyBuffer
+	fullSince time.Time // when unread could not grow any more; zero while it can
+	consumed  bool      // an attempt has taken from it, so it can't be sent again
+	err       error     // why nothing more is received; io.EOF at the end of the body
+	closed    bool      // the request has ended: nothing more is taken
 }
 
 // newUpload returns an upload that reads body from the connection c. The request's first byte arrived at startedAt.
-func newUpload(c *clientConn, body io.Reader, startedAt time.Time) *upload {
-	return &upload{body: body, conn: c, headTimeLeft: requestTimeout - time.Since(startedAt), done: make(chan struct{})}
+func newUpload(c *clientConn, body io.Reader, startedAt time.Time, held *memory.Reservation) *upload {
+	u := &upload{body: body, conn: c, headTimeLeft: requestTimeout - time.Since(startedAt), awaitedAt: time.Now(),
+		unread: bodyBuffer{held: held}}
+	u.changed.L = &u.mu
+	return u
 }
 
-// Read reads from the body. It fails once the client has exceeded its time.
-func (u *upload) Read(p []byte) (int, error) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.err != nil {
-		return 0, u.err
-	}
+// readClient reads from the client. It fails once the client has exceeded its time. With a nil p it waits until there is
+// something to read.
+func (u *upload) readClient(p []byte) (n int, err error) {
 	start := time.Now()
 	timeout := max(u.headTimeLeft, bodyGrace+time.Duration(u.received)*time.Second/minBodyBytesPerSecond) - u.clientTime
-	err := u.conn.SetReadDeadline(start.Add(timeout))
-	if err == nil && u.stopped.Load() { // checked after the deadline is set, which may replace the one set by stop
-		err = errAlreadyResponded
+	if err := u.conn.SetReadDeadline(start.Add(timeout)); err != nil {
+		return 0, err
 	}
-	n := 0
-	if err == nil {
+	if u.stopped.Load() { // checked after the deadline is set, which may replace the one set by stop
+		return 0, errAlreadyResponded
+	}
+	awaited := u.conn.mustAwaitClient()
+	if p == nil {
+		_, err = u.conn.reader.Peek(1)
+	} else {
 		n, err = u.body.Read(p)
 	}
-	u.received += int64(n)
-	u.clientTime += time.Since(start)
-	if u.received > MaxBodyBytes {
-		n, err = 0, ErrBodyTooLong
+	now := time.Now()
+	u.received, u.clientTime = u.received+int64(n), u.clientTime+now.Sub(start)
+	if awaited {
+		u.awaitedAt = now
 	}
-	if err != nil {
-		u.end(err)
+	if u.received > MaxBodyBytes {
+		return 0, ErrBodyTooLong
 	}
 	return n, err
 }
 
-// end records why nothing more is read.
-func (u *upload) end(err error) {
-	u.err = err
-	if errors.Is(err, io.EOF) {
-		u.complete.Store(true)
-		u.conn.updateReadDeadline(time.Time{}) // reading continues, to notice if the client disconnects
-	}
-	close(u.done)
-}
-
 // buffer reads up to maxBytes of a body, and reports whether the body is complete. length is the length of the body, or
 // -1 if it is unknown.
 func (u *upload) buffer(maxBytes int, length int64) (body []byte, complete bool, err error) {
@@ -105,9 +120,10 @@
 		if len(body) == cap(body) {
 			body = append(body, 0)[:len(body)]
 		}
-		n, err := u.Read(body[len(body):min(cap(body), maxBytes)])
+		n, err := u.readClient(body[len(body):min(cap(body), maxBytes)])
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
+			u.conn.updateReadDeadline(time.Time{}) // reading continues, to notice if the client disconnects
 			return body, true, nil
 		}
 		if err != nil {
@@ -117,35 +133,179 @@
 	return body, false, nil
 }
 
-// stop ends the reading of a body whose response is about to be sent, and waits for a read in progress.
-func (u *upload) stop() {
+// receive reads the rest of the body, ahead of the attempt that takes it, and reports whether the body is complete.
+func (u *upload) receive() (complete bool) {
+	for {
+		n, err := u.receiveNext()
+		if errors.Is(err, io.EOF) {
+			u.conn.updateReadDeadline(time.Time{}) // reading continues, to notice if the client disconnects
+			u.onReceived()                         // before an attempt can take the last byte
+			return u.add(n, err)
+		}
+		if u.add(n, err); err != nil {
+			u.End(err)
+			return false
+		}
+	}
+}
+
+func (u *upload) receiveNext() (n int, err error) {
+	if u.conn.mustAwaitClient() { // without holding a block meanwhile
+		if _, err := u.readClient(nil); err != nil {
+			return 0, noEOF(err)
+		}
+	}
+	space, err := u.awaitSpace()
+	if err != nil {
+		return 0, err
+	}
+	return u.readClient(space)
+}
+
+// noEOF returns io.ErrUnexpectedEOF for io.EOF, and any other err unchanged.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// awaitSpace waits until there is room for more of the body. Meanwhile the client may have sent its last byte, unseen. So
+// the wait ends with errClientTimeOver when the client may have waited for long enough since the node last waited for it.
+func (u *upload) awaitSpace() ([]byte, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if space := u.unread.space(); space != nil || u.err != nil {
+		return space, u.err
+	}
+	u.fullSince = time.Now()
+	overdue := u.awaitedAt.Add(u.clientWaits)
+	wake := time.AfterFunc(time.Until(overdue), u.wake)
+	defer wake.Stop()
+	for {
+		u.changed.Wait()
+		space := u.unread.space()
+		switch {
+		case u.err != nil:
+			return nil, u.err
+		case space != nil:
+			u.fullSince = time.Time{}
+			return space, nil
+		case !time.Now().Before(overdue):
+			return nil, errClientTimeOver
+		}
+	}
+}
+
+func (u *upload) wake() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.changed.Broadcast()
+}
+
+// add adds n bytes that were received, and why nothing more is. It reports false after stop, when it does nothing.
+func (u *upload) add(n int, err error) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.err != nil {
+		return false
+	}
+	u.unread.add(n)
+	u.err = err
+	u.changed.Broadcast()
+	return true
+}
+
+// stop ends the reading of a body whose response is about to be sent. It reports whether the body was incomplete.
+func (u *upload) stop() (incomplete bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if errors.Is(u.err, io.EOF) {
+		return false
+	}
+	if u.err == nil {
+		u.err = errAlreadyResponded
+	}
 	u.stopped.Store(true)
 	_ = u.conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	u.changed.Broadcast()
+	return true
+}
+
+// close ends the use of the body, and frees it.
+func (u *upload) close() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.err == nil {
-		u.end(errAlreadyResponded)
+	u.closed = true
+	u.unread.discard()
+	u.changed.Broadcast()
+}
+
+// Next implements upstream.BodyStream.
+func (u *upload) Next() ([]byte, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for {
+		if u.closed {
+			return nil, errAlreadyResponded
+		}
+		if u.err != nil && !errors.Is(u.err, io.EOF) {
+			return nil, u.err
+		}
+		bytes := u.unread.next()
+		u.changed.Broadcast() // there may be space now
+		if len(bytes) > 0 {
+			return bytes, nil
+		}
+		if u.err != nil {
+			return nil, u.err
+		}
+		u.changed.Wait()
 	}
 }
 
-// Begin records that an attempt reads the body, so that the request isn't sent again.
-func (u *upload) Begin() { u.consumed.Store(true) }
+// Begin implements upstream.BodyStream.
+func (u *upload) Begin() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.consumed = true
+}
 
-// End reports to onEnd that an attempt can read nothing more, unless stop was called.
+// End implements upstream.BodyStream. It reports to onEnd that an attempt can take nothing more, unless stop was called.
 func (u *upload) End(err error) {
 	if u.onEnd != nil && !u.stopped.Load() {
-		u.onEnd(err)
+		u.endOnce.Do(func() { u.onEnd(err) })
 	}
 }
 
-// Complete reports whether the whole body was read.
-func (u *upload) Complete() bool { return u.complete.Load() }
+// Complete reports whether the whole body was received.
+func (u *upload) Complete() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return errors.Is(u.err, io.EOF)
+}
+
+// isConsumed reports whether an attempt has taken from the body.
+func (u *upload) isConsumed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.consumed
+}
+
+// isUnobserved reports whether nothing could be read from the client for a while, so that a disconnect may be unseen.
+func (u *upload) isUnobserved() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.err == nil && !u.fullSince.IsZero() && time.Since(u.fullSince) > maxUnobservedTime
+}
 
 // BodyErrorStatus returns the status and text of the response to a request whose body couldn't be read.
 func BodyErrorStatus(err error) (status int, problem string) {
 	switch {
 	case errors.Is(err, ErrBodyTooLong):
 		return http.StatusRequestEntityTooLarge, "the body is over 32 MiB"
+	case errors.Is(err, errClientTimeOver):
+		return http.StatusGatewayTimeout, "the servers take the body too slowly"
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout, "the body comes too slowly"
 	}
--- a/internal/node/downstream/response_writer.go
+++ b/internal/node/downstream/response_writer.go
@@ -57,11 +57,8 @@
 // client gets the response.
 func (c *clientConn) writeResponse(resp Response) (complete, early bool) {
 	x := c.exchange
-	early = x.upload != nil && !x.upload.complete.Load()
-	if early {
-		x.upload.stop()
-		c.closeAfterResponse = true
-	}
+	early = x.upload != nil && x.upload.stop()
+	c.closeAfterResponse = c.closeAfterResponse || early
 	if resp.Stream != nil {
 		return c.streamResponse(resp), false
 	}
--- a/internal/node/downstream/server.go
+++ b/internal/node/downstream/server.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"sloerail/internal/node/memory"
 	"sloerail/policy"
 )
 
@@ -30,6 +31,8 @@
 	HandleRequest(*Exchange)
 	// HandleDisconnect is called when the client disconnects before its response is written.
 	HandleDisconnect(*Exchange)
+	// HandleBodyReceived is called when the last byte of a streamed body has arrived.
+	HandleBodyReceived(x *Exchange)
 	// HandleBodyEnd is called when the reading of a streamed body ends: with nil if the body is complete, else with the
 	// reason.
 	HandleBodyEnd(x *Exchange, err error)
@@ -64,6 +67,8 @@
 	Stopping atomic.Bool
 	// Draining is set when each response must close its connection.
 	Draining atomic.Bool
+	// Memory counts what is held for clients; nil for no limit.
+	Memory *memory.Budget
 	// AwaitingDescriptors is set during a hot restart, while the predecessor gradually releases descriptors to this
 	// process.
 	AwaitingDescriptors atomic.Bool
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -25,7 +25,13 @@
 	requestReceived struct{ x *downstream.Exchange }
 	// clientDisconnected is the disconnect of a request's client.
 	clientDisconnected struct{ x *downstream.Exchange }
-	// bodyEnded is the end of a request body that was streamed to the server. err is nil if the body is complete. An
+	// bodyReceived is the arrival of the last byte of a request body that is streamed to the server. The client's timeout
+	// counts from then.
+	bodyReceived struct {
+		x  *downstream.Exchange
+		at policy.Time
+	}
+	// bodyEnded is the end of a request body that was streamed to the server. err is nil if an attempt has taken all of it. An
 	// attempt that is not sent because its client has disconnected also causes a bodyEnded, with an error. Any error ends
 	// the request.
 	bodyEnded struct {
@@ -99,6 +105,12 @@
 	}
 }
 
+func (e bodyReceived) handle(l *loop) {
+	if r := l.requestOf(e.x); r != nil && !r.ended {
+		l.startClientTimeout(r, e.at)
+	}
+}
+
 func (e bodyEnded) handle(l *loop) {
 	if r := l.requestOf(e.x); r != nil && !r.ended {
 		l.finishUpload(r, e.err)
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -28,6 +28,7 @@
 	*downstream.Exchange
 	deadline policy.Time // by which its attempts must end
 	backstop *timer      // answers if the balancer doesn't do so in time
+	received bool        // its last byte has arrived
 	ended    bool        // it was answered, or its client has disconnected
 	attempts []attempt
 	pending  int // attempts that have not ended
@@ -44,17 +45,15 @@
 // startRequest passes a new request to the balancer, unless its client has disconnected or the node rejects it.
 func (l *loop) startRequest(x *downstream.Exchange) {
 	if x.Disconnected() { // the client disconnected while the event was queued
+		x.Release()
 		return
 	}
-	if l.requests[x.Request.ID] != nil { // the balancer ignores a second request with the same ID
-		x.Reply <- downstream.Response{Status: http.StatusConflict}
+	if status := l.rejectionOf(x); status != 0 {
+		x.Reply <- downstream.Response{Status: status}
+		x.Release()
 		return
 	}
-	if l.rejectAll || l.maxOpen > 0 && l.unanswered >= l.maxOpen {
-		x.Reply <- downstream.Response{Status: http.StatusServiceUnavailable}
-		return
-	}
-	r := &request{Exchange: x}
+	r := &request{Exchange: x, received: !x.Request.Incomplete}
 	l.requests[x.Request.ID] = r
 	l.unanswered++
 	r.backstop = &timer{backstopOf: r}
@@ -70,6 +69,17 @@
 	l.decide(req)
 }
 
+// rejectionOf returns the status with which the node itself rejects a new request, or 0.
+func (l *loop) rejectionOf(x *downstream.Exchange) int {
+	switch {
+	case l.requests[x.Request.ID] != nil: // the balancer ignores a second request with the same ID
+		return http.StatusConflict
+	case l.rejectAll || l.maxOpen > 0 && l.unanswered >= l.maxOpen:
+		return http.StatusServiceUnavailable
+	}
+	return 0
+}
+
 // margin returns how long before its client's timeout a request has to be answered.
 func (r *request) margin() time.Duration {
 	return min(answerMargin, r.Timeout/answerMarginDivisor)
@@ -82,18 +92,25 @@
 	r.deadline, r.backstop.due = end-r.margin(), end-r.margin()/2
 }
 
-// finishUpload handles the end of a request's streamed body. If the body is complete, the client's timeout starts. If
-// err is not nil, the request fails.
+// startClientTimeout starts the timeout of a request whose last byte was received at receivedAt, whether or not a server
+// has taken all of it.
+func (l *loop) startClientTimeout(r *request, receivedAt policy.Time) {
+	r.received = true
+	r.setDeadlines(receivedAt)
+	heap.Fix(&l.timers, r.backstop.index)
+	for _, a := range r.attempts {
+		a.lifetime.SetDeadline(l.clock.at(r.deadline))
+	}
+}
+
+// finishUpload handles the end of a request's streamed body. If err is not nil, the request fails.
 func (l *loop) finishUpload(r *request, err error) {
 	if err != nil {
 		status, _ := downstream.BodyErrorStatus(err)
 		l.fail(r, status)
 		return
 	}
-	now := l.clock.now()
-	r.setDeadlines(now)
-	heap.Fix(&l.timers, r.backstop.index)
-	r.attempts[len(r.attempts)-1].sentAt = now
+	r.attempts[len(r.attempts)-1].sentAt = l.clock.now()
 	l.decide(policy.RequestComplete{ID: r.Request.ID})
 }
 
@@ -196,5 +213,6 @@
 func (l *loop) forget(r *request) {
 	if r.ended && r.pending == 0 && l.requests[r.Request.ID] == r {
 		delete(l.requests, r.Request.ID)
+		r.Release()
 	}
 }
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -31,6 +31,11 @@
 // HandleDisconnect tells the loop that a request's client has disconnected.
 func (s *server) HandleDisconnect(x *downstream.Exchange) { s.loop.send(clientDisconnected{x}) }
 
+// HandleBodyReceived tells the loop that the last byte of a streamed body has arrived.
+func (s *server) HandleBodyReceived(x *downstream.Exchange) {
+	s.loop.send(bodyReceived{x, s.loop.clock.now()})
+}
+
 // HandleBodyEnd tells the loop that a streamed body has ended.
 func (s *server) HandleBodyEnd(x *downstream.Exchange, err error) { s.loop.send(bodyEnded{x, err}) }
 
--- a/internal/node/upstream/request.go
+++ b/internal/node/upstream/request.go
@@ -35,13 +35,14 @@
 // BodyStream is the part of a request's body that an attempt reads from the client while it sends the request. One
 // attempt at a time reads it.
 type BodyStream interface {
-	// Read returns io.EOF at the end of the complete body.
-	io.Reader
-	// Begin is called before each Read of an attempt. The request can't be sent again after that.
+	// Next waits for the next bytes of the body. They are valid until the next call. It returns io.EOF at the end of the
+	// complete body.
+	Next() ([]byte, error)
+	// Begin is called before each Next of an attempt. The request can't be sent again after that.
 	Begin()
 	// End is called when an attempt can read nothing more: with nil at the end of the complete body, else with the reason.
 	End(err error)
-	// Complete reports whether the whole body was read.
+	// Complete reports whether the whole body has arrived.
 	Complete() bool
 }
 
@@ -101,9 +102,7 @@
 		if a.Request.isChunked() {
 			dst = http1.ChunkWriter{Conn: c}
 		}
-		buf := http1.GetCopyBuffer()
-		defer http1.PutCopyBuffer(buf)
-		_, err := io.CopyBuffer(struct{ io.Writer }{dst}, body, buf[:])
+		err := body.copyTo(dst)
 		if err == nil && a.Request.isChunked() {
 			_, err = io.WriteString(c, http1.LastChunk)
 		}
@@ -131,28 +130,44 @@
 	return &bodyReader{stream: stream, stallTimer: time.AfterFunc(stallTimeout, func() { l.cancelWith(errAttemptTimeout) })}
 }
 
-// Read reads from the client. The stall timer is stopped meanwhile, so that a slow client doesn't count against the
-// server.
-func (r *bodyReader) Read(p []byte) (int, error) {
+// copyTo writes the rest of the body to w.
+func (r *bodyReader) copyTo(w io.Writer) error {
+	for {
+		bytes, err := r.next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(bytes); err != nil {
+			return err
+		}
+	}
+}
+
+// next returns the next bytes from the client. The stall timer is stopped meanwhile, so that a slow client doesn't count
+// against the server.
+func (r *bodyReader) next() ([]byte, error) {
 	if !r.begin() {
-		return 0, errBodyClosed
+		return nil, errBodyClosed
 	}
-	n, err := r.stream.Read(p)
+	bytes, err := r.stream.Next()
 	if err == nil {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if !r.closed {
 			r.stallTimer.Reset(stallTimeout)
 		}
-		return n, nil
+		return bytes, nil
 	}
 	if errors.Is(err, io.EOF) {
 		r.stream.End(nil)
-		return n, err
+		return nil, err
 	}
 	r.clientFailed = true
 	r.stream.End(err)
-	return n, err
+	return nil, err
 }
 
 // begin stops the stall timer and reports whether the attempt may still read. If so, it calls Begin of the stream.
