Count what a node holds for its clients against memory_mb, and shed what doesn't fit

Operators saw a process with 1,024 descriptors and little memory pass its limit beside hundreds of slow clients. Cause: nothing bounded connections, heads, bodies and responses together. A body's buffer had the size of its Content-Length before its bytes came; a head of 3,900 short fields took 120 kB, which its connection kept; the bucket of an unknown tenant kept the head that its name is a part of; the runtime's limit of 0.75 left no room for the program's 11 MB at 32 MB; two processes of a hot restart each had half, whatever the first one still held. Over it a request gets 503; a response that may not be buffered is streamed. Buffers grow with what has arrived; a head has 128 fields at most (431); names of unknown tenants over 256 bytes share a bucket.

--- a/internal/node/downstream/client_conn.go
+++ b/internal/node/downstream/client_conn.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"sloerail/internal/node/http1"
+	"sloerail/internal/node/memory"
 )
 
 const (
@@ -31,14 +32,29 @@
 	lastResponseLinger = 500 * time.Millisecond
 )
 
+const (
+	// connectionBytes is what a connection holds: its buffer for reading, the stacks of its goroutines, its descriptor.
+	connectionBytes = 16 << 10
+	// requestBytes is what a request holds beyond its head and bodies: the stacks of its attempt, buffers, the request itself.
+	requestBytes = 24 << 10
+	// MaxConnectionShare is the part of the memory for clients that connections may hold at most, without their requests.
+	MaxConnectionShare = 0.5
+)
+
+// MaxConnections returns how many connections a limit on the memory for clients permits.
+func MaxConnections(memoryBytes int64) int {
+	return max(1, int(MaxConnectionShare*float64(memoryBytes))/connectionBytes)
+}
+
 // clientConn is a client's connection. One goroutine reads the requests one after the other, and so notices if the client
 // disconnects before its response. Another writes the responses. Both end with the connection.
 type clientConn struct {
 	net.Conn
 	server          *Server
 	tracked         *trackedConn
-	lastReceived    atomic.Int64 // when bytes last arrived, in Unix nanoseconds; 0 for never
-	lastArrival     arrival      // of the bytes last read; used by the goroutine that reads
+	held            *memory.Reservation // by the connection; what its requests hold is in their Exchange
+	lastReceived    atomic.Int64        // when bytes last arrived, in Unix nanoseconds; 0 for never
+	lastArrival     arrival             // of the bytes last read; used by the goroutine that reads
 	reader          *bufio.Reader
 	heads           http1.HeadReader
 	readDeadline    time.Time     // zero for none
@@ -52,7 +68,6 @@
 	closeAfterResponse    bool
 	http10                bool // the request is HTTP/1.0
 	responsePending       atomic.Bool
-	writeBuffer           []byte
 	writeDeadline         time.Time
 	bytesSent             int64 // over the connection's life, without streamed responses
 	requiresWriteDeadline bool  // set by a streamed response, since bytesSent doesn't count it
@@ -71,6 +86,9 @@
 	c := &clientConn{Conn: conn, server: s, reader: readBuffers.Get().(*bufio.Reader), reply: make(chan Response, 1),
 		responseWritten: make(chan bool, 1), closed: make(chan struct{})}
 	c.tracked = s.clientConns.add(c)
+	c.held = s.Memory.NewReservation()
+	c.held.Add(connectionBytes)
+	c.heads.Held = c.held
 	c.reader.Reset(c)
 	return c
 }
@@ -88,6 +106,7 @@
 		close(c.closed)
 		writer.Wait()
 		c.finishRequest()
+		c.held.Release()
 		s.clientConns.remove(c)
 		c.reader.Reset(nil)
 		readBuffers.Put(c.reader)
@@ -107,6 +126,8 @@
 			c.updateReadDeadline(time.Time{})
 		}
 		m, problem := parseRequest(h)
+		m.detach()
+		c.heads.Discard()
 		if problem != nil {
 			c.sendError(problem, true)
 			return
@@ -165,6 +186,10 @@
 		c.sendError(&requestError{status: http.StatusBadRequest, text: "malformed request"}, true)
 	case errors.Is(err, http1.ErrHeadTooLong):
 		c.sendError(&requestError{status: http.StatusRequestHeaderFieldsTooLarge, text: "the head is over 16 KiB"}, true)
+	case errors.Is(err, http1.ErrTooManyFields):
+		c.sendError(&requestError{status: http.StatusRequestHeaderFieldsTooLarge, text: "the head has over 128 fields"}, true)
+	case errors.Is(err, http1.ErrNoMemory):
+		c.sendError(errNoMemory(), true)
 	}
 }
 
--- a/internal/node/downstream/exchange.go
+++ b/internal/node/downstream/exchange.go
@@ -99,6 +99,9 @@
 		return nil, &requestError{status: http.StatusBadRequest, text: "Idempotency-Key: missing"}
 	}
 	held := s.Memory.NewReservation()
+	if !held.Take(requestBytes+r.headBytes, memory.Admission) {
+		return nil, errNoMemory()
+	}
 	body, u, err := s.readBody(c, r, held)
 	if err != nil {
 		held.Release()
@@ -113,7 +116,7 @@
 	x = &Exchange{
 		Request: policy.Request{ID: id, Class: class.Name, Accepted: class, Tenant: r.tenant, Key: r.affinityKey,
 			EstimatedWork: time.Duration(hint) * time.Microsecond, ClientRetry: r.retry == "1", Incomplete: u != nil},
-		Forwarded: upstream.Request{ID: id, Method: method, Path: r.path, Host: r.host, IdempotencyKey: r.idempotencyKey,
+		Forwarded: upstream.Request{Held: held, ID: id, Method: method, Path: r.path, Host: r.host, IdempotencyKey: r.idempotencyKey,
 			ContentType: r.contentType, Body: body, Length: r.Length},
 		held: held, upload: u, ReceivedAt: s.handler.Now(),
 		Timeout: time.Duration(timeout) * time.Millisecond,
@@ -140,6 +143,9 @@
 	}
 	cameWithHead := int64(c.reader.Buffered()) >= r.Length
 	if cameWithHead && r.Length > 0 && r.Length <= http1.MaxBufferedBodyBytes {
+		if !held.Take(int(r.Length), memory.Admission) {
+			return nil, nil, errBodyNoMemory
+		}
 		body = make([]byte, r.Length)
 		_, err = c.reader.Read(body)
 		return body, nil, err
@@ -161,6 +167,11 @@
 	return body, u, nil
 }
 
+// errNoMemory returns the problem of a request for which there is no memory now.
+func errNoMemory() *requestError {
+	return &requestError{status: http.StatusServiceUnavailable, text: "too much memory in use"}
+}
+
 // isValidRequestID reports whether an ID can be used as the key of an open request and in a header field.
 func isValidRequestID(id string) bool {
 	for i := 0; i < len(id); i++ {
--- a/internal/node/downstream/request_body.go
+++ b/internal/node/downstream/request_body.go
@@ -27,6 +27,9 @@
 	bodyGrace             = 600 * time.Millisecond
 	minBodyBytesPerSecond = 51_200 // four fifths of the lowest rate expected of clients
 
+	// bodyStartBytes is the size of the buffer for a body whose first bytes are read. It grows with what arrives.
+	bodyStartBytes = 4 << 10
+
 	// maxOverdueMargin is the time from the end of a body that no server takes to its client's timeout. The margin is at most
 	// the client's timeout divided by overdueMarginDivisor.
 	maxOverdueMargin     = 50 * time.Millisecond
@@ -41,6 +44,7 @@
 	// ErrBodyTooLong is returned for a request body over MaxBodyBytes.
 	ErrBodyTooLong = errors.New("downstream: request body over 32 MiB")
 
+	errBodyNoMemory     = errors.New("downstream: no memory for the request body")
 	errAlreadyResponded = errors.New("downstream: request body read after the response")
 	// errClientTimeOver means that the servers took so little of a body that its client may have waited for long enough.
 	errClientTimeOver = errors.New("downstream: the client's time is over before a server has taken the request body")
@@ -115,10 +119,13 @@
 	if length < 0 || length >= int64(maxBytes) {
 		length = min(int64(maxBytes), UploadStartBytes) - 1
 	}
-	body = make([]byte, 0, length+1)
 	for len(body) < maxBytes {
 		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
+			size := min(max(bodyStartBytes, 2*cap(body)), max(int(length)+1, cap(body)+bodyStartBytes))
+			if !u.unread.held.Take(size-cap(body), memory.Admission) {
+				return nil, false, errBodyNoMemory
+			}
+			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := u.readClient(body[len(body):min(cap(body), maxBytes)])
 		body = body[:len(body)+n]
@@ -304,6 +311,8 @@
 	switch {
 	case errors.Is(err, ErrBodyTooLong):
 		return http.StatusRequestEntityTooLarge, "the body is over 32 MiB"
+	case errors.Is(err, errBodyNoMemory):
+		return http.StatusServiceUnavailable, errNoMemory().text
 	case errors.Is(err, errClientTimeOver):
 		return http.StatusGatewayTimeout, "the servers take the body too slowly"
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/node/downstream/request_head.go
+++ b/internal/node/downstream/request_head.go
@@ -29,6 +29,7 @@
 type requestHead struct {
 	http1.Framing
 	began           arrival // of its first byte
+	headBytes       int     // length of the strings that the fields below are parts of
 	minor           int     // minor version of HTTP/1: 0 or 1
 	method          string
 	path            string // path and query
@@ -41,6 +42,7 @@
 
 // parseRequest converts a head to a requestHead. problem is nil if the head is valid.
 func parseRequest(h *http1.Head) (m requestHead, problem *requestError) {
+	m.headBytes = h.Bytes
 	target, problem := m.setRequestLine(h.FirstLine)
 	if problem != nil {
 		return m, problem
@@ -66,6 +68,26 @@
 	return m, nil
 }
 
+// detachedHeadBytes is the length of the strings of a head from which they are copied. Shorter ones keep the head in memory.
+const detachedHeadBytes = 1 << 10
+
+// detach copies the strings that m has from a long head, so that the head is not kept in memory by them.
+func (m *requestHead) detach() {
+	if m.headBytes < detachedHeadBytes {
+		return
+	}
+	for _, s := range []*string{&m.method, &m.path, &m.host, &m.id, &m.class, &m.tenant, &m.timeoutMillis, &m.idempotencyKey,
+		&m.affinityKey, &m.costHint, &m.retry, &m.contentType} {
+		*s = strings.Clone(*s)
+	}
+	m.headBytes = m.bytes()
+}
+
+// bytes returns the length of the strings that stay with the request.
+func (m *requestHead) bytes() int {
+	return len(m.path) + len(m.host) + len(m.id) + len(m.tenant) + len(m.idempotencyKey) + len(m.affinityKey) + len(m.contentType)
+}
+
 func malformedRequestLine() *requestError {
 	return &requestError{status: http.StatusBadRequest, text: "malformed request line"}
 }
--- a/internal/node/downstream/response_writer.go
+++ b/internal/node/downstream/response_writer.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,8 @@
 	clientSendBufferBytes = 64 << 10
 )
 
+var writeBuffers = sync.Pool{New: func() any { b := make([]byte, 0, 1<<10); return &b }}
+
 // writeResponses writes responses until the connection ends.
 func (c *clientConn) writeResponses() {
 	for {
@@ -84,7 +87,7 @@
 	}
 	c.writeDeadline, c.requiresWriteDeadline = time.Time{}, true
 	c.extendWriteDeadline(responseWriteTimeout)
-	if _, err := c.Write(c.responseHead(resp)); err != nil {
+	if _, err := c.Write(c.appendResponseHead(nil, resp)); err != nil {
 		closeQuietly(c) // so that no body is sent after an incomplete head
 	}
 	err := resp.Stream.CopyTo(blockWriter{conn: c, body: body}, resp.Body)
@@ -133,19 +136,21 @@
 
 // sendResponse writes a response whose body is buffered.
 func (c *clientConn) sendResponse(resp Response) error {
-	b := c.responseHead(resp)
-	c.bytesSent += int64(len(b) + len(resp.Body))
+	b := writeBuffers.Get().(*[]byte)
+	defer writeBuffers.Put(b)
+	*b = c.appendResponseHead((*b)[:0], resp)
+	c.bytesSent += int64(len(*b) + len(resp.Body))
 	c.extendWriteDeadline(responseWriteTimeout)
 	var err error
-	c.writeBuffer, err = http1.WriteMessage(c, b, resp.Body)
+	*b, err = http1.WriteMessage(c, *b, resp.Body)
 	return err
 }
 
-// responseHead returns the head of a response. It decides here whether the connection stays open, not when the request
+// appendResponseHead appends the head of a response. It decides here whether the connection stays open, not when the request
 // arrives, because a node that began to drain in between must not take another request.
-func (c *clientConn) responseHead(resp Response) []byte {
+func (c *clientConn) appendResponseHead(b []byte, resp Response) []byte {
 	c.closeAfterResponse = c.closeAfterResponse || c.server.Draining.Load()
-	b := append(c.writeBuffer[:0], "HTTP/1."...)
+	b = append(b, "HTTP/1."...)
 	if c.http10 {
 		b = append(b, '0')
 	} else {
@@ -171,9 +176,7 @@
 	case c.http10:
 		b = append(b, "\r\nConnection: keep-alive"...)
 	}
-	b = append(b, "\r\n\r\n"...)
-	c.writeBuffer = b
-	return b
+	return append(b, "\r\n\r\n"...)
 }
 
 // cachedDate is the value of the Date field for one second.
--- a/internal/node/endings_client_test.go
+++ b/internal/node/endings_client_test.go
@@ -163,7 +163,7 @@
 			return net.Dial(network, addr)
 		})
 	}
-	node := serveAt(t, newServer(l))
+	node := serveAt(t, newServer(l, testLimits()))
 	if m.waitPoint == "the loop" {
 		newTestClient(t, node).send("GET", "read", "busy", "")
 		nodetest.Receive(t, "a busy loop", m.loopBusy)
@@ -245,7 +245,7 @@
 			l, scripted := startLoop(t, nodetest.HTTPServer(t, received.ServeHTTP), sendOnce)
 			clientGone, attemptDone := make(chan struct{}), make(chan struct{})
 			var warm atomic.Bool
-			node := serveListener(t, newServer(l), hookedListener{nodetest.Listener(t), func(read string) {
+			node := serveListener(t, newServer(l, testLimits()), hookedListener{nodetest.Listener(t), func(read string) {
 				switch {
 				case !warm.Load():
 				case strings.Contains(read, "X-Request-Id: r1"):
@@ -325,7 +325,7 @@
 			t.Parallel()
 			var received arrivalRecorder
 			l, _ := startLoop(t, nodetest.HTTPServer(t, received.ServeHTTP), sendOnce)
-			s := newServer(l)
+			s := newServer(l, testLimits())
 			var c *testClient
 			sent := make(chan struct{})
 			c = newTestClient(t, serveListener(t, s, hookedListener{nodetest.Listener(t), func(string) {}, func(err error) {
--- a/internal/node/endings_server_test.go
+++ b/internal/node/endings_server_test.go
@@ -54,7 +54,7 @@
 				<-connect
 				return net.Dial(network, addr)
 			})
-			c := newTestClient(t, serveAt(t, newServer(l)))
+			c := newTestClient(t, serveAt(t, newServer(l, testLimits())))
 			c.send("POST", "pay", "r1", "sum")
 			nodetest.Receive(t, "a dial", dials)
 			list, err := discovery.ParseList([]byte(nodetest.ListChange(8, fmt.Sprintf(`{"id":"s0","host_port":%q,%s}`, changedAddr, change), listEntry("s1", otherAddr, "up"))))
@@ -151,7 +151,7 @@
 		}
 	}))
 	l, _ := startLoop(t, addr, sendOnce)
-	c := newTestClient(t, serveAt(t, newServer(l)))
+	c := newTestClient(t, serveAt(t, newServer(l, testLimits())))
 	c.send("GET", "read", "r1", "")
 	resp, err := http.ReadResponse(c.r, nil)
 	if err != nil {
--- a/internal/node/endings_shutdown_test.go
+++ b/internal/node/endings_shutdown_test.go
@@ -19,7 +19,7 @@
 func startDrainable(t *testing.T, server string) (node string, l *loop, drain func()) {
 	t.Helper()
 	l, _ = startLoop(t, server, sendOnce)
-	s := newServer(l)
+	s := newServer(l, testLimits())
 	return serveAt(t, s), l, func() {
 		s.Stopping.Store(true)
 		s.Draining.Store(true)
@@ -81,7 +81,7 @@
 func TestPartlyReadRequestIsAnsweredAtShutdown(t *testing.T) {
 	t.Parallel()
 	l, _ := startLoop(t, nodetest.HTTPServer(t, func(http.ResponseWriter, *http.Request) {}), sendOnce)
-	s := newServer(l)
+	s := newServer(l, testLimits())
 	head := "GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: r2\r\nX-Class: read\r\n"
 	idleClosed := make(chan struct{})
 	closeIdle := sync.OnceFunc(func() {
--- a/internal/node/hot_restart.go
+++ b/internal/node/hot_restart.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"runtime/debug"
 	"sync"
 	"syscall"
 
@@ -25,8 +26,6 @@
 	// successorShareDivisor sets the minimum share of a successor. It gets at least its predecessor's total of descriptors
 	// divided by successorShareDivisor, however many of them the predecessor still uses.
 	successorShareDivisor = 4
-	// sharedMemoryFraction is each process's part of the memory limit while the node has two processes.
-	sharedMemoryFraction = 0.5
 )
 
 // hotRestart is this process's part in hot restarts. It shares the node's descriptors and memory with the predecessor
@@ -37,6 +36,7 @@
 	transport *upstream.Transport
 	clients   *downstream.ConnectionLimiter
 	fleet     *membership // nil if the node is in no fleet
+	memory    *memoryLimits
 
 	mu      sync.Mutex
 	sockets int // descriptors that this process may hold if it has no successor
@@ -81,7 +81,8 @@
 	if !ok {
 		return hotrestart.State{}, errors.New("the event loop has ended")
 	}
-	limitMemory(h.config, sharedMemoryFraction)
+	state.Memory = h.memory.share(h.config)
+	debug.FreeOSMemory() // the successor takes it
 	state.Sockets = h.releaseSockets()
 	return state, nil
 }
@@ -98,7 +99,7 @@
 
 // Progress implements hotrestart.Process.
 func (h *hotRestart) Progress() hotrestart.Progress {
-	return hotrestart.Progress{Sockets: h.releaseSockets(), InFlight: h.server.loop.inFlight()}
+	return hotrestart.Progress{Sockets: h.releaseSockets(), Memory: h.memory.share(h.config), InFlight: h.server.loop.inFlight()}
 }
 
 // Resume implements hotrestart.Process.
@@ -109,13 +110,22 @@
 		slog.Error("hot restart: resuming the clients' listener failed", "error", err)
 	}
 	h.shareSockets()
-	limitMemory(h.config, 1)
+	h.memory.set(heapBytes(h.config, 1))
 	if h.fleet != nil {
 		h.fleet.Resume()
 	}
 	h.server.loop.send(successorGone{successorServed})
 }
 
+// successorHeap returns how many bytes of heap a successor may use, by what its predecessor has left: half of the node's if
+// the predecessor is of a version that doesn't say.
+func successorHeap(c config.Config, left int64) int64 {
+	if left <= 0 {
+		return heapBytes(c, 2) / 2
+	}
+	return left
+}
+
 // totalSockets returns how many descriptors this process may hold if it has no successor.
 func (h *hotRestart) totalSockets() int {
 	h.mu.Lock()
@@ -156,10 +166,12 @@
 // of the node's once the predecessor has ended.
 func (h *hotRestart) updateSockets(progress hotrestart.Progress, ended bool) {
 	h.server.loop.send(predecessorInFlight{progress.InFlight})
-	sockets := progress.Sockets
+	sockets, heap := progress.Sockets, successorHeap(h.config, progress.Memory)
 	if ended {
-		sockets = h.config.Sockets
-		limitMemory(h.config, 1)
+		sockets, heap = h.config.Sockets, heapBytes(h.config, 1)
+	}
+	if !h.server.superseded.Load() && heap != h.memory.heap.Load() {
+		h.memory.set(heap)
 	}
 	h.mu.Lock()
 	h.sockets = sockets
--- a/internal/node/hotrestart/serve.go
+++ b/internal/node/hotrestart/serve.go
@@ -145,7 +145,7 @@
 			return true, readErr
 		case <-ticker.C:
 			progress := process.Progress()
-			if err := messages.Encode(State{Sockets: progress.Sockets, InFlight: progress.InFlight}); err != nil {
+			if err := messages.Encode(State{Sockets: progress.Sockets, Memory: progress.Memory, InFlight: progress.InFlight}); err != nil {
 				return true, err
 			}
 		}
--- a/internal/node/hotrestart/state.go
+++ b/internal/node/hotrestart/state.go
@@ -21,6 +21,8 @@
 	Policy    policy.Snapshot `json:"Knowledge"`
 	Sockets   int             `json:"Sockets"` // descriptors that the successor may hold at first
 	InFlight  map[string]int  `json:"Out"`     // the predecessor's attempts in flight, by server
+	// Memory is how many bytes of heap the successor may use. It is absent from a predecessor of an older version.
+	Memory int64 `json:"Memory,omitempty"`
 	// FormerPeriods is absent if the configuration hasn't changed lately, and from a predecessor of an older version.
 	FormerPeriods []classPeriodState `json:"FormerPeriods,omitempty"`
 }
@@ -66,5 +68,6 @@
 // Progress is what a predecessor reports every ProgressInterval while its successor serves.
 type Progress struct {
 	Sockets  int            // descriptors that the successor may hold now
+	Memory   int64          // bytes of heap that the successor may use now; 0 from a predecessor of an older version
 	InFlight map[string]int // the predecessor's attempts in flight, by server
 }
--- a/internal/node/hotrestart/takeover.go
+++ b/internal/node/hotrestart/takeover.go
@@ -156,6 +156,6 @@
 		if confirmTimer.Stop() {
 			yielded()
 		}
-		progress(Progress{Sockets: message.Sockets, InFlight: message.InFlight}, false)
+		progress(Progress{Sockets: message.Sockets, Memory: message.Memory, InFlight: message.InFlight}, false)
 	}
 }
--- a/internal/node/http1/limits.go
+++ b/internal/node/http1/limits.go
@@ -5,6 +5,8 @@
 const (
 	// MaxHeadBytes bounds the head of a message: its first line and its fields.
 	MaxHeadBytes = 16 << 10
+	// MaxFields bounds the fields of a head.
+	MaxFields = 128
 	// MaxBufferedBodyBytes bounds a buffered body. A longer one is streamed.
 	MaxBufferedBodyBytes = 64 << 10
 	// CopyBufferBytes is the size of a CopyBuffer.
--- a/internal/node/http1/message.go
+++ b/internal/node/http1/message.go
@@ -13,6 +13,8 @@
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
+
+	"sloerail/internal/node/memory"
 )
 
 var (
@@ -20,6 +22,10 @@
 	ErrMalformedHead = errors.New("malformed head")
 	// ErrHeadTooLong is returned for a head, or the trailer of a chunked body, that is over its limit.
 	ErrHeadTooLong = errors.New("head or trailer too long")
+	// ErrTooManyFields is returned for a head with more than MaxFields fields.
+	ErrTooManyFields = errors.New("too many header fields")
+	// ErrNoMemory is returned for a head that HeadReader.Held doesn't permit to buffer.
+	ErrNoMemory = errors.New("no memory for the head")
 	// ErrAmbiguousFraming is returned for a head that doesn't determine where the body ends. Clients get its text.
 	ErrAmbiguousFraming = errors.New("the head leaves open where its body ends")
 )
@@ -28,27 +34,72 @@
 type Head struct {
 	FirstLine string
 	Fields    []Field
+	Bytes     int // length of the head
 }
 
 // Field is one header field.
 type Field struct{ Name, Value string }
 
-// HeadReader reads successive heads and reuses its buffers.
+// HeadReader reads successive heads and reuses its buffers, but not those of a long head.
 type HeadReader struct {
+	// Held counts the buffer beyond retainedHeadBytes, until the next call of Read or Discard; nil for no count.
+	Held *memory.Reservation
+
 	buf  []byte
 	head Head
+	held int
+}
+
+const (
+	// retainedHeadBytes and retainedFields bound the buffers that a HeadReader keeps for the next head.
+	retainedHeadBytes = 1 << 10
+	retainedFields    = 24
+)
+
+// Discard drops the buffers of a long head, whose Head is no longer valid then.
+func (h *HeadReader) Discard() {
+	if cap(h.buf) > retainedHeadBytes {
+		h.buf = nil
+	}
+	if cap(h.head.Fields) > retainedFields {
+		h.head = Head{}
+	}
+	h.Held.Return(h.held)
+	h.held = 0
+}
+
+// grow makes room for n more bytes in the buffer, and reports whether it may.
+func (h *HeadReader) grow(n int) bool {
+	if len(h.buf)+n <= cap(h.buf) {
+		return true
+	}
+	size := max(retainedHeadBytes, 2*cap(h.buf), len(h.buf)+n)
+	if size > retainedHeadBytes {
+		more := size - h.held
+		if !h.Held.Take(more, memory.Admission) {
+			return false
+		}
+		h.held += more
+	}
+	h.buf = append(make([]byte, 0, size), h.buf...)
+	return true
 }
 
 // Read reads a head of at most maxBytes, up to its blank line. The head is valid until the next call. Read returns
-// ErrMalformedHead, ErrHeadTooLong, io.ErrUnexpectedEOF for an incomplete head, or the error of r.
+// ErrMalformedHead, ErrHeadTooLong, ErrTooManyFields, ErrNoMemory, io.ErrUnexpectedEOF for an incomplete head, or the error
+// of r.
 func (h *HeadReader) Read(r *bufio.Reader, maxBytes int) (*Head, error) {
+	h.Discard()
 	h.buf = h.buf[:0]
 	for start := 0; ; {
 		piece, err := r.ReadSlice('\n')
-		h.buf = append(h.buf, piece...)
-		if len(h.buf) > maxBytes {
+		if len(h.buf)+len(piece) > maxBytes {
 			return nil, ErrHeadTooLong
 		}
+		if !h.grow(len(piece)) {
+			return nil, ErrNoMemory
+		}
+		h.buf = append(h.buf, piece...)
 		if err == bufio.ErrBufferFull {
 			continue
 		}
@@ -72,6 +123,7 @@
 }
 
 func (h *HeadReader) parse(text string) (*Head, error) {
+	h.head.Bytes = len(text)
 	h.head.FirstLine, text = cutLine(text)
 	h.head.Fields = h.head.Fields[:0]
 	for text != "" {
@@ -83,6 +135,9 @@
 		if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
 			return nil, ErrMalformedHead
 		}
+		if len(h.head.Fields) == MaxFields {
+			return nil, ErrTooManyFields
+		}
 		h.head.Fields = append(h.head.Fields, Field{name, value})
 	}
 	return &h.head, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,7 +18,7 @@
 func Run(ctx context.Context, c config.Config, listeners Listeners, changes <-chan Change) error {
 	ck := clock{start: time.Now()}
 	maxSockets, state := listeners.restore(&c)
-	limitMemory(c, 1)
+	limits := newMemoryLimits(c)
 	metrics := newMetrics(c.Settings.Classes)
 	transport := newTransport(c, new(upstream.Descriptors), metrics)
 	defer transport.CloseIdle()
@@ -29,7 +29,7 @@
 	if state != nil {
 		l.classes.Store(newClassTable(takeOver(state.FormerClasses(), ck.start), c.Settings))
 	}
-	s := newServer(l)
+	s := newServer(l, limits)
 	s.isSuccessor = state != nil
 	s.AwaitingDescriptors.Store(s.isSuccessor)
 	fleet, err := l.joinFleet(c)
@@ -37,7 +37,7 @@
 		return err
 	}
 	if state != nil {
-		limitMemory(c, sharedMemoryFraction)
+		limits.set(successorHeap(c, state.Memory))
 	}
 
 	runCtx, stop := context.WithCancel(context.Background())
@@ -48,7 +48,7 @@
 	wg.Go(func() { l.listClient.Run(runCtx) })
 	clientListener := downstream.NewConnectionLimiter(listeners.Clients, maxSockets)
 	restart := &hotRestart{config: c, server: s, transport: transport, clients: clientListener, fleet: fleet,
-		sockets: maxSockets}
+		memory: limits, sockets: maxSockets}
 	restart.shareSockets()
 	acceptErr := make(chan error, 1)
 	wg.Go(func() { acceptErr <- s.Accept(clientListener) })
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -2,17 +2,29 @@
 
 import (
 	"runtime/debug"
+	"sync/atomic"
 
 	gossip "sloerail/internal/membership"
 
 	"sloerail/internal/node/config"
+	"sloerail/internal/node/memory"
 )
 
 const (
 	baseSockets            = 32 // descriptors for the log, discovery, the runtime and the like
 	baseSocketsWhileShared = 18 // for each of two processes that share the node's descriptors: 14 of them are in use
-	// heapFraction is the heap's part of the memory limit. Stacks and sockets take the rest.
-	heapFraction = 0.75
+
+	// programBytes is what the pages of the program and the runtime's own data take, and secondProgramBytes what those of a
+	// second process of the node add, most of whose pages are shared.
+	programBytes       = 13 << 20
+	secondProgramBytes = 4 << 20
+	// maxHeapFraction bounds the part of the memory limit that goes to the heaps and stacks of the node's processes. Small
+	// limits leave less, by programBytes.
+	maxHeapFraction = 0.75
+	minHeapBytes    = 4 << 20 // of one process
+	// clientFraction is the part of a process's heap limit that may be held for clients. The rest is for the balancer, the
+	// list, and garbage.
+	clientFraction = 0.5
 )
 
 // reservedSockets returns how many descriptors belong neither to the client side nor to the server side.
@@ -40,7 +52,38 @@
 	return n
 }
 
-// limitMemory sets the runtime's memory limit for a process that may use the given fraction of the node's memory.
-func limitMemory(c config.Config, fraction float64) {
-	debug.SetMemoryLimit(int64(fraction * heapFraction * float64(c.MemoryMB) * (1 << 20)))
+// heapBytes returns how many bytes of heap a number of processes of the node may use together.
+func heapBytes(c config.Config, processes int) int64 {
+	total := c.MemoryMB << 20
+	left := total - programBytes - int64(processes-1)*secondProgramBytes
+	return max(int64(processes)*minHeapBytes, min(left, int64(maxHeapFraction*float64(total))))
+}
+
+// memoryLimits holds the memory limits of this process.
+type memoryLimits struct {
+	clients *memory.Budget
+	heap    atomic.Int64
+}
+
+func newMemoryLimits(c config.Config) *memoryLimits {
+	m := &memoryLimits{clients: new(memory.Budget)}
+	m.set(heapBytes(c, 1))
+	return m
+}
+
+// set sets how many bytes of heap this process may use.
+func (m *memoryLimits) set(heap int64) {
+	m.heap.Store(heap)
+	m.clients.SetLimit(int64(clientFraction * float64(heap)))
+	debug.SetMemoryLimit(heap)
+}
+
+// share limits this process to half of the node's heap, or to what it needs for what it holds, while it has a successor. It
+// returns how many bytes are left for the successor.
+func (m *memoryLimits) share(c config.Config) (left int64) {
+	total := heapBytes(c, 2)
+	needed := int64(float64(m.clients.Held()) / clientFraction)
+	own := min(max(total/2, needed), total-minHeapBytes)
+	m.set(own)
+	return total - own
 }
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -146,7 +146,7 @@
 			}
 			return nil
 		})
-		node := serveAt(t, newServer(l))
+		node := serveAt(t, newServer(l, testLimits()))
 		c := nodetest.Dial(t, node)
 		// The deadline is an hour away, so that only the cancellation ends the attempt.
 		if err := clientRequest(t, node, "POST", "pay", "r1", "sum", "X-Deadline-Ms", "3600000").Write(c); err != nil {
@@ -233,7 +233,7 @@
 	nodetest.Bubble(t, func(t *testing.T) {
 		addr := nodetest.HTTPServer(t, func(http.ResponseWriter, *http.Request) {})
 		l, _ := startLoop(t, addr, sendOnce)
-		s := newServer(l)
+		s := newServer(l, testLimits())
 		node := serveAt(t, s)
 		nodetest.Receive(t, "readiness", l.ready)
 		close(s.soleListener)
@@ -427,7 +427,7 @@
 func TestConnectionOverTheLimitIsServedOnceThereIsRoom(t *testing.T) {
 	server, received, release := nodetest.HoldingServer(t)
 	l, _ := startLoop(t, server, sendOnce)
-	s := newServer(l)
+	s := newServer(l, testLimits())
 	node := serveAt(t, s)
 	descriptors := l.up.Descriptors()
 	descriptors.SetTotal(4) // two of them for clients
@@ -454,7 +454,7 @@
 		t.Errorf("descriptors for servers with 40 clients of 30 descriptors: got %d, want %d", got, descriptors.MinPerSide())
 	}
 	l, _ := startLoop(t, "127.0.0.1:9", sendOnce)
-	h := &hotRestart{config: testConfig(t, nodetest.KnownList("127.0.0.1:9")), server: newServer(l), transport: l.up,
+	h := &hotRestart{config: testConfig(t, nodetest.KnownList("127.0.0.1:9")), server: newServer(l, testLimits()), transport: l.up,
 		clients: downstream.NewConnectionLimiter(nodetest.Listener(t), 1), sockets: 60}
 	for _, sharing := range []bool{true, false} {
 		h.server.AwaitingDescriptors.Store(sharing)
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -17,11 +17,14 @@
 	isSuccessor  bool          // this process has a predecessor
 }
 
-func newServer(l *loop) *server {
+func newServer(l *loop, limits *memoryLimits) *server {
 	s := &server{loop: l, soleListener: make(chan struct{})}
 	descriptors := l.up.Descriptors()
-	s.Server = downstream.NewServer(s,
-		downstream.NewClientConns(descriptors.ForClients, descriptors.SetClients, l.up.CloseExcessIdle))
+	maxConns := func() int {
+		return min(descriptors.ForClients(), downstream.MaxConnections(limits.clients.Limit()))
+	}
+	s.Server = downstream.NewServer(s, downstream.NewClientConns(maxConns, descriptors.SetClients, l.up.CloseExcessIdle))
+	s.Memory = limits.clients
 	return s
 }
 
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -221,3 +221,6 @@
 	}
 	return resp, string(body)
 }
+
+// testLimits returns the memory limits of a node that has plenty.
+func testLimits() *memoryLimits { return newMemoryLimits(config.Config{MemoryMB: 192}) }
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -63,7 +63,7 @@
 	}
 	r := acquireResponseReader(c)
 	defer r.release()
-	resp, err := r.readResponse(a.Lifetime)
+	resp, err := r.readResponse(a)
 	if err != nil {
 		return Result{Code: a.Lifetime.failureCode(err, w.complete.Load())}, false
 	}
@@ -86,7 +86,7 @@
 
 // streamResponse passes a streamed response to the Observer, and waits until the stream ends.
 func streamResponse(c *serverConn, a Attempt, resp response) error {
-	stream := newResponseStream(resp.remaining, a.Lifetime.cancelWith)
+	stream := newResponseStream(resp.remaining, a)
 	started := resp.Response
 	started.Stream = stream
 	cancelled := a.Lifetime.whenCancelled()
--- a/internal/node/upstream/request.go
+++ b/internal/node/upstream/request.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"sloerail/internal/node/http1"
+	"sloerail/internal/node/memory"
 )
 
 // stallTimeout is how long a server may take to read the next part of a request body, or to send the next part of a
@@ -21,6 +22,7 @@
 
 // Request is a client's request as forwarded to servers. It must not change while attempts use it.
 type Request struct {
+	Held           *memory.Reservation // counts what is held of its responses; nil for no count
 	ID             string
 	Method         string
 	Path           string // path and query, unchanged from the client's request
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sloerail/internal/node/http1"
+	"sloerail/internal/node/memory"
 )
 
 // StreamStartBytes is how much of a response body is read before the response is passed to the client, if its status is
@@ -54,8 +55,8 @@
 	responseReaders.Put(r)
 }
 
-// readResponse reads the head of the final response, and the part of its body that is buffered. l bounds the attempt.
-func (r *responseReader) readResponse(l *Lifetime) (resp response, err error) {
+// readResponse reads the head of the final response, and the part of its body that is buffered.
+func (r *responseReader) readResponse(a Attempt) (resp response, err error) {
 	for resp.Status < http.StatusOK { // skip interim responses
 		if resp.head, err = r.heads.Read(r.buf, http1.MaxHeadBytes); err != nil {
 			if errors.Is(err, io.EOF) {
@@ -89,19 +90,20 @@
 	default: // the end of the connection ends the body
 		body, resp.keepAlive = r.buf, false
 	}
-	return resp, resp.readBody(body, l)
+	return resp, resp.readBody(body, a)
 }
 
 // readBody buffers a body of up to http1.MaxBufferedBodyBytes, or the start of a longer one. The rest of a longer one is
 // streamed if the status is 200. Otherwise it is discarded together with the connection.
-func (resp *response) readBody(body io.Reader, l *Lifetime) (err error) {
+func (resp *response) readBody(body io.Reader, a Attempt) (err error) {
+	short := resp.Length >= 0 && resp.Length <= http1.MaxBufferedBodyBytes
 	switch {
-	case resp.Length >= 0 && resp.Length <= http1.MaxBufferedBodyBytes:
+	case short && (a.Request.Held.Take(int(resp.Length), memory.Ongoing) || resp.Status != http.StatusOK):
 		resp.Body = make([]byte, resp.Length)
 		_, err = io.ReadFull(body, resp.Body)
 		return err
 	case resp.Status == http.StatusOK:
-		return resp.readStart(body, l)
+		return resp.readStart(body, a)
 	}
 	resp.Body, err = io.ReadAll(io.LimitReader(body, http1.MaxBufferedBodyBytes+1))
 	if len(resp.Body) > http1.MaxBufferedBodyBytes {
@@ -110,18 +112,21 @@
 	return err
 }
 
-// readStart reads the start of a body that is long or has no length. A body that turns out to be short is read to its end.
+// readStart reads the start of a body that is long, has no length, or may not be buffered whole for lack of memory. A body that turns out to be short is read to its end.
 // The rest of any other one is streamed.
-func (resp *response) readStart(body io.Reader, l *Lifetime) error {
+func (resp *response) readStart(body io.Reader, a Attempt) error {
 	startBytes := StreamStartBytes
 	if resp.Length < 0 {
 		startBytes = http1.MaxBufferedBodyBytes + 1
 	}
-	streamAt := l.streamStart(time.Now())
+	streamAt := a.Lifetime.streamStart(time.Now())
 	buffered := make([]byte, 0, StreamStartBytes)
 	for len(buffered) < startBytes {
 		if len(buffered) == cap(buffered) {
-			buffered = append(buffered, 0)[:len(buffered)]
+			if !a.Request.Held.Take(cap(buffered), memory.Ongoing) {
+				break
+			}
+			buffered = append(make([]byte, 0, 2*cap(buffered)), buffered...)
 		}
 		n, err := body.Read(buffered[len(buffered):min(cap(buffered), startBytes)])
 		buffered = buffered[:len(buffered)+n]
--- a/internal/node/upstream/response_stream.go
+++ b/internal/node/upstream/response_stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sloerail/internal/node/http1"
+	"sloerail/internal/node/memory"
 )
 
 // ErrClientDisconnected means that the client disconnected before it received the whole response, or before its
@@ -16,6 +17,7 @@
 // ResponseStream streams the rest of a response body to the client. The attempt ends when the stream does.
 type ResponseStream struct {
 	body       io.Reader
+	held       *memory.Reservation
 	stallTimer *time.Timer // runs during reads from the server
 	state      atomic.Int32
 	done       chan error // receives one value: nil, or why the response is incomplete
@@ -28,10 +30,10 @@
 	streamAbandoned // the attempt was cancelled before CopyTo was called
 )
 
-func newResponseStream(body io.Reader, cancel func(cause error)) *ResponseStream {
-	t := time.AfterFunc(stallTimeout, func() { cancel(errAttemptTimeout) })
+func newResponseStream(body io.Reader, a Attempt) *ResponseStream {
+	t := time.AfterFunc(stallTimeout, func() { a.Lifetime.cancelWith(errAttemptTimeout) })
 	t.Stop()
-	return &ResponseStream{body: body, stallTimer: t, done: make(chan error, 1)}
+	return &ResponseStream{body: body, held: a.Request.Held, stallTimer: t, done: make(chan error, 1)}
 }
 
 // abandon prevents CopyTo from starting. It returns false if CopyTo has already started.
@@ -47,13 +49,13 @@
 		return errAttemptTimeout
 	}
 	defer func() { s.done <- err }()
-	buf := http1.GetCopyBuffer()
-	defer http1.PutCopyBuffer(buf)
+	buf, release := s.copyBuffer()
+	defer release()
 	for next := buffered; ; {
 		if _, err := w.Write(next); err != nil {
 			return errors.Join(ErrClientDisconnected, err)
 		}
-		n, err := s.read(buf[:])
+		n, err := s.read(buf)
 		if next = buf[:n]; n > 0 {
 			if err != nil && !errors.Is(err, io.EOF) {
 				return err
@@ -69,6 +71,21 @@
 	}
 }
 
+// smallCopyBytes is the size of the buffer of a stream for which there is little memory.
+const smallCopyBytes = 2 << 10
+
+// copyBuffer returns a buffer for the stream, and a function that frees it.
+func (s *ResponseStream) copyBuffer() (buf []byte, release func()) {
+	if s.held.Take(http1.CopyBufferBytes, memory.Admission) {
+		block := http1.GetCopyBuffer()
+		return block[:], func() {
+			http1.PutCopyBuffer(block)
+			s.held.Return(http1.CopyBufferBytes)
+		}
+	}
+	return make([]byte, smallCopyBytes), func() {}
+}
+
 // read reads from the server, and cancels the attempt if nothing arrives within stallTimeout.
 func (s *ResponseStream) read(p []byte) (int, error) {
 	s.stallTimer.Reset(stallTimeout)
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
@@ -108,11 +109,14 @@
 }
 
 // newBucketKey returns the key of the bucket to use for a key that has no bucket yet. It is the given key or,
-// if the tenant has no quota and there are maxBuckets buckets or more, the key of the shared bucket.
+// if the tenant has no quota and has a long name or there are maxBuckets buckets or more, the key of the shared
+// bucket.
 func (l *rateLimiter) newBucketKey(key bucketKey) bucketKey {
-	if _, hasQuota := l.tenantLimits[key.tenant]; !hasQuota && l.buckets.isFull() {
+	_, hasQuota := l.tenantLimits[key.tenant]
+	if !hasQuota && (l.buckets.isFull() || len(key.tenant) > maxTenantBytes) {
 		return sharedBucketKey
 	}
+	key.tenant = strings.Clone(key.tenant) // it is a part of a request's head
 	return key
 }
 
--- a/policy/token_buckets.go
+++ b/policy/token_buckets.go
@@ -10,6 +10,8 @@
 	// maxBuckets limits the memory that clients can use up by inventing tenants. Once there are this many
 	// buckets, including those of tenants with a quota, new tenants without a quota share one.
 	maxBuckets = 4096
+	// maxTenantBytes is the length of a name up to which a tenant without a quota has a bucket of its own.
+	maxTenantBytes = 256
 	// bucketsPerAdmission is how many buckets each admission examines, to drop those that would be full by now.
 	bucketsPerAdmission = 2
 	// minBucketsToShrink and bucketShrinkRatio determine when the map of buckets is rebuilt. It is rebuilt once
