Remember the IDs that may have run, also across a hand-over

Callers saw a bill charge run twice when its ID came again after its client had left, or at the other process of an upgrade. Cause: an ID was known only while its request was open (loop.forget), and a successor learned of none. The state of a hand-over has them and those of open requests; from then on each process tells the other of a new request before it decides on it (keys Executed and AcceptsExecuted; a successor sends nothing to an older predecessor). TestBodyIsNeverARequest used one ID for three requests; each case has its own now, with the same checks.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -66,6 +66,11 @@
 	predecessorInFlight struct{ inFlight map[string]int }
 	// successorGone says that a successor ended, and whether it had served clients.
 	successorGone struct{ served bool }
+	// executedElsewhere is IDs of requests that the predecessor or the successor may have run.
+	executedElsewhere struct {
+		hashes        []uint64
+		fromSuccessor bool
+	}
 )
 
 // Queries of the balancer's state. The loop sends one reply to each.
@@ -140,12 +145,26 @@
 
 func (e predecessorInFlight) handle(l *loop) { l.balancer.SetSiblingInFlight(e.inFlight) }
 
-func (e successorGone) handle(l *loop) { l.decide(policy.HandedOver{SuccessorServed: e.served}) }
+func (e successorGone) handle(l *loop) {
+	l.toSuccessor.setOpen(false)
+	l.decide(policy.HandedOver{SuccessorServed: e.served})
+}
+
+func (e executedElsewhere) handle(l *loop) {
+	l.executed.add(e.hashes...)
+	if e.fromSuccessor {
+		l.toPredecessor.add(e.hashes...)
+	} else {
+		l.toSuccessor.add(e.hashes...)
+	}
+}
 
 func (e snapshotRequest) handle(l *loop) {
 	state := hotrestart.State{Policy: l.balancer.Snapshot(l.clock.now()), InFlight: l.balancer.InFlight()}
 	state.SetEndpointList(maps.Values(l.endpoints))
 	state.SetFormerClasses(l.classes.Load().handOver(time.Now()))
+	state.Executed, state.AcceptsExecuted = l.idsToHandOver(), true
+	l.toSuccessor.setOpen(true)
 	e.reply <- state
 	l.decide(policy.HandedOver{Active: true})
 }
--- a/internal/node/framing_test.go
+++ b/internal/node/framing_test.go
@@ -79,6 +79,8 @@
 			// requests of this case and the case before it are valid, so their responses are not checked.
 			"after the last chunk": {pay + "Transfer-Encoding: chunked\r\n\r\n" + chunked, "outer"},
 		} {
+			id := "outer-" + strings.ReplaceAll(name, " ", "-") // an ID runs once
+			c.request, c.wantServed = strings.ReplaceAll(c.request, "outer", id), strings.ReplaceAll(c.wantServed, "outer", id)
 			responses := sendRaw(t, node, c.request)
 			rejected := strings.Count(responses, "HTTP/1.1 400 ")
 			if got := servers.takeIDs(); got != c.wantServed {
--- a/internal/node/hot_restart.go
+++ b/internal/node/hot_restart.go
@@ -57,7 +57,8 @@
 		// This process's health check succeeds only after the predecessor has stopped accepting. If it succeeded sooner,
 		// the predecessor could be told to stop too early: while stopping, it would still get health checks of the load
 		// balancer in front, and fail them for the whole node.
-		wg.Go(func() { predecessor.Follow(func() { close(h.server.soleListener) }, h.updateSockets) })
+		wg.Go(func() { predecessor.Follow(func() { close(h.server.soleListener) }, h.followPredecessor) })
+		wg.Go(func() { h.sendExecuted(ctx, predecessor) })
 	} else {
 		close(h.server.soleListener)
 	}
@@ -99,7 +100,32 @@
 
 // Progress implements hotrestart.Process.
 func (h *hotRestart) Progress() hotrestart.Progress {
-	return hotrestart.Progress{Sockets: h.releaseSockets(), Memory: h.memory.share(h.config), InFlight: h.server.loop.inFlight()}
+	return hotrestart.Progress{Sockets: h.releaseSockets(), Memory: h.memory.share(h.config), InFlight: h.server.loop.inFlight(),
+		Executed: h.server.loop.toSuccessor.take()}
+}
+
+// ProgressChanged implements hotrestart.Process.
+func (h *hotRestart) ProgressChanged() <-chan struct{} { return h.server.loop.toSuccessor.changed }
+
+// SuccessorExecuted implements hotrestart.Process.
+func (h *hotRestart) SuccessorExecuted(hashes []uint64) {
+	h.server.loop.send(executedElsewhere{hashes, true})
+}
+
+// sendExecuted sends the predecessor the IDs of new requests, until ctx or the predecessor ends.
+func (h *hotRestart) sendExecuted(ctx context.Context, predecessor *hotrestart.Predecessor) {
+	outbox := &h.server.loop.toPredecessor
+	for {
+		select {
+		case <-outbox.changed:
+		case <-ctx.Done():
+			return
+		}
+		if predecessor.SendExecuted(outbox.take()) != nil {
+			outbox.setOpen(false)
+			return
+		}
+	}
 }
 
 // Resume implements hotrestart.Process.
@@ -162,10 +188,16 @@
 	h.clients.SetLimit(h.transport.Descriptors().MaxClients() + surplus)
 }
 
-// updateSockets applies the predecessor's progress: it takes the descriptors that the predecessor has released, or all
-// of the node's once the predecessor has ended.
-func (h *hotRestart) updateSockets(progress hotrestart.Progress, ended bool) {
+// followPredecessor applies the predecessor's progress: it takes the descriptors and the memory that the predecessor has
+// released, or all of the node's once the predecessor has ended.
+func (h *hotRestart) followPredecessor(progress hotrestart.Progress, ended bool) {
 	h.server.loop.send(predecessorInFlight{progress.InFlight})
+	if len(progress.Executed) > 0 {
+		h.server.loop.send(executedElsewhere{progress.Executed, false})
+	}
+	if ended {
+		h.server.loop.toPredecessor.setOpen(false)
+	}
 	sockets, heap := progress.Sockets, successorHeap(h.config, progress.Memory)
 	if ended {
 		sockets, heap = h.config.Sockets, heapBytes(h.config, 1)
--- a/internal/node/hotrestart/hotrestart_test.go
+++ b/internal/node/hotrestart/hotrestart_test.go
@@ -48,6 +48,10 @@
 	return Progress{Sockets: 9, InFlight: map[string]int{"s0": 2}}
 }
 
+func (p *fakeProcess) ProgressChanged() <-chan struct{} { return nil }
+
+func (p *fakeProcess) SuccessorExecuted([]uint64) {}
+
 func (p *fakeProcess) Resume(successorServed bool) { p.resumed <- successorServed }
 
 // serve runs Serve for the process until the test ends or stop is called.
--- a/internal/node/hotrestart/serve.go
+++ b/internal/node/hotrestart/serve.go
@@ -35,6 +35,10 @@
 	// Progress releases descriptors that the process doesn't need. It returns how many the successor may hold now, and the
 	// process's attempts in flight.
 	Progress() Progress
+	// ProgressChanged receives a value when Progress has IDs of requests that the successor must know at once.
+	ProgressChanged() <-chan struct{}
+	// SuccessorExecuted receives hashes of IDs of requests that may have run at the successor.
+	SuccessorExecuted(hashes []uint64)
 	// Resume makes the process serve alone again after its successor has gone. successorServed reports whether the
 	// successor had started serving.
 	Resume(successorServed bool)
@@ -130,7 +134,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_, readErr = conn.Read(readySignal) // the successor sends nothing more: Read returns when it has gone
+		readErr = readSuccessor(process, conn)
 	}()
 	defer func() {
 		_ = conn.Close() // ends the read
@@ -144,10 +148,27 @@
 		case <-ended:
 			return true, readErr
 		case <-ticker.C:
-			progress := process.Progress()
-			if err := messages.Encode(State{Sockets: progress.Sockets, Memory: progress.Memory, InFlight: progress.InFlight}); err != nil {
-				return true, err
-			}
+		case <-process.ProgressChanged():
+		}
+		if err := messages.Encode(process.Progress().message()); err != nil {
+			return true, err
 		}
 	}
 }
+
+// readSuccessor passes process the messages of the successor, and returns an error when it has gone.
+func readSuccessor(process Process, conn *net.UnixConn) error {
+	messages := json.NewDecoder(conn)
+	for {
+		var message State
+		if err := messages.Decode(&message); err != nil {
+			return err
+		}
+		process.SuccessorExecuted(message.Executed)
+	}
+}
+
+// message returns the message with the report.
+func (p Progress) message() State {
+	return State{Sockets: p.Sockets, Memory: p.Memory, InFlight: p.InFlight, Executed: p.Executed}
+}
--- a/internal/node/hotrestart/state.go
+++ b/internal/node/hotrestart/state.go
@@ -23,6 +23,10 @@
 	InFlight  map[string]int  `json:"Out"`     // the predecessor's attempts in flight, by server
 	// Memory is how many bytes of heap the successor may use. It is absent from a predecessor of an older version.
 	Memory int64 `json:"Memory,omitempty"`
+	// Executed is hashes of the IDs of requests that must not run at the receiver, since they may have run at the sender. A
+	// successor sends them too, if AcceptsExecuted is set in its predecessor's state. Older versions have neither.
+	Executed        []uint64 `json:"Executed,omitempty"`
+	AcceptsExecuted bool     `json:"AcceptsExecuted,omitempty"`
 	// FormerPeriods is absent if the configuration hasn't changed lately, and from a predecessor of an older version.
 	FormerPeriods []classPeriodState `json:"FormerPeriods,omitempty"`
 }
@@ -70,4 +74,5 @@
 	Sockets  int            // descriptors that the successor may hold now
 	Memory   int64          // bytes of heap that the successor may use now; 0 from a predecessor of an older version
 	InFlight map[string]int // the predecessor's attempts in flight, by server
+	Executed []uint64       // hashes of IDs of requests that may have run at the predecessor since the last report
 }
--- a/internal/node/hotrestart/takeover.go
+++ b/internal/node/hotrestart/takeover.go
@@ -130,6 +130,12 @@
 // Close disconnects from the predecessor, which then serves alone again unless it is stopping.
 func (p *Predecessor) Close() error { return p.conn.Close() }
 
+// SendExecuted sends the predecessor hashes of IDs of requests that may have run at this process. It may be called only if
+// State.AcceptsExecuted is set and Follow has been called.
+func (p *Predecessor) SendExecuted(hashes []uint64) error {
+	return json.NewEncoder(p.conn).Encode(State{Executed: hashes})
+}
+
 // Follow notifies the predecessor that this process serves, and receives Progress messages until the predecessor has
 // ended, Close is called, or a message is malformed. It calls yielded once: at the first message, which confirms that
 // the predecessor accepts no more clients, or after stepTimeout without a message, or when Follow ends. It calls
@@ -156,6 +162,7 @@
 		if confirmTimer.Stop() {
 			yielded()
 		}
-		progress(Progress{Sockets: message.Sockets, Memory: message.Memory, InFlight: message.InFlight}, false)
+		progress(Progress{Sockets: message.Sockets, Memory: message.Memory, InFlight: message.InFlight,
+			Executed: message.Executed}, false)
 	}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -70,7 +70,10 @@
 	timers     timers
 	endpoints  map[string]discovery.Endpoint // the list as last received
 	unsent     []policy.Outcome              // of attempts that could not be sent; reported after all actions for an event
-	attemptsWG sync.WaitGroup                // attempts in flight
+	executed   executedIDs
+	attemptsWG sync.WaitGroup // attempts in flight
+
+	toSuccessor, toPredecessor idOutbox // IDs of new requests
 }
 
 func newLoop(c config.Config, ck clock, up *upstream.Transport, metrics *nodeMetrics) (*loop, error) {
@@ -80,7 +83,8 @@
 	}
 	l := &loop{clock: ck, balancer: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up, metrics: metrics,
 		events: make(chan event, eventBufferSize), done: make(chan struct{}), ready: make(chan struct{}),
-		requests: make(map[string]*request), endpoints: make(map[string]discovery.Endpoint)}
+		requests: make(map[string]*request), endpoints: make(map[string]discovery.Endpoint), toSuccessor: idOutbox{changed: make(chan struct{}, 1)},
+		toPredecessor: idOutbox{changed: make(chan struct{}, 1)}}
 	l.listTarget = discoveryTarget(c)
 	l.classes.Store(newClassTable(nil, c.Settings))
 	l.listClient = discovery.NewClient(discoveryConfig(c), func(u discovery.Update) { l.send(endpointUpdate{u}) })
@@ -106,6 +110,8 @@
 	if predecessor != nil {
 		l.balancer.Restore(l.clock.now(), predecessor.Policy)
 		l.balancer.SetSiblingInFlight(predecessor.InFlight)
+		l.executed.add(predecessor.Executed...)
+		l.toPredecessor.setOpen(predecessor.AcceptsExecuted)
 	}
 	close(l.ready)
 	sweep := time.NewTicker(sweepInterval)
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -66,13 +66,14 @@
 		req.Timeout = max(0, r.deadline-l.clock.now())
 	}
 	heap.Push(&l.timers, r.backstop)
+	l.shareOpenID(x)
 	l.decide(req)
 }
 
 // rejectionOf returns the status with which the node itself rejects a new request, or 0.
 func (l *loop) rejectionOf(x *downstream.Exchange) int {
 	switch {
-	case l.requests[x.Request.ID] != nil: // the balancer ignores a second request with the same ID
+	case l.requests[x.Request.ID] != nil, l.ranBefore(x): // the balancer ignores a second request with the same ID
 		return http.StatusConflict
 	case l.rejectAll || l.maxOpen > 0 && l.unanswered >= l.maxOpen:
 		return http.StatusServiceUnavailable
@@ -173,6 +174,9 @@
 		}
 		endedAt = a.answeredAt
 	}
+	if e.Sent {
+		l.rememberExecuted(e.r)
+	}
 	if e.Code == policy.OK && !e.r.ended {
 		l.answer(e.r, forwardedResponse(e.Response))
 	}
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -11,6 +11,7 @@
 type Result struct {
 	Code       policy.Code
 	Response   Response  // set if Code is policy.OK
+	Sent       bool      // a part of the request was written, so the server may run it
 	LoadReport []float64 // values of TransportConfig.LoadReportFields, NaN if absent or invalid; nil without a report
 }
 
@@ -48,6 +49,7 @@
 		return Result{Code: policy.Cancelled}
 	}
 	result, reusable := t.roundTrip(c, a)
+	result.Sent = true
 	t.release(c, server, a.Lifetime.detach() && reusable)
 	return result
 }
