Count a client's time from when it was last waited for, not from the last read

Cause: with its buffer full the node read the rest of a body late, and took the time of the last read for that of the last byte: a final answer 1.31 and 1.43 s after the last byte, for a wait of 0.75 s, beside other tests. Change: the time counts from when a read last had to wait for the client.

--- a/internal/node/downstream/exchange.go
+++ b/internal/node/downstream/exchange.go
@@ -126,7 +126,7 @@
 	if u != nil {
 		x.Forwarded.Stream = u
 		u.onEnd = func(err error) { s.handler.HandleBodyEnd(x, err) }
-		u.onReceived = func() { s.handler.HandleBodyReceived(x) }
+		u.onReceived = func() { s.handler.HandleBodyReceived(x, u.awaitedAt) }
 		u.clientWaits = x.Timeout - min(maxOverdueMargin, x.Timeout/overdueMarginDivisor)
 	}
 	return x, nil
--- a/internal/node/downstream/server.go
+++ b/internal/node/downstream/server.go
@@ -31,8 +31,9 @@
 	HandleRequest(*Exchange)
 	// HandleDisconnect is called when the client disconnects before its response is written.
 	HandleDisconnect(*Exchange)
-	// HandleBodyReceived is called when the last byte of a streamed body has arrived.
-	HandleBodyReceived(x *Exchange)
+	// HandleBodyReceived is called when the last byte of a streamed body has arrived. The client sent it after the given
+	// time, maybe at once.
+	HandleBodyReceived(x *Exchange, sentAfter time.Time)
 	// HandleBodyEnd is called when the reading of a streamed body ends: with nil if the body is complete, else with the
 	// reason.
 	HandleBodyEnd(x *Exchange, err error)
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -25,11 +25,11 @@
 	requestReceived struct{ x *downstream.Exchange }
 	// clientDisconnected is the disconnect of a request's client.
 	clientDisconnected struct{ x *downstream.Exchange }
-	// bodyReceived is the arrival of the last byte of a request body that is streamed to the server. The client's timeout
-	// counts from then.
+	// bodyReceived is the arrival of the last byte of a request body that is streamed to the server. The client sent it
+	// after the given time, maybe at once, so its timeout counts from then.
 	bodyReceived struct {
-		x  *downstream.Exchange
-		at policy.Time
+		x         *downstream.Exchange
+		sentAfter policy.Time
 	}
 	// bodyEnded is the end of a request body that was streamed to the server. err is nil if an attempt has taken all of it. An
 	// attempt that is not sent because its client has disconnected also causes a bodyEnded, with an error. Any error ends
@@ -112,7 +112,7 @@
 
 func (e bodyReceived) handle(l *loop) {
 	if r := l.requestOf(e.x); r != nil && !r.ended {
-		l.startClientTimeout(r, e.at)
+		l.startClientTimeout(r, e.sentAfter)
 	}
 }
 
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -93,11 +93,11 @@
 	r.deadline, r.backstop.due = end-r.margin(), end-r.margin()/2
 }
 
-// startClientTimeout starts the timeout of a request whose last byte was received at receivedAt, whether or not a server
-// has taken all of it.
-func (l *loop) startClientTimeout(r *request, receivedAt policy.Time) {
+// startClientTimeout starts the timeout of a request whose last byte was sent at sentAt, whether or not a server has taken
+// all of it.
+func (l *loop) startClientTimeout(r *request, sentAt policy.Time) {
 	r.received = true
-	r.setDeadlines(receivedAt)
+	r.setDeadlines(sentAt)
 	heap.Fix(&l.timers, r.backstop.index)
 	for _, a := range r.attempts {
 		a.lifetime.SetDeadline(l.clock.at(r.deadline))
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"sloerail/internal/node/downstream"
 	"sloerail/policy"
@@ -35,8 +36,8 @@
 func (s *server) HandleDisconnect(x *downstream.Exchange) { s.loop.send(clientDisconnected{x}) }
 
 // HandleBodyReceived tells the loop that the last byte of a streamed body has arrived.
-func (s *server) HandleBodyReceived(x *downstream.Exchange) {
-	s.loop.send(bodyReceived{x, s.loop.clock.now()})
+func (s *server) HandleBodyReceived(x *downstream.Exchange, sentAfter time.Time) {
+	s.loop.send(bodyReceived{x, s.loop.clock.now() - time.Since(sentAfter)})
 }
 
 // HandleBodyEnd tells the loop that a streamed body has ended.
