Pause a connection whose client sends faster than the node reads

Other clients of a node with a quarter of a core sent 287 requests beside one connection that floods it with readiness checks, and 223 beside one that repeats an ID, instead of 870 and 856; none was late in the test. Cause: with one processor the goroutines of such a connection are always ready to run, so the sockets of the others are polled every 10 ms only, by the runtime's monitor. Change: the goroutine that reads a connection pauses for 6 ms once it has worked for 2 ms without waiting: between requests, between blocks of a body, and while it discards what comes after the last response. Measured: TestFloodOnOneConnectionDelaysNobody, which now compares with the time before the flood: two of eight floods failed before, none now (792 to 936 requests beside, 856 to 886 without).

--- a/internal/node/downstream/client_conn.go
+++ b/internal/node/downstream/client_conn.go
@@ -27,6 +27,10 @@
 	// earlyResponseLinger is how long a client may continue to send its request after an early response, which is one sent
 	// before the end of the request.
 	earlyResponseLinger = 2 * time.Second
+	// maxBusyTime is how long a connection's goroutine works without a pause of busyPause. A wait of minWait is a pause too.
+	maxBusyTime = 2 * time.Millisecond
+	busyPause   = 6 * time.Millisecond
+	minWait     = time.Millisecond
 	// lastResponseLinger is how long the node still reads from a connection after its last response. The client may not
 	// expect the connection to end, and may send more before it reads the response.
 	lastResponseLinger = 500 * time.Millisecond
@@ -60,6 +64,7 @@
 	ahead           readAhead
 	readDeadline    time.Time     // zero for none
 	reply           chan Response // from the handler, for the current request
+	busySince       time.Time     // when the goroutine that reads last waited or paused
 	responseWritten chan bool     // from the writer, after each response: whether the connection stays open
 	closed          chan struct{} // closed when the connection ends
 
@@ -113,6 +118,7 @@
 		readBuffers.Put(c.reader)
 	}()
 	c.updateReadDeadline(time.Now().Add(headTimeout))
+	c.busySince = time.Now()
 	for first := true; ; first = false {
 		if _, err := c.reader.Peek(1); err != nil {
 			return
@@ -142,6 +148,7 @@
 		}
 		s.clientConns.startRequest(c.tracked)
 		c.startHeadTimeout()
+		c.pauseIfBusy()
 	}
 }
 
@@ -234,7 +241,9 @@
 		return false
 	}
 	c.allowReadAhead()
+	waitedFrom := time.Now()
 	open := <-c.responseWritten
+	c.recordWait(waitedFrom)
 	c.forbidReadAhead()
 	if !open {
 		c.linger(lastResponseLinger) // part of a further request may be unread
@@ -279,7 +288,9 @@
 		c.updateReadDeadline(time.Now().Add(IdleTimeout / 2))
 	}
 	for c.reader.Buffered() == 0 {
+		waitedFrom := time.Now()
 		_, err := c.reader.Peek(1)
+		c.recordWait(waitedFrom)
 		switch {
 		case err == nil:
 			return true
@@ -321,8 +332,29 @@
 	buf := http1.GetCopyBuffer()
 	defer http1.PutCopyBuffer(buf)
 	for {
-		if _, err := c.Conn.Read(buf[:]); err != nil {
+		waitedFrom := time.Now()
+		_, err := c.Conn.Read(buf[:])
+		if err != nil {
 			return
 		}
+		c.recordWait(waitedFrom)
+		c.pauseIfBusy()
+	}
+}
+
+// recordWait records that the connection's goroutine has waited since a time, so that others had their turn.
+func (c *clientConn) recordWait(from time.Time) {
+	if now := time.Now(); now.Sub(from) >= minWait {
+		c.busySince = now
+	}
+}
+
+// pauseIfBusy pauses the connection's goroutine if it has worked for long without waiting: its client sends faster than the
+// node can read. With few cores the other connections would hardly be served otherwise.
+func (c *clientConn) pauseIfBusy() {
+	if time.Since(c.busySince) < maxBusyTime {
+		return
 	}
+	time.Sleep(busyPause)
+	c.busySince = time.Now()
 }
--- a/internal/node/downstream/request_body.go
+++ b/internal/node/downstream/request_body.go
@@ -103,6 +103,7 @@
 		n, err = u.body.Read(p)
 	}
 	now := time.Now()
+	u.conn.recordWait(start)
 	u.received, u.clientTime = u.received+int64(n), u.clientTime+now.Sub(start)
 	if awaited {
 		u.awaitedAt = now
@@ -157,6 +158,7 @@
 }
 
 func (u *upload) receiveNext() (n int, err error) {
+	u.conn.pauseIfBusy()
 	if u.conn.mustAwaitClient() { // without holding a block meanwhile
 		if _, err := u.readClient(nil); err != nil {
 			return 0, noEOF(err)
--- a/internal/testcluster/pressure_test.go
+++ b/internal/testcluster/pressure_test.go
@@ -327,6 +327,14 @@
 			return fmt.Sprintf("GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: flood-%d\r\nX-Class: meter-read\r\n"+
 				"X-Tenant: tenant-%d\r\nX-Deadline-Ms: 1\r\nX-Padding: %s\r\n\r\n", i, i, strings.Repeat("p", 15_000))
 		},
+		"sound": func(i int) string {
+			return fmt.Sprintf("GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: flood-%d\r\nX-Class: meter-read\r\nX-Tenant: west\r\n"+
+				"X-Deadline-Ms: 500\r\n\r\n", i)
+		},
+		"one ID": func(int) string {
+			return "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: flood\r\nX-Class: bill-charge\r\nX-Tenant: west\r\n" +
+				"X-Deadline-Ms: 500\r\nContent-Length: 0\r\n\r\n"
+		},
 		"unsound": func(i int) string {
 			return fmt.Sprintf("POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: flood-%d\r\nX-Class: class-%d\r\nX-Deadline-Ms: 9\r\n"+
 				"Content-Length: 10\r\n\r\n0123456789", i, i)
@@ -343,40 +351,53 @@
 	for name, request := range floods {
 		t.Run(name, func(t *testing.T) {
 			r := newPressureRig(t, lowMemory(), 10, 0)
-			stopThrottle := r.node.Process().ThrottleCPU(pressureCores, 100*time.Millisecond)
+			stopThrottle := r.node.Process().ThrottleCPU(pressureCores, 20*time.Millisecond)
 			defer stopThrottle()
-			ctx, stop := context.WithTimeout(r.ctx, 5*time.Second)
-			defer stop()
-			var clients sync.WaitGroup
-			clients.Go(func() { floodConnection(ctx, r.node.Listen, request) })
-			var mu sync.Mutex
-			asked, late := 0, 0
-			for range 8 {
-				clients.Go(func() {
-					for ctx.Err() == nil {
-						q := r.read()
-						q.Wait = time.Second
-						got := q.Do(r.ctx, r.node.Listen)
-						mu.Lock()
-						asked++
-						if got.Status != http.StatusOK || got.EndedAt.Sub(got.SentAt) > q.Wait {
-							late++
-						}
-						mu.Unlock()
-						time.Sleep(50 * time.Millisecond) // between requests
-					}
-				})
-			}
-			clients.Wait()
-			t.Logf("requests of other clients: %d, not served in time: %d", asked, late)
-			if asked < 80 || late > asked/20 {
-				t.Errorf("requests of other clients beside the flood: got %d late of %d, want at least 80 and at most one in twenty late", late, asked)
+			without := r.serveOthers(floodTime)
+			ctx, stop := context.WithCancel(r.ctx)
+			var flood sync.WaitGroup
+			flood.Go(func() { floodConnection(ctx, r.node.Listen, request) })
+			beside := r.serveOthers(floodTime)
+			stop()
+			flood.Wait()
+			t.Logf("other clients without the flood: %+v, beside it: %+v", without, beside)
+			if beside.late > beside.asked/20 || 4*beside.asked < 3*without.asked {
+				t.Errorf("other clients beside the flood: got %+v, without it %+v; want at most one in twenty late and at least three "+
+					"quarters of the requests", beside, without)
 			}
 			r.requireMemory()
 		})
 	}
 }
 
+// floodTime is how long a flood lasts.
+const floodTime = 2500 * time.Millisecond
+
+// servedCount counts requests of clients that wait for each response before they send the next request.
+type servedCount struct{ asked, late int }
+
+// serveOthers has some clients send requests for d, and returns how many they sent and how many were not served in time.
+func (r *pressureRig) serveOthers(d time.Duration) (total servedCount) {
+	ctx, stop := context.WithTimeout(r.ctx, d)
+	defer stop()
+	var mu sync.Mutex
+	r.crowd(8, func(int) {
+		for ctx.Err() == nil {
+			q := r.read()
+			q.Wait = 250 * time.Millisecond
+			got := q.Do(r.ctx, r.node.Listen)
+			mu.Lock()
+			total.asked++
+			if got.Status != http.StatusOK || got.EndedAt.Sub(got.SentAt) > q.Wait {
+				total.late++
+			}
+			mu.Unlock()
+			time.Sleep(20 * time.Millisecond) // between requests
+		}
+	})
+	return total
+}
+
 // floodConnection sends requests on one connection as fast as the node takes them, and opens another when it is closed.
 func floodConnection(ctx context.Context, address string, request func(i int) string) {
 	for i := 0; ctx.Err() == nil; {
