Log at debug level what becomes of each request, attempt and client connection

Need: the logs of the incident have no line about a request, an attempt or a close. Change: with ROUTER_DEBUG_LOG set, a node logs each request received, rejected, answered (status, reason, attempts, time left) or left by its client, each attempt's begin and outcome, and each close of a client's connection with its reason and the last request's ID. Without it a request costs a few comparisons more; no benchmark was run for it yet.

--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -61,7 +61,7 @@
 	case policy.Reject:
 		l.reject(r, a.Wait)
 	case policy.Fail:
-		l.answer(r, downstream.Response{Status: http.StatusBadGateway})
+		l.answer(r, downstream.Response{Status: http.StatusBadGateway}, "the balancer fails it")
 		l.forget(r)
 	case policy.Cancel:
 		if a.Attempt < len(r.attempts) {
@@ -93,6 +93,7 @@
 	if a.AttemptDeadline > 0 {
 		attemptDeadline = min(attemptDeadline, a.AttemptDeadline)
 	}
+	l.traceSend(r, a)
 	f := upstream.NewLifetime(l.clock.at(attemptDeadline))
 	r.attempts = append(r.attempts, attempt{server: a.Server, sentAt: now, lifetime: f})
 	params := upstream.Attempt{Request: &r.Forwarded, Timeout: attemptDeadline - now, Lifetime: f,
@@ -110,6 +111,6 @@
 	if wait > 0 && l.allowed.RetryAfter {
 		a = downstream.Response{Status: http.StatusTooManyRequests, RetryAfter: wait}
 	}
-	l.answer(r, a)
+	l.answer(r, a, "the balancer rejects it")
 	l.forget(r)
 }
--- a/internal/node/downstream/client_conn.go
+++ b/internal/node/downstream/client_conn.go
@@ -64,6 +64,9 @@
 	ahead           readAhead
 	readDeadline    time.Time     // zero for none
 	reply           chan Response // from the handler, for the current request
+	openedAt        time.Time
+	endedBy         atomic.Pointer[closeReason]
+	lastID          string        // ID of the last request
 	busySince       time.Time     // when the goroutine that reads last waited or paused
 	responseWritten chan bool     // from the writer, after each response: whether the connection stays open
 	closed          chan struct{} // closed when the connection ends
@@ -90,7 +93,7 @@
 // newClientConn returns a clientConn for conn and tracks it. The caller must then call serve.
 func (s *Server) newClientConn(conn net.Conn) *clientConn {
 	c := &clientConn{Conn: conn, server: s, reader: readBuffers.Get().(*bufio.Reader), reply: make(chan Response, 1),
-		responseWritten: make(chan bool, 1), closed: make(chan struct{})}
+		responseWritten: make(chan bool, 1), closed: make(chan struct{}), openedAt: time.Now()}
 	c.tracked = s.clientConns.add(c)
 	c.held = s.Memory.NewReservation()
 	c.held.Add(connectionBytes)
@@ -109,6 +112,7 @@
 			slog.Error("panic while serving a client connection", "cause", cause, "stack", string(debug.Stack()))
 		}
 		closeQuietly(c)
+		c.logClose()
 		close(c.closed)
 		writer.Wait()
 		c.finishRequest()
@@ -121,11 +125,13 @@
 	c.busySince = time.Now()
 	for first := true; ; first = false {
 		if _, err := c.reader.Peek(1); err != nil {
+			c.end(closedByClient)
 			return
 		}
 		began := c.lastArrival // of the request's first byte: the rest of the head may arrive under other rules
 		h, err := c.heads.Read(c.reader, http1.MaxHeadBytes)
 		if err != nil {
+			c.end(closeReasonOf(err))
 			c.rejectUnreadable(err)
 			return
 		}
@@ -136,9 +142,11 @@
 		m.detach()
 		c.heads.Discard()
 		if problem != nil {
+			c.end(closedInvalid)
 			c.sendError(problem, true)
 			return
 		}
+		c.lastID = m.id
 		m.began = began
 		if first {
 			writer.Go(c.writeResponses)
@@ -220,12 +228,12 @@
 	}
 	if overLimit {
 		c.rejectRequest(&m, &requestError{status: http.StatusServiceUnavailable, text: "too many connections"})
-		return false
+		return c.end(closedOverLimit)
 	}
 	x, problem := s.readRequest(c, &m)
 	if problem != nil {
 		c.rejectRequest(&m, problem)
-		return false
+		return c.end(closedRejected)
 	}
 	s.handler.AddOpenRequests(1)
 	c.responsePending.Store(true)
@@ -235,7 +243,7 @@
 		if <-c.responseWritten { // the handler responds to the incomplete body
 			c.linger(earlyResponseLinger)
 		}
-		return false
+		return c.end(closedBodyUnread)
 	}
 	if !c.awaitNextRequest(x) {
 		return false
@@ -247,6 +255,7 @@
 	c.forbidReadAhead()
 	if !open {
 		c.linger(lastResponseLinger) // part of a further request may be unread
+		c.end(closedLastResponse)
 	}
 	return open
 }
@@ -275,7 +284,7 @@
 	}
 	c.closeAfterResponse = c.closeAfterResponse || m.Length != 0 // the body stays unread
 	if err := c.sendResponse(resp); err != nil || c.closeAfterResponse {
-		return false
+		return c.end(closedLastResponse)
 	}
 	c.server.clientConns.setState(c.tracked, http.StateIdle)
 	return c.awaitNextRequest(nil)
@@ -299,9 +308,9 @@
 				x.disconnected.Store(true)
 				c.server.handler.HandleDisconnect(x)
 			}
-			return false // a client that only closed its sending side counts as disconnected too
+			return c.end(closedByClient) // a client that only closed its sending side counts as disconnected too
 		case c.server.clientConns.isExpired(c.tracked, time.Now()) || c.server.closing.Load() && !c.responsePending.Load():
-			return false
+			return c.end(closedIdle)
 		}
 		// The connection isn't expired: the deadline was set by an earlier wait, or the current request takes long.
 		c.updateReadDeadline(time.Now().Add(IdleTimeout / 2))
--- a/internal/node/downstream/response_writer.go
+++ b/internal/node/downstream/response_writer.go
@@ -38,6 +38,9 @@
 		case resp := <-c.reply:
 			complete, early := c.writeResponse(resp)
 			open := complete && (early || !c.closeAfterResponse)
+			if !complete {
+				c.end(closedIncomplete)
+			}
 			c.finishRequest()
 			if open && !c.closeAfterResponse {
 				c.server.clientConns.setState(c.tracked, http.StateIdle)
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -130,7 +130,7 @@
 	l.rejectAll = true
 	for _, r := range l.requests {
 		if !r.ended {
-			l.fail(r, http.StatusBadGateway)
+			l.fail(r, http.StatusBadGateway, "the node stops")
 		}
 	}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -71,6 +71,7 @@
 	endpoints  map[string]discovery.Endpoint // the list as last received
 	unsent     []policy.Outcome              // of attempts that could not be sent; reported after all actions for an event
 	executed   executedIDs
+	tracing    bool           // log lines at debug level
 	attemptsWG sync.WaitGroup // attempts in flight
 
 	toSuccessor, toPredecessor idOutbox // IDs of new requests
@@ -85,6 +86,7 @@
 		events: make(chan event, eventBufferSize), done: make(chan struct{}), ready: make(chan struct{}),
 		requests: make(map[string]*request), endpoints: make(map[string]discovery.Endpoint), toSuccessor: idOutbox{changed: make(chan struct{}, 1)},
 		toPredecessor: idOutbox{changed: make(chan struct{}, 1)}}
+	l.tracing = isTracing()
 	l.listTarget = discoveryTarget(c)
 	l.classes.Store(newClassTable(nil, c.Settings))
 	l.listClient = discovery.NewClient(discoveryConfig(c), func(u discovery.Update) { l.send(endpointUpdate{u}) })
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -49,6 +49,7 @@
 		return
 	}
 	if status := l.rejectionOf(x); status != 0 {
+		l.traceRejection(x, status)
 		x.Reply <- downstream.Response{Status: status}
 		x.Release()
 		return
@@ -66,6 +67,7 @@
 		req.Timeout = max(0, r.deadline-l.clock.now())
 	}
 	heap.Push(&l.timers, r.backstop)
+	l.traceRequest(r)
 	l.shareOpenID(x)
 	l.decide(req)
 }
@@ -107,8 +109,8 @@
 // finishUpload handles the end of a request's streamed body. If err is not nil, the request fails.
 func (l *loop) finishUpload(r *request, err error) {
 	if err != nil {
-		status, _ := downstream.BodyErrorStatus(err)
-		l.fail(r, status)
+		status, reason := downstream.BodyErrorStatus(err)
+		l.fail(r, status, reason)
 		return
 	}
 	r.attempts[len(r.attempts)-1].sentAt = l.clock.now()
@@ -121,6 +123,7 @@
 		r.cancelAttempts()
 		return
 	}
+	l.traceDisconnect(r)
 	l.markEnded(r)
 	l.decide(policy.ClientCancelled{ID: r.Request.ID})
 	l.forget(r)
@@ -158,7 +161,7 @@
 	}
 	a.lifetime.SetDeadline(time.Time{})
 	a.answeredAt = l.clock.now()
-	l.answer(e.r, e.Response)
+	l.answer(e.r, e.Response, "a server's response begins")
 	l.decide(policy.FirstByte{ID: e.r.Request.ID, Server: a.server, Attempt: e.index, Latency: a.answeredAt - a.sentAt})
 }
 
@@ -166,6 +169,7 @@
 // response. The outcome is then reported to the balancer.
 func (l *loop) endAttempt(e attemptEnded) {
 	a := &e.r.attempts[e.index]
+	l.traceAttemptEnd(e)
 	e.r.pending--
 	endedAt := l.clock.now()
 	if a.answeredAt > 0 { // the time that the client takes to read the response says nothing about the server
@@ -178,24 +182,26 @@
 		l.rememberExecuted(e.r)
 	}
 	if e.Code == policy.OK && !e.r.ended {
-		l.answer(e.r, forwardedResponse(e.Response))
+		l.answer(e.r, forwardedResponse(e.Response), "a server's response")
 	}
 	l.decide(policy.Outcome{ID: e.r.Request.ID, Server: a.server, Attempt: e.index, Code: e.Code,
 		Latency: endedAt - a.sentAt, RequestEnded: e.r.ended, BodyConsumed: e.r.BodyConsumed(), LoadReport: e.LoadReport})
 	l.forget(e.r)
 }
 
-// answer sends the client its response, unless the request has ended.
-func (l *loop) answer(r *request, a downstream.Response) {
+// answer sends the client its response, unless the request has ended. The reason is logged.
+func (l *loop) answer(r *request, a downstream.Response, reason string) {
 	if !r.ended {
+		l.traceAnswer(r, a.Status, reason)
 		l.markEnded(r)
 		r.Reply <- a
 	}
 }
 
-// fail answers a request without asking the balancer, and tells the balancer that the request has ended.
-func (l *loop) fail(r *request, status int) {
-	l.answer(r, downstream.Response{Status: status})
+// fail answers a request without asking the balancer, and tells the balancer that the request has ended. The reason is
+// logged.
+func (l *loop) fail(r *request, status int, reason string) {
+	l.answer(r, downstream.Response{Status: status}, reason)
 	l.decide(policy.ClientCancelled{ID: r.Request.ID})
 	l.forget(r)
 }
--- a/internal/node/timers.go
+++ b/internal/node/timers.go
@@ -47,7 +47,7 @@
 		if r := t.backstopOf; r == nil {
 			l.decide(policy.Timer{Token: t.token})
 		} else {
-			l.fail(r, http.StatusGatewayTimeout) // the balancer has not answered in time
+			l.fail(r, http.StatusGatewayTimeout, "the balancer has not answered in time")
 		}
 	}
 }
