--- a/internal/peertest/client.go
+++ b/internal/peertest/client.go
@@ -30,12 +30,13 @@
 
 // Result is what a client saw of its request.
 type Result struct {
-	Status  int // 0 without a response
-	Whole   bool
-	SentAt  time.Time // when the last byte was written
-	BeganAt time.Time // when the response's first byte arrived
-	EndedAt time.Time
-	Err     error
+	Status    int // 0 without a response
+	Whole     bool
+	KeepAlive bool      // the connection stays open
+	SentAt    time.Time // when the last byte was written
+	BeganAt   time.Time // when the response's first byte arrived
+	EndedAt   time.Time
+	Err       error
 }
 
 // String describes the result for a failed test.
@@ -120,6 +121,7 @@
 			result.Err = err
 			return result
 		}
+		defer func() { result.KeepAlive = false }() // the rest of the request is still being written
 	}
 	_ = c.SetReadDeadline(time.Time{}) // as above
 	r.readResponse(ctx, response, &result)
@@ -139,6 +141,7 @@
 		_, err = io.Copy(io.Discard, response.Body)
 	}
 	result.Whole, result.Err = err == nil, err
+	result.KeepAlive = err == nil && !response.Close && from.Buffered() == 0
 }
 
 func (r Request) write(ctx context.Context, c net.Conn) error {
--- a/internal/testcluster/pressure_test.go
+++ b/internal/peertest/pressure_test.go
@@ -1,4 +1,4 @@
-package testcluster
+package peertest_test
 
 import (
 	"bufio"
@@ -16,6 +16,7 @@
 	"time"
 
 	"sloerail/internal/peertest"
+	"sloerail/internal/testcluster"
 )
 
 // The tests of this file run a node as a process with little memory between clients and servers that behave badly.
@@ -33,7 +34,7 @@
 type pressureRig struct {
 	t       *testing.T
 	ctx     context.Context
-	node    *Node
+	node    *testcluster.Node
 	servers *peertest.Servers
 	meter   *peertest.MemoryMeter
 	nextID  int
@@ -42,7 +43,7 @@
 
 // newPressureRig starts a node with the memory and descriptors that spec names. Its list has servers to which no connection
 // comes up, followed by servers of the rig.
-func newPressureRig(t *testing.T, spec NodeSpec, servers, unreachable int) *pressureRig {
+func newPressureRig(t *testing.T, spec testcluster.NodeSpec, servers, unreachable int) *pressureRig {
 	t.Helper()
 	cluster, ctx := newCluster(t)
 	var addresses []string
@@ -63,15 +64,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	startReady(t, ctx, n)
+	if _, err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Ready(withStepTimeout(t, ctx)); err != nil {
+		t.Fatal(err)
+	}
 	r := &pressureRig{t: t, ctx: ctx, node: n, servers: group}
 	r.meter = peertest.NewMemoryMeter(ctx, r.pids)
 	return r
 }
 
 // lowMemory is a node with the least memory, and with as many descriptors as the largest ones.
-func lowMemory() NodeSpec {
-	return NodeSpec{Cores: pressureCores, MemoryMB: pressureMemoryMB, Sockets: pressureSockets}
+func lowMemory() testcluster.NodeSpec {
+	return testcluster.NodeSpec{Cores: pressureCores, MemoryMB: pressureMemoryMB, Sockets: pressureSockets}
 }
 
 func (r *pressureRig) pids() (all []int) {
@@ -268,7 +274,7 @@
 
 // Guards against a long response without a length being cut off at the request's time although its server still gives it.
 func TestSteadyChunkedResponseIsNotCutOff(t *testing.T) {
-	r := newPressureRig(t, NodeSpec{Cores: pressureCores, MemoryMB: 64, Sockets: 384}, 6, 0)
+	r := newPressureRig(t, testcluster.NodeSpec{Cores: pressureCores, MemoryMB: 64, Sockets: 384}, 6, 0)
 	for range 4 {
 		q := r.order()
 		q.Behavior = peertest.ServerBehavior{Size: 150_000, Chunked: true, WriteRate: 80_000}
@@ -282,7 +288,7 @@
 // Guards against a final answer that comes seconds after the client's time because a server reads a large body slowly, or
 // stops reading it.
 func TestFinalAnswerIsInTimeWhenServerReadsSlowly(t *testing.T) {
-	r := newPressureRig(t, NodeSpec{Cores: pressureCores, MemoryMB: 64, Sockets: 384}, 6, 0)
+	r := newPressureRig(t, testcluster.NodeSpec{Cores: pressureCores, MemoryMB: 64, Sockets: 384}, 6, 0)
 	stuck, slow := peertest.ServerBehavior{StopReading: 18_000}, peertest.ServerBehavior{ReadRate: 100_000}
 	bodies := []struct {
 		request  peertest.Request
--- a/internal/testcluster/node.go
+++ b/internal/testcluster/node.go
@@ -135,6 +135,15 @@
 	return p, nil
 }
 
+// Reload writes the configuration file from the current Spec, and has the newest process read it.
+func (n *Node) Reload() error {
+	if _, err := n.writeConfig(); err != nil {
+		return err
+	}
+	n.Process().Signal(syscall.SIGHUP)
+	return nil
+}
+
 // Kill kills the node's newest process.
 func (n *Node) Kill() {
 	p := n.Process()
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -133,6 +133,9 @@
 // PID returns the process ID.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
+// LogPath returns the path of the file with the output of the process.
+func (p *Process) LogPath() string { return p.log }
+
 // Log returns the last maxLogBytes bytes of the output of the process, or the text of the error if it cannot be read.
 func (p *Process) Log() string {
 	f, err := os.Open(p.log)
