Let a streamed response that has begun outlast the end of a shutdown

Callers saw a long response cut off 3.6 s after SIGTERM, by the node itself, although its server still gave it. Cause: Server.Shutdown closed all connections at its end, 0.1 s before the kill may come. Change: streamed responses go on for up to a minute; the kill may come at any time after 3.7 s.

--- a/internal/node/downstream/client_conn.go
+++ b/internal/node/downstream/client_conn.go
@@ -77,6 +77,7 @@
 	closeAfterResponse    bool
 	http10                bool // the request is HTTP/1.0
 	responsePending       atomic.Bool
+	streaming             atomic.Bool // a streamed response is being written
 	writeDeadline         time.Time
 	bytesSent             int64 // over the connection's life, without streamed responses
 	requiresWriteDeadline bool  // set by a streamed response, since bytesSent doesn't count it
--- a/internal/node/downstream/client_conns.go
+++ b/internal/node/downstream/client_conns.go
@@ -186,12 +186,14 @@
 	}
 }
 
-// closeAll closes all connections.
-func (cc *ClientConns) closeAll() {
+// closeAllExcept closes all connections except those for which except returns true.
+func (cc *ClientConns) closeAllExcept(except func(*clientConn) bool) {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	for c := range cc.conns {
-		closeQuietly(c)
+	for conn := range cc.conns {
+		if c, ok := conn.(*clientConn); !ok || !except(c) {
+			closeQuietly(conn)
+		}
 	}
 }
 
--- a/internal/node/downstream/response_writer.go
+++ b/internal/node/downstream/response_writer.go
@@ -78,6 +78,8 @@
 // streamResponse writes a streamed response, and reports whether it was complete. An incomplete response ends the
 // connection, so that the client notices.
 func (c *clientConn) streamResponse(resp Response) bool {
+	c.streaming.Store(true)
+	defer c.streaming.Store(false)
 	conn := tcpConn(c)
 	if conn != nil {
 		_ = conn.SetWriteBuffer(clientSendBufferBytes) // if this fails, a slow client is only noticed later
--- a/internal/node/downstream/server.go
+++ b/internal/node/downstream/server.go
@@ -111,8 +111,12 @@
 	}
 }
 
+// maxStreamTime is how long Shutdown waits for streamed responses that have begun, after its end. A node that must end sooner
+// is killed.
+const maxStreamTime = time.Minute
+
 // Shutdown ends the idle connections as CloseIdle does, waits for the others until end, and then closes those still
-// open.
+// open. A streamed response that has begun is not cut off for up to maxStreamTime more.
 func (s *Server) Shutdown(end time.Time) {
 	s.CloseIdle()
 	closed := make(chan struct{})
@@ -120,13 +124,25 @@
 		s.conns.Wait()
 		close(closed)
 	}()
-	timeout := time.NewTimer(time.Until(end))
+	if endsBy(closed, end) {
+		return
+	}
+	s.clientConns.closeAllExcept(func(c *clientConn) bool { return c.streaming.Load() })
+	if !endsBy(closed, end.Add(maxStreamTime)) {
+		s.clientConns.closeAllExcept(func(*clientConn) bool { return false })
+		<-closed
+	}
+}
+
+// endsBy waits until ended is closed, and returns false if that takes longer than until a time.
+func endsBy(ended <-chan struct{}, at time.Time) bool {
+	timeout := time.NewTimer(time.Until(at))
 	defer timeout.Stop()
 	select {
-	case <-closed:
+	case <-ended:
+		return true
 	case <-timeout.C:
-		s.clientConns.closeAll()
-		<-closed
+		return false
 	}
 }
 
