Make room for connections that wait to be accepted, and evict silent new ones sooner

Cause: at the limit accepting stopped, and a new connection that sent nothing could be evicted only after 0.5 s; while two processes share descriptors, nothing was left for connections that get a 503 at once. Change: while connections wait at the limit, the quietest one is evicted every 10 ms; one that has sent nothing counts as quiet after 50 ms, unless its first bytes have arrived unread. During a hot restart up to four descriptors of the clients' share are kept for connections that are answered with 503.

--- a/internal/node/downstream/client_conns.go
+++ b/internal/node/downstream/client_conns.go
@@ -6,12 +6,16 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
 	// minSilentTime is how long a connection must have sent nothing, while its request is awaited, before it can be
 	// evicted. A client that connects has its request ready, and even a slow client keeps sending parts of it.
 	minSilentTime = 500 * time.Millisecond
+	// minUnheardTime is the same for a new connection that has sent nothing at all.
+	minUnheardTime = 50 * time.Millisecond
 	// MinIdleTime is how long a connection must have been idle after a response before it can be evicted.
 	MinIdleTime = 2 * time.Second
 	// crowdedDivisor sets how many connections are too many: while more than a quarter of the limit are open, connections
@@ -41,6 +45,7 @@
 	requestStart time.Time // time of the current request's first byte, or of the connect for the first request
 	awaitsInput  bool      // the rest of a head or a body is still expected
 	overLimit    bool      // opened at the limit, when no other connection could be evicted
+	heard        bool      // its first bytes have arrived, though they aren't read yet
 	evicted      bool      // the connection ends unless a request arrives first
 }
 
@@ -202,18 +207,42 @@
 func (t *trackedConn) quietFor(c net.Conn, now time.Time) (quietTime time.Duration, evictable bool) {
 	quietTime = now.Sub(t.since)
 	awaited := t.state == http.StateNew || t.state == http.StateActive && t.awaitsInput
+	unheard := false
 	if f, ok := c.(*clientConn); ok && awaited {
-		quietTime = min(quietTime, now.Sub(time.Unix(0, f.lastReceived.Load())))
+		lastReceived := f.lastReceived.Load()
+		unheard = lastReceived == 0 && !t.heard
+		quietTime = min(quietTime, now.Sub(time.Unix(0, lastReceived)))
 	}
 	switch {
 	case t.evicted:
 		return quietTime, false
+	case unheard:
+		return quietTime, quietTime >= minUnheardTime
 	case awaited:
 		return quietTime, quietTime >= minSilentTime
 	}
 	return quietTime, t.state == http.StateIdle && quietTime >= MinIdleTime
 }
 
+// hasUnreadStart reports whether the first bytes of a new connection have arrived, but its goroutine hasn't read them yet.
+// cc.mu is held.
+func (cc *ClientConns) hasUnreadStart(conn net.Conn) bool {
+	c, ok := conn.(*clientConn)
+	t := cc.conns[conn]
+	return ok && t.state == http.StateNew && !t.heard && c.lastReceived.Load() == 0 && c.hasPollEvent(unix.POLLIN)
+}
+
+// quietest returns the evictable connection that has been quiet for longest, or nil. cc.mu is held.
+func (cc *ClientConns) quietest(now time.Time) (quietest net.Conn) {
+	var longest time.Duration
+	for c, t := range cc.conns {
+		if quietTime, evictable := t.quietFor(c, now); evictable && quietTime > longest {
+			quietest, longest = c, quietTime
+		}
+	}
+	return quietest
+}
+
 // EvictQuietest evicts the connection that has been idle or silent for longest, and reports whether one could be evicted.
 func (cc *ClientConns) EvictQuietest(now time.Time) bool {
 	cc.mu.Lock()
@@ -235,12 +264,10 @@
 
 // evictQuietest is EvictQuietest with mu held.
 func (cc *ClientConns) evictQuietest(now time.Time) bool {
-	var quietest net.Conn
-	var longest time.Duration
-	for c, t := range cc.conns {
-		if quietTime, evictable := t.quietFor(c, now); evictable && quietTime > longest {
-			quietest, longest = c, quietTime
-		}
+	quietest := cc.quietest(now)
+	for quietest != nil && cc.hasUnreadStart(quietest) {
+		cc.conns[quietest].heard = true
+		quietest = cc.quietest(now)
 	}
 	if quietest == nil {
 		return false
--- a/internal/node/downstream/connection_limiter.go
+++ b/internal/node/downstream/connection_limiter.go
@@ -6,7 +6,10 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // ConnectionLimiter is a listener that limits how many of its connections are open at a time. During a hot restart, the
@@ -14,6 +17,10 @@
 // socket.
 type ConnectionLimiter struct {
 	net.Listener
+	// MakeRoom is called now and then while the limiter is at its limit and connections wait to be accepted. It may close
+	// some of those that are open. It must be set before the first call of Accept, if at all.
+	MakeRoom func()
+
 	mu      sync.Mutex
 	changed *sync.Cond
 	limit   int
@@ -51,7 +58,20 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	for !cl.closed && (cl.paused || cl.open >= cl.limit) {
-		cl.changed.Wait()
+		if cl.paused || cl.MakeRoom == nil {
+			cl.changed.Wait()
+			continue
+		}
+		cl.mu.Unlock()
+		if cl.hasPending() {
+			cl.MakeRoom()
+		}
+		cl.mu.Lock()
+		if cl.open >= cl.limit && !cl.closed {
+			retry := time.AfterFunc(makeRoomInterval, cl.wake)
+			cl.changed.Wait()
+			retry.Stop()
+		}
 	}
 	if cl.closed {
 		return net.ErrClosed
@@ -60,6 +80,29 @@
 	return nil
 }
 
+// makeRoomInterval is the time between two calls of MakeRoom.
+const makeRoomInterval = 10 * time.Millisecond
+
+func (cl *ConnectionLimiter) wake() {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.changed.Broadcast()
+}
+
+// hasPending reports whether connections wait to be accepted. It polls the socket and doesn't block.
+func (cl *ConnectionLimiter) hasPending() (pending bool) {
+	socket, ok := cl.Listener.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) { pending = pollNow(fd, unix.POLLIN) })
+	return err == nil && pending
+}
+
 func (cl *ConnectionLimiter) release() {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
--- a/internal/node/downstream/socket.go
+++ b/internal/node/downstream/socket.go
@@ -18,12 +18,14 @@
 	if err != nil {
 		return false
 	}
-	poll := func(fd uintptr) {
-		p := []unix.PollFd{{Fd: int32(fd), Events: event}}
-		n, err := unix.Poll(p, 0)
-		found = n > 0 && err == nil
-	}
-	return raw.Control(poll) != nil || found
+	return raw.Control(func(fd uintptr) { found = pollNow(fd, event) }) != nil || found
+}
+
+// pollNow reports whether polling a descriptor returns event or an error condition. It doesn't block.
+func pollNow(fd uintptr, event int16) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: event}}
+	n, err := unix.Poll(p, 0)
+	return n > 0 && err == nil
 }
 
 // underlyingConn returns the innermost connection that c wraps.
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -8,6 +8,13 @@
 	"sloerail/policy"
 )
 
+// During a hot restart there are no descriptors beyond the clients' share. Some of the share are then kept for connections
+// that get a 503 at once: maxSheddingConns, or the share divided by sheddingDivisor if that is less.
+const (
+	maxSheddingConns = 4
+	sheddingDivisor  = 16
+)
+
 // server is the client side of a node. It connects a downstream.Server to the loop, and knows which process of the node
 // serves clients.
 type server struct {
@@ -22,7 +29,11 @@
 	s := &server{loop: l, soleListener: make(chan struct{})}
 	descriptors := l.up.Descriptors()
 	maxConns := func() int {
-		return min(descriptors.ForClients(), downstream.MaxConnections(limits.clients.Limit()))
+		n := min(descriptors.ForClients(), downstream.MaxConnections(limits.clients.Limit()))
+		if s.AwaitingDescriptors.Load() {
+			n -= min(maxSheddingConns, n/sheddingDivisor)
+		}
+		return n
 	}
 	s.Server = downstream.NewServer(s, downstream.NewClientConns(maxConns, descriptors.SetClients, l.up.CloseExcessIdle))
 	s.Memory = limits.clients
