Leave room for a second process, and shed at once while connections wait to be accepted

Change: what is held for clients leaves 5 MB of heap to each of two processes; the heap's limit moves by whole MB during a hand-over. A connection over the limit can be evicted after 50 ms of silence, and waits 20 ms for a place while others wait behind it.

--- a/internal/node/downstream/client_conns.go
+++ b/internal/node/downstream/client_conns.go
@@ -14,7 +14,7 @@
 	// minSilentTime is how long a connection must have sent nothing, while its request is awaited, before it can be
 	// evicted. A client that connects has its request ready, and even a slow client keeps sending parts of it.
 	minSilentTime = 500 * time.Millisecond
-	// minUnheardTime is the same for a new connection that has sent nothing at all.
+	// minUnheardTime is the same for a new connection that has sent nothing at all, or is over the limit.
 	minUnheardTime = 50 * time.Millisecond
 	// MinIdleTime is how long a connection must have been idle after a response before it can be evicted.
 	MinIdleTime = 2 * time.Second
@@ -216,7 +216,7 @@
 	switch {
 	case t.evicted:
 		return quietTime, false
-	case unheard:
+	case unheard, awaited && t.overLimit: // one over the limit gets no more than a 503
 		return quietTime, quietTime >= minUnheardTime
 	case awaited:
 		return quietTime, quietTime >= minSilentTime
--- a/internal/node/downstream/connection_limiter.go
+++ b/internal/node/downstream/connection_limiter.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		cl.mu.Unlock()
-		if cl.hasPending() {
+		if cl.HasPending() {
 			cl.MakeRoom()
 		}
 		cl.mu.Lock()
@@ -89,11 +89,11 @@
 	cl.changed.Broadcast()
 }
 
-// hasPending reports whether connections wait to be accepted. It polls the socket and doesn't block.
-func (cl *ConnectionLimiter) hasPending() (pending bool) {
+// HasPending reports whether connections wait to be accepted. It polls the socket and doesn't block.
+func (cl *ConnectionLimiter) HasPending() (pending bool) {
 	socket, ok := cl.Listener.(syscall.Conn)
 	if !ok {
-		return true
+		return false
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
--- a/internal/node/downstream/server.go
+++ b/internal/node/downstream/server.go
@@ -21,7 +21,9 @@
 	maxAcceptBackoff = 250 * time.Millisecond
 	// capacityWaitTimeout is how long a request on a connection over the limit waits for a descriptor, while the
 	// predecessor of this process hands over descriptors.
-	capacityWaitTimeout  = 100 * time.Millisecond
+	capacityWaitTimeout = 100 * time.Millisecond
+	// crowdedWaitTimeout is the same while further connections wait to be accepted.
+	crowdedWaitTimeout   = 20 * time.Millisecond
 	capacityPollInterval = 5 * time.Millisecond
 )
 
@@ -70,6 +72,8 @@
 	Draining atomic.Bool
 	// Memory counts what is held for clients; nil for no limit.
 	Memory *memory.Budget
+	// HasPending reports whether connections wait to be accepted. It doesn't block.
+	HasPending func() bool
 	// AwaitingDescriptors is set during a hot restart, while the predecessor gradually releases descriptors to this
 	// process.
 	AwaitingDescriptors atomic.Bool
@@ -81,7 +85,9 @@
 }
 
 // NewServer returns a Server that tracks its connections in conns.
-func NewServer(h Handler, conns *ClientConns) *Server { return &Server{handler: h, clientConns: conns} }
+func NewServer(h Handler, conns *ClientConns) *Server {
+	return &Server{handler: h, clientConns: conns, HasPending: func() bool { return false }}
+}
 
 // ClientConns returns the connections of the server.
 func (s *Server) ClientConns() *ClientConns { return s.clientConns }
@@ -153,11 +159,12 @@
 }
 
 // awaitCapacity reports whether a connection is within the limit. For a connection over the limit, it waits up to
-// capacityWaitTimeout while the predecessor releases descriptors.
+// capacityWaitTimeout while the predecessor releases descriptors, or up to crowdedWaitTimeout if others wait behind it.
 func (s *Server) awaitCapacity(t *trackedConn) bool {
-	end := time.Now().Add(capacityWaitTimeout)
+	start := time.Now()
 	for t.overLimit && !s.clientConns.isAdmitted(t) {
-		if !s.AwaitingDescriptors.Load() || !time.Now().Before(end) {
+		waited := time.Since(start)
+		if !s.AwaitingDescriptors.Load() || waited >= capacityWaitTimeout || waited >= crowdedWaitTimeout && s.HasPending() {
 			return false
 		}
 		time.Sleep(capacityPollInterval)
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -25,6 +25,11 @@
 	// clientFraction is the part of a process's heap limit that may be held for clients. The rest is for the balancer, the
 	// list, and garbage.
 	clientFraction = 0.5
+	// idleHeapBytes is the heap of a process that holds nothing for clients, with its garbage. What may be held for clients
+	// leaves as much to a second process, or else the node could not hand over.
+	idleHeapBytes = 5 << 20
+	// heapStep is the least change of a process's heap limit while it shares the memory: each change stops the process.
+	heapStep = 1 << 20
 )
 
 // reservedSockets returns how many descriptors belong neither to the client side nor to the server side.
@@ -61,20 +66,23 @@
 
 // memoryLimits holds the memory limits of this process.
 type memoryLimits struct {
-	clients *memory.Budget
-	heap    atomic.Int64
+	clients    *memory.Budget
+	maxClients int64 // limit of clients
+	heap       atomic.Int64
 }
 
 func newMemoryLimits(c config.Config) *memoryLimits {
-	m := &memoryLimits{clients: new(memory.Budget)}
+	m := &memoryLimits{clients: new(memory.Budget), maxClients: max(minHeapBytes/2, heapBytes(c, 2)-2*idleHeapBytes)}
 	m.set(heapBytes(c, 1))
 	return m
 }
 
 // set sets how many bytes of heap this process may use.
 func (m *memoryLimits) set(heap int64) {
-	m.heap.Store(heap)
-	m.clients.SetLimit(int64(clientFraction * float64(heap)))
+	if m.heap.Swap(heap) == heap {
+		return
+	}
+	m.clients.SetLimit(min(m.maxClients, int64(clientFraction*float64(heap))))
 	debug.SetMemoryLimit(heap)
 }
 
@@ -82,7 +90,8 @@
 // returns how many bytes are left for the successor.
 func (m *memoryLimits) share(c config.Config) (left int64) {
 	total := heapBytes(c, 2)
-	needed := int64(float64(m.clients.Held()) / clientFraction)
+	needed := idleHeapBytes + m.clients.Held()
+	needed += heapStep - needed%heapStep
 	own := min(max(total/2, needed), total-minHeapBytes)
 	m.set(own)
 	return total - own
