Write a keyed retry within its window only, and tell servers the time left at the write

Cause: the window was checked at the decision (policy, mayRunOn); the attempt then waited for a descriptor and a dial. The time told to the server was that of the decision too. Change: policy sets Action.WriteBy, 0.15 s before the window's end; Transport.Do doesn't write later, and the attempt counts as never sent. X-Deadline-Ms is at most what is left when the head is written.

--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// sendAttempt sends a request to a server, unless the request has ended, its deadline has passed, its attempts are used
-// up, or an earlier attempt has read from its streamed body. The outcome of an attempt that is not sent is NotAttempted.
+// sendAttempt sends a request to a server, unless the request has ended, its deadline or the time to write it has passed,
+// its attempts are used up, or an earlier attempt has read from its streamed body. The outcome of an attempt that is not sent is NotAttempted.
 func (l *loop) sendAttempt(a policy.Action) {
 	r, now := l.requests[a.ID], l.clock.now()
 	if r == nil {
@@ -84,7 +84,7 @@
 	}
 	n := len(r.attempts)
 	r.pending++
-	if r.ended || now >= r.deadline || n >= max(1, l.allowed.MaxAttempts) || r.BodyConsumed() {
+	if r.ended || now >= r.deadline || a.WriteBy > 0 && now >= a.WriteBy || n >= max(1, l.allowed.MaxAttempts) || r.BodyConsumed() {
 		r.attempts = append(r.attempts, attempt{server: a.Server, sentAt: now, lifetime: upstream.NewLifetime(time.Time{})})
 		l.unsent = append(l.unsent, policy.Outcome{ID: a.ID, Server: a.Server, Attempt: n, Code: policy.NotAttempted})
 		return
@@ -98,6 +98,9 @@
 	r.attempts = append(r.attempts, attempt{server: a.Server, sentAt: now, lifetime: f})
 	params := upstream.Attempt{Request: &r.Forwarded, Timeout: attemptDeadline - now, Lifetime: f,
 		Observer: &attemptObserver{l, r, n}}
+	if a.WriteBy > 0 {
+		params.WriteBy = l.clock.at(a.WriteBy)
+	}
 	if !r.received {
 		params.Timeout = r.Timeout - r.margin()
 	}
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -18,7 +18,8 @@
 // Attempt describes one request to one server.
 type Attempt struct {
 	Request  *Request
-	Timeout  time.Duration // how long the server may take to respond; sent to the server
+	Timeout  time.Duration // how long the server may take to respond; it is told no more than is left when it is written
+	WriteBy  time.Time     // the request isn't written later; zero for no bound
 	Lifetime *Lifetime     // ends the attempt at its deadline or by cancellation
 	Observer Observer
 }
@@ -48,6 +49,11 @@
 		a.Observer.NotSent()
 		return Result{Code: policy.Cancelled}
 	}
+	if !a.WriteBy.IsZero() && !time.Now().Before(a.WriteBy) {
+		a.Lifetime.detach()
+		t.release(c, server, true) // as above
+		return Result{Code: policy.ConnectFailed}
+	}
 	result, reusable := t.roundTrip(c, a)
 	result.Sent = true
 	t.release(c, server, a.Lifetime.detach() && reusable)
--- a/internal/node/upstream/lifetime.go
+++ b/internal/node/upstream/lifetime.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// left returns the time until the deadline, at most timeout.
+func (l *Lifetime) left(timeout time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.deadline.IsZero() {
+		return timeout
+	}
+	return min(timeout, time.Until(l.deadline))
+}
+
 // streamStart returns the time from which what has arrived of a streamed response is passed on. A server that still sends
 // then isn't cut off at the deadline.
 func (l *Lifetime) streamStart(now time.Time) time.Time {
--- a/internal/node/upstream/wire.go
+++ b/internal/node/upstream/wire.go
@@ -32,7 +32,7 @@
 	b = http1.AppendField(b, idempotencyKeyHeader, r.IdempotencyKey)
 	b = http1.AppendField(b, "Content-Type", r.ContentType)
 	b = append(b, "\r\n"+timeoutHeader+": "...)
-	b = strconv.AppendInt(b, max(1, a.Timeout.Milliseconds()), 10)
+	b = strconv.AppendInt(b, max(1, a.Lifetime.left(a.Timeout).Milliseconds()), 10)
 	if r.hasFraming() {
 		b = http1.AppendBodyFraming(b, r.contentLength())
 	}
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -10,7 +10,7 @@
 // Action kinds. The comments name the fields of Action that each kind uses. Probe, SendPeerMessage, CloseIdle
 // and FetchList are part of the wire format, but no decision emits them.
 const (
-	Send   ActionKind = iota // ID, Server, AttemptDeadline
+	Send   ActionKind = iota // ID, Server, AttemptDeadline, WriteBy
 	Reject                   // ID, Wait: the client may safely send the request again after Wait
 	Fail                     // ID: the request may or may not have run
 	Cancel                   // ID, Attempt
@@ -31,6 +31,7 @@
 	ID              string
 	Server          string
 	AttemptDeadline Time // when the attempt times out; if 0, at the client's deadline
+	WriteBy         Time // the attempt may not be written later; 0 for no bound
 	Wait            time.Duration
 	Token           uint64
 	Attempt         int // index among the attempts of the request, from 0
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -53,7 +53,7 @@
 	if len(r.attempts) > 0 {
 		b.retryBudget.recordRetry(b.now)
 	}
-	b.emit(Action{Kind: Send, ID: r.ID, Server: s.ID, AttemptDeadline: r.usefulUntil})
+	b.emit(Action{Kind: Send, ID: r.ID, Server: s.ID, AttemptDeadline: r.usefulUntil, WriteBy: r.writeBy()})
 	r.attempts = append(r.attempts, attempt{server: s, sentAt: b.now, isProbe: isProbe,
 		warmingUp: b.isLimitedByWarmup(s), uncounted: r.Incomplete})
 	r.pendingAttempts++
--- a/policy/request.go
+++ b/policy/request.go
@@ -1,5 +1,7 @@
 package policy
 
+import "time"
+
 // request is a client request. It is kept until it needs no further response and its attempts have ended.
 type request struct {
 	Request
@@ -27,6 +29,18 @@
 	uncounted    bool // not counted as in flight: its request is incomplete, or its response has begun or ended
 }
 
+// maxWriteDelay is how long a node may be held up between reading its clock and writing.
+const maxWriteDelay = 150 * time.Millisecond
+
+// writeBy returns the time by which the next attempt must be written, or 0 if there is none: servers drop a repeat
+// of a keyed request only within the DedupWindow.
+func (r *request) writeBy() Time {
+	if r.mayHaveRun == nil || r.class.RetrySafety != IdempotencyKeyed {
+		return 0
+	}
+	return max(1, r.mayHaveRun.sentAt+r.class.DedupWindow-maxWriteDelay)
+}
+
 // updateMayHaveRun finds the first attempt that may have run. An attempt without an outcome may have run.
 func (r *request) updateMayHaveRun() {
 	r.mayHaveRun = nil
