Accept no more silent connections than the memory permits

Cause: with 32 MB and 1,024 descriptors 600 silent connections were accepted at once and counted against the memory for clients, so each request on a new connection got 503 until they were closed. Change: the connection limiter's limit follows the memory too, and MakeRoom evicts up to eight connections at a time.

--- a/internal/node/downstream/client_conns.go
+++ b/internal/node/downstream/client_conns.go
@@ -250,6 +250,21 @@
 	return cc.evictQuietest(now)
 }
 
+// maxEvictions is how many connections MakeRoom evicts at most.
+const maxEvictions = 8
+
+// MakeRoom evicts the connections that have been idle or silent for longest.
+func (cc *ClientConns) MakeRoom() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	now := time.Now()
+	for range maxEvictions {
+		if !cc.evictQuietest(now) {
+			return
+		}
+	}
+}
+
 // CountIdle returns the number of idle connections.
 func (cc *ClientConns) CountIdle() (n int) {
 	cc.mu.Lock()
--- a/internal/node/hot_restart.go
+++ b/internal/node/hot_restart.go
@@ -185,7 +185,7 @@
 	h.mu.Unlock()
 	h.transport.Descriptors().SetTotal(sockets - reserved)
 	h.transport.LiftLimit()
-	h.clients.SetLimit(h.transport.Descriptors().MaxClients() + surplus)
+	h.clients.SetLimit(min(h.transport.Descriptors().MaxClients(), h.memory.maxConnections()) + surplus)
 }
 
 // followPredecessor applies the predecessor's progress: it takes the descriptors and the memory that the predecessor has
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,7 +48,7 @@
 	wg.Go(func() { l.listClient.Run(runCtx) })
 	clientListener := downstream.NewConnectionLimiter(listeners.Clients, maxSockets)
 	s.HasPending = clientListener.HasPending
-	clientListener.MakeRoom = func() { s.ClientConns().EvictQuietest(time.Now()) }
+	clientListener.MakeRoom = s.ClientConns().MakeRoom
 	restart := &hotRestart{config: c, server: s, transport: transport, clients: clientListener, fleet: fleet,
 		memory: limits, sockets: maxSockets}
 	restart.shareSockets()
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -7,6 +7,7 @@
 	gossip "sloerail/internal/membership"
 
 	"sloerail/internal/node/config"
+	"sloerail/internal/node/downstream"
 	"sloerail/internal/node/memory"
 )
 
@@ -86,6 +87,9 @@
 	debug.SetMemoryLimit(heap)
 }
 
+// maxConnections returns how many client connections the memory permits.
+func (m *memoryLimits) maxConnections() int { return downstream.MaxConnections(m.clients.Limit()) }
+
 // share limits this process to half of the node's heap, or to what it needs for what it holds, while it has a successor. It
 // returns how many bytes are left for the successor.
 func (m *memoryLimits) share(c config.Config) (left int64) {
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -455,7 +455,7 @@
 	}
 	l, _ := startLoop(t, "127.0.0.1:9", sendOnce)
 	h := &hotRestart{config: testConfig(t, nodetest.KnownList("127.0.0.1:9")), server: newServer(l, testLimits()), transport: l.up,
-		clients: downstream.NewConnectionLimiter(nodetest.Listener(t), 1), sockets: 60}
+		clients: downstream.NewConnectionLimiter(nodetest.Listener(t), 1), sockets: 60, memory: testLimits()}
 	for _, sharing := range []bool{true, false} {
 		h.server.AwaitingDescriptors.Store(sharing)
 		h.shareSockets()
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -29,7 +29,7 @@
 	s := &server{loop: l, soleListener: make(chan struct{})}
 	descriptors := l.up.Descriptors()
 	maxConns := func() int {
-		n := min(descriptors.ForClients(), downstream.MaxConnections(limits.clients.Limit()))
+		n := min(descriptors.ForClients(), limits.maxConnections())
 		if s.AwaitingDescriptors.Load() {
 			n -= min(maxSheddingConns, n/sheddingDivisor)
 		}
--- a/internal/peertest/pressure_test.go
+++ b/internal/peertest/pressure_test.go
@@ -246,6 +246,35 @@
 	r.requireMemory()
 }
 
+// Guards against silent connections that take the memory of requests on new connections, until they are closed.
+func TestSilentConnectionsLeaveMemoryForRequests(t *testing.T) {
+	r := newPressureRig(t, lowMemory(), 10, 0)
+	for range crowdSize {
+		c, err := peertest.Connect(r.ctx, r.node.Listen, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }() // the node may have closed it
+	}
+	const requests, minServed = 20, 15 // the first ones may come before a silent connection can be evicted
+	served := 0
+	for range requests {
+		q := r.read()
+		q.Wait = time.Second
+		got := q.Do(r.ctx, r.node.Listen)
+		if !got.IsAnsweredInTime(q.Wait) {
+			t.Errorf("request beside %d silent connections: got %v, want an answer in time", crowdSize, got)
+		}
+		if got.Status == http.StatusOK {
+			served++
+		}
+	}
+	if served < minServed {
+		t.Errorf("requests served beside %d silent connections: got %d of %d, want at least %d", crowdSize, served, requests, minServed)
+	}
+	r.requireMemory()
+}
+
 // Guards against two processes of a node that together pass its memory limit while their clients write and read slowly.
 func TestMemoryHoldsDuringReplacement(t *testing.T) {
 	r := newPressureRig(t, lowMemory(), 10, 0)
