--- a/policy/admission.go
+++ b/policy/admission.go
@@ -109,7 +109,7 @@
 }
 
 // newBucketKey returns the key of the bucket to use for a key that has no bucket yet. It is the given key or,
-// if the tenant has no quota and has a long name or there are maxBuckets buckets or more, the key of the shared
+// if the tenant has no quota, and has a long name or there are maxBuckets buckets or more, the key of the shared
 // bucket.
 func (l *rateLimiter) newBucketKey(key bucketKey) bucketKey {
 	_, hasQuota := l.tenantLimits[key.tenant]
