--- a/policy/admission.go
+++ b/policy/admission.go
@@ -109,8 +109,8 @@
 }
 
 // newBucketKey returns the key of the bucket to use for a key that has no bucket yet. It is the given key or,
-// if the tenant has no quota, and has a long name or there are maxBuckets buckets or more, the key of the shared
-// bucket.
+// if the tenant has no quota, and has a long name or there are maxBuckets buckets or more, the key of the
+// shared bucket.
 func (l *rateLimiter) newBucketKey(key bucketKey) bucketKey {
 	_, hasQuota := l.tenantLimits[key.tenant]
 	if !hasQuota && (l.buckets.isFull() || len(key.tenant) > maxTenantBytes) {
--- a/policy/request.go
+++ b/policy/request.go
@@ -32,8 +32,8 @@
 // maxWriteDelay is how long a node may be held up between reading its clock and writing.
 const maxWriteDelay = 150 * time.Millisecond
 
-// writeBy returns the time by which the next attempt must be written, or 0 if there is none: servers drop a repeat
-// of a keyed request only within the DedupWindow.
+// writeBy returns the time by which the next attempt must be written, or 0 if there is none. Servers drop a
+// repeat of a keyed request only within the DedupWindow.
 func (r *request) writeBy() Time {
 	if r.mayHaveRun == nil || r.class.RetrySafety != IdempotencyKeyed {
 		return 0
