Add a flood on one connection to some runs of the soak

Need: the incident's third picture, mixed with the others. Change: seeds divisible by three have a client that sends small sound and unsound requests under ever new names at full speed.

--- a/internal/peertest/soak_test.go
+++ b/internal/peertest/soak_test.go
@@ -28,6 +28,8 @@
 	soakClients     = 12
 	soakThinkTime   = 100 * time.Millisecond // at most, between two requests of a client
 	repeatedSignals = 3                      // in a series
+	// floodSeedDivisor divides the seeds of the runs with a flood.
+	floodSeedDivisor = 3
 	// killDelay is when SIGKILL may come after SIGTERM at the earliest: the longest deadline, 3 s at most, and 0.7 s.
 	killDelay = 3700 * time.Millisecond
 )
@@ -76,6 +78,10 @@
 			running.Go(func() { s.crowdClient(crowdRandom) })
 		}
 	}
+	if seed%floodSeedDivisor == 0 {
+		s.order("a flood on one connection")
+		running.Go(func() { floodConnection(s.ctx, s.node.Listen, s.floodRequest) })
+	}
 	for s.ctx.Err() == nil {
 		s.orderNode(random)
 	}
@@ -261,6 +267,16 @@
 	}
 }
 
+// floodRequest returns one of the small requests of a flood: sound, with ever new tenants, or unsound.
+func (s *soak) floodRequest(i int) string {
+	class := "meter-read"
+	if i%50 == 0 {
+		class = fmt.Sprint("class-", i)
+	}
+	return fmt.Sprintf("GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: flood-%d\r\nX-Class: %s\r\nX-Tenant: tenant-%d\r\n"+
+		"X-Deadline-Ms: 500\r\n\r\n", i, class, i)
+}
+
 // leaveEarly sends a request's head and closes the connection.
 func (s *soak) leaveEarly(q peertest.Request, after time.Duration) {
 	c, err := peertest.Connect(s.ctx, s.node.Listen, 0)
