Reuse a server connection only once the whole request is written

Cause: since a body is read ahead, it may have arrived whole while an attempt still writes it. After an early response the connection went back to its pool, and the next request could have been written between the body's bytes. Change: a connection is reusable once the request's last byte is written; BodyStream.Complete, which nothing else used, is gone. A close for lack of a head in time has that reason in the debug log. Found by reading the change.

--- a/internal/node/downstream/client_conn.go
+++ b/internal/node/downstream/client_conn.go
@@ -126,7 +126,7 @@
 	c.busySince = time.Now()
 	for first := true; ; first = false {
 		if _, err := c.reader.Peek(1); err != nil {
-			c.end(closedByClient)
+			c.end(closeReasonOf(err))
 			return
 		}
 		began := c.lastArrival // of the request's first byte: the rest of the head may arrive under other rules
--- a/internal/node/downstream/close_reason.go
+++ b/internal/node/downstream/close_reason.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"log/slog"
 	"os"
 	"time"
@@ -34,6 +35,8 @@
 	case errors.Is(err, http1.ErrMalformedHead), errors.Is(err, http1.ErrHeadTooLong), errors.Is(err, http1.ErrTooManyFields),
 		errors.Is(err, http1.ErrNoMemory):
 		return closeReason("unreadable head: " + err.Error())
+	case errors.Is(err, io.EOF):
+		return closedByClient
 	}
 	return closedHeadTruncated
 }
--- a/internal/node/downstream/request_body.go
+++ b/internal/node/downstream/request_body.go
@@ -287,13 +287,6 @@
 	}
 }
 
-// Complete reports whether the whole body was received.
-func (u *upload) Complete() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return errors.Is(u.err, io.EOF)
-}
-
 // isConsumed reports whether an attempt has taken from the body.
 func (u *upload) isConsumed() bool {
 	u.mu.Lock()
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -84,7 +84,7 @@
 			return Result{Code: a.Lifetime.failureCode(err, true)}, false
 		}
 	}
-	reusable = resp.keepAlive && r.buf.Buffered() == 0 && (a.Request.Stream == nil || a.Request.Stream.Complete())
+	reusable = resp.keepAlive && r.buf.Buffered() == 0 && w.complete.Load()
 	result := Result{Code: resp.outcome(), LoadReport: resp.loadReport(t.loadReportFields())}
 	if result.Code == policy.OK {
 		result.Response = resp.Response
--- a/internal/node/upstream/request.go
+++ b/internal/node/upstream/request.go
@@ -44,8 +44,6 @@
 	Begin()
 	// End is called when an attempt can read nothing more: with nil at the end of the complete body, else with the reason.
 	End(err error)
-	// Complete reports whether the whole body has arrived.
-	Complete() bool
 }
 
 // isChunked reports whether the body is written in chunks.
