Send a predecessor IDs only after the notification that its successor serves

Cause: the log has "the successor has gone ... json: cannot unmarshal string". A successor that served a request before it had notified its predecessor sent the ID first; the predecessor took its first byte for the notification and the rest for nonsense. Change: Predecessor.SendExecuted waits until Follow has sent the notification. Measured: TestIDsFollowTheNotificationOfThePredecessor fails before with the same log line, and passes three times with -race.

--- a/internal/node/hotrestart/hotrestart_test.go
+++ b/internal/node/hotrestart/hotrestart_test.go
@@ -6,9 +6,11 @@
 	"io/fs"
 	"maps"
 	"net"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -24,13 +26,15 @@
 
 // fakeProcess is a Process that records calls of StopAccepting and Resume.
 type fakeProcess struct {
-	clients net.Listener
-	stopped chan struct{}
-	resumed chan bool
+	clients  net.Listener
+	stopped  chan struct{}
+	resumed  chan bool
+	executed chan []uint64 // from the successor
 }
 
 func newFakeProcess(clients net.Listener) *fakeProcess {
-	return &fakeProcess{clients: clients, stopped: make(chan struct{}, 8), resumed: make(chan bool, 8)}
+	return &fakeProcess{clients: clients, stopped: make(chan struct{}, 8), resumed: make(chan bool, 8),
+		executed: make(chan []uint64, 8)}
 }
 
 func (p *fakeProcess) ClientsSocket() (syscall.RawConn, error) {
@@ -50,7 +54,7 @@
 
 func (p *fakeProcess) ProgressChanged() <-chan struct{} { return nil }
 
-func (p *fakeProcess) SuccessorExecuted([]uint64) {}
+func (p *fakeProcess) SuccessorExecuted(hashes []uint64) { p.executed <- hashes }
 
 func (p *fakeProcess) Resume(successorServed bool) { p.resumed <- successorServed }
 
@@ -119,6 +123,33 @@
 	}
 }
 
+// Guards against a predecessor that takes an ID for the notification that its successor serves, and then its successor for
+// gone: the successor may serve a request before it notifies the predecessor.
+func TestIDsFollowTheNotificationOfThePredecessor(t *testing.T) {
+	clients, id := testNode(t)
+	process := newFakeProcess(clients)
+	process.serve(t, id)
+	predecessor, err := TakeOver(id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nodetest.Close(t, predecessor.Clients)
+	sent := make(chan error, 1)
+	go func() { sent <- predecessor.SendExecuted([]uint64{1, 2}) }()
+	select {
+	case err := <-sent:
+		t.Errorf("IDs were sent before the notification, error %v", err)
+	case <-time.After(100 * time.Millisecond): // long enough for a write
+	}
+	go predecessor.Follow(func() {}, func(Progress, bool) {})
+	if got := nodetest.Receive(t, "the IDs", process.executed); !slices.Equal(got, []uint64{1, 2}) {
+		t.Errorf("IDs from the successor: got %v, want 1 and 2", got)
+	}
+	if len(process.resumed) != 0 {
+		t.Error("the predecessor took its successor for gone")
+	}
+}
+
 // The predecessor resumes when its successor goes away, and is told whether the successor had served.
 func TestPredecessorResumesWithoutItsSuccessor(t *testing.T) {
 	clients, id := testNode(t)
--- a/internal/node/hotrestart/takeover.go
+++ b/internal/node/hotrestart/takeover.go
@@ -35,6 +35,7 @@
 	Clients  net.Listener // the clients' listener
 	conn     *net.UnixConn
 	messages *json.Decoder
+	notified chan struct{} // closed once Follow has sent readyByte, which the predecessor reads first
 }
 
 // TakeOver receives the listening socket and the state from the serving process. If there is no
@@ -64,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Predecessor{conn: conn}, nil
+	return &Predecessor{conn: conn, notified: make(chan struct{})}, nil
 }
 
 // receive reads the listening socket and the state.
@@ -131,8 +132,9 @@
 func (p *Predecessor) Close() error { return p.conn.Close() }
 
 // SendExecuted sends the predecessor hashes of IDs of requests that may have run at this process. It may be called only if
-// State.AcceptsExecuted is set and Follow has been called.
+// State.AcceptsExecuted is set, and waits until Follow has notified the predecessor.
 func (p *Predecessor) SendExecuted(hashes []uint64) error {
+	<-p.notified
 	return json.NewEncoder(p.conn).Encode(State{Executed: hashes})
 }
 
@@ -147,6 +149,7 @@
 	if _, err := p.conn.Write([]byte{readyByte}); err != nil {
 		slog.Warn("hot restart: failed to notify the predecessor that this process serves", "error", err)
 	}
+	close(p.notified)
 	confirmTimer := time.AfterFunc(stepTimeout, func() {
 		slog.Warn("hot restart: the predecessor has not confirmed that it stopped accepting clients", "after", stepTimeout)
 		yielded()
