Count only what is read ahead of a connection's requests

Callers would have seen 503 from a node with one long-lived connection that sends its requests ahead. Cause: each look for a disconnect took 4 KiB of the memory for clients before it read, and kept them counted if there was nothing to read (downstream/read_ahead.go, readNow), until the connection ended. Change: they are returned at once. Found when the change was read once more.

--- a/internal/node/downstream/read_ahead.go
+++ b/internal/node/downstream/read_ahead.go
@@ -110,14 +110,16 @@
 	if size+readAheadBytes > maxPipelinedBytes || !c.held.Take(readAheadBytes, memory.ReadAhead) {
 		return 0, errReadAheadFull
 	}
-	c.ahead.held += readAheadBytes
 	grown := append(c.ahead.bytes, make([]byte, readAheadBytes)...)
 	if controlErr := raw.Control(func(fd uintptr) { n, err = unix.Read(int(fd), grown[size:]) }); controlErr != nil {
-		return 0, errNoSocket
+		err = errNoSocket
 	}
-	c.ahead.bytes = grown[:size+max(0, n)]
-	if n > 0 {
-		c.recordArrival()
+	if n <= 0 {
+		c.held.Return(readAheadBytes)
+		return n, err
 	}
+	c.ahead.held += readAheadBytes
+	c.ahead.bytes = grown[:size+n]
+	c.recordArrival()
 	return n, err
 }
