Poll a client once a block of its body, and take twin checks out of the hand-over

Need: the change was read once more. Each block of a long body polled the socket twice or three times for the same answer; followPredecessor asked twice whether the predecessor had ended, and compared a limit that memoryLimits.set compares. Change: receiveNext tells readClient whether the client is awaited; the twins are gone; three long lines are wrapped. Behaviour is meant to be the same; processor time was not measured. Measured: internal/node/... with -race, TestFinalAnswerIsInTimeWhenServerReadsSlowly, TestRequestsOfAClientThatLeftAreNotSent, TestMemoryHoldsUnderSlowWriters and TestIDRunsOnce... pass.

--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -75,7 +75,8 @@
 }
 
 // sendAttempt sends a request to a server, unless the request has ended, its deadline or the time to write it has passed,
-// its attempts are used up, or an earlier attempt has read from its streamed body. The outcome of an attempt that is not sent is NotAttempted.
+// its attempts are used up, or an earlier attempt has read from its streamed body. The outcome of an attempt that is not
+// sent is NotAttempted.
 func (l *loop) sendAttempt(a policy.Action) {
 	r, now := l.requests[a.ID], l.clock.now()
 	if r == nil {
--- a/internal/node/downstream/request_body.go
+++ b/internal/node/downstream/request_body.go
@@ -85,9 +85,9 @@
 	return u
 }
 
-// readClient reads from the client. It fails once the client has exceeded its time. With a nil p it waits until there is
-// something to read.
-func (u *upload) readClient(p []byte) (n int, err error) {
+// readClient reads from the client. It fails once the client has exceeded its time. awaited is whether the read has to wait
+// for the client. With a nil p it waits until there is something to read.
+func (u *upload) readClient(p []byte, awaited bool) (n int, err error) {
 	start := time.Now()
 	timeout := max(u.headTimeLeft, bodyGrace+time.Duration(u.received)*time.Second/minBodyBytesPerSecond) - u.clientTime
 	if err := u.conn.SetReadDeadline(start.Add(timeout)); err != nil {
@@ -96,7 +96,6 @@
 	if u.stopped.Load() { // checked after the deadline is set, which may replace the one set by stop
 		return 0, errAlreadyResponded
 	}
-	awaited := u.conn.mustAwaitClient()
 	if p == nil {
 		_, err = u.conn.reader.Peek(1)
 	} else {
@@ -128,7 +127,7 @@
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
-		n, err := u.readClient(body[len(body):min(cap(body), maxBytes)])
+		n, err := u.readClient(body[len(body):min(cap(body), maxBytes)], u.conn.mustAwaitClient())
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
 			u.conn.updateReadDeadline(time.Time{}) // reading continues, to notice if the client disconnects
@@ -160,7 +159,7 @@
 func (u *upload) receiveNext() (n int, err error) {
 	u.conn.pauseIfBusy()
 	if u.conn.mustAwaitClient() { // without holding a block meanwhile
-		if _, err := u.readClient(nil); err != nil {
+		if _, err := u.readClient(nil, true); err != nil {
 			return 0, noEOF(err)
 		}
 	}
@@ -168,7 +167,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return u.readClient(space)
+	return u.readClient(space, false) // there is something to read
 }
 
 // noEOF returns io.ErrUnexpectedEOF for io.EOF, and any other err unchanged.
--- a/internal/node/hot_restart.go
+++ b/internal/node/hot_restart.go
@@ -195,14 +195,12 @@
 	if len(progress.Executed) > 0 {
 		h.server.loop.send(executedElsewhere{progress.Executed, false})
 	}
-	if ended {
-		h.server.loop.toPredecessor.setOpen(false)
-	}
 	sockets, heap := progress.Sockets, successorHeap(h.config, progress.Memory)
 	if ended {
 		sockets, heap = h.config.Sockets, heapBytes(h.config, 1)
+		h.server.loop.toPredecessor.setOpen(false)
 	}
-	if !h.server.superseded.Load() && heap != h.memory.heap.Load() {
+	if !h.server.superseded.Load() {
 		h.memory.set(heap)
 	}
 	h.mu.Lock()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -84,8 +84,8 @@
 	}
 	l := &loop{clock: ck, balancer: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up, metrics: metrics,
 		events: make(chan event, eventBufferSize), done: make(chan struct{}), ready: make(chan struct{}),
-		requests: make(map[string]*request), endpoints: make(map[string]discovery.Endpoint), toSuccessor: idOutbox{changed: make(chan struct{}, 1)},
-		toPredecessor: idOutbox{changed: make(chan struct{}, 1)}}
+		requests: make(map[string]*request), endpoints: make(map[string]discovery.Endpoint),
+		toSuccessor: idOutbox{changed: make(chan struct{}, 1)}, toPredecessor: idOutbox{changed: make(chan struct{}, 1)}}
 	l.tracing = c.DebugLog
 	l.listTarget = discoveryTarget(c)
 	l.classes.Store(newClassTable(nil, c.Settings))
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -7,7 +7,8 @@
 	"sloerail/policy"
 )
 
-// The lines of this file are logged at debug level, with config.Config.DebugLog: what became of each request, and of each attempt at a server.
+// The lines of this file are logged at debug level, with config.Config.DebugLog: what became of each request, and of each
+// attempt at a server.
 
 func (l *loop) traceRequest(r *request) {
 	if l.tracing {
