--- a/review/_standins-2/kit.go
+++ b/review/_standins-2/kit.go
@@ -116,7 +116,13 @@
 	if err != nil {
 		return "", nil, err
 	}
-	address = l.Addr().String()
+	server := &http.Server{Handler: d.handler(l.Addr().String())}
+	go server.Serve(l)
+	return l.Addr().String(), func() { server.Close() }, nil
+}
+
+// handler answers the calls at one address.
+func (d *discovery) handler(address string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", func(w http.ResponseWriter, r *http.Request) {
 		if d.onCall != nil {
@@ -149,9 +155,7 @@
 			d.onTold(address, told)
 		}
 	})
-	server := &http.Server{Handler: mux}
-	go server.Serve(l)
-	return address, func() { server.Close() }, nil
+	return mux
 }
 
 // service is a class in the settings.
