--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
 for program in "$root/bin/sloerail-node" "$root/bin/review-2"; do
 	[ -x "$program" ] || { echo "$program: not built"; exit 2; }
 done
-REVIEW_ROOT=$root exec "$root/bin/review-2" pipeline "$dir"
+REVIEW_ROOT=$root exec "$root/bin/review-2" broken-file "$dir"
--- a/review/_standins-2/reloads.go
+++ b/review/_standins-2/reloads.go
@@ -112,7 +112,9 @@
 	m := &movingDiscovery{discovery: newDiscovery(entries)}
 	m.delay = callTime
 	m.onCall = func(address, query string) { r.logf("discovery %s: call %q", address, query) }
-	m.onTold = func(address string, told []entry) { r.logf("discovery %s: answered with %d entries", address, len(told)) }
+	m.onTold = func(address string, told []entry) {
+		r.logf("discovery %s: answered with %d entries", address, len(told))
+	}
 	address, err := m.move()
 	if err != nil {
 		return false, err
