Review cases end themselves after 115 s

Cause: a stand-in that hangs could have kept a case beyond its 120 s. Added: a limit in the stand-ins' main program, which exits with 2; the kernel then ends the nodes.

--- a/review/_standins-2/brokenfile.go
+++ b/review/_standins-2/brokenfile.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,7 +17,7 @@
 
 // brokenFile sends SIGHUP for a file in which a guarded class lacks its window, while one of six servers fails fast. Nothing of
 // that file is to be taken, so the other guarded class must stay in one cell.
-func brokenFile(ctx context.Context, r *record, temp string, trouble bool) (bool, error) {
+func brokenFile(r *record, temp string, trouble bool) (bool, error) {
 	type runs struct{ servers []int }
 	var mu sync.Mutex
 	begun := map[string]*runs{} // by idempotency key
--- a/review/_standins-2/kit.go
+++ b/review/_standins-2/kit.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -353,7 +352,7 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
-// request returns the head of a request in the form of the protocol page.
+// requestHead returns the head of a request in the form of the protocol page.
 func requestHead(method, id, class string, deadline time.Duration, key string, length int) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: new-cairo-east\r\n"+
@@ -369,10 +368,13 @@
 }
 
 // caseFunc plays a case. It returns whether the rule was broken.
-type caseFunc func(ctx context.Context, r *record, temp string, trouble bool) (broken bool, err error)
+type caseFunc func(r *record, temp string, trouble bool) (broken bool, err error)
 
 var cases = map[string]caseFunc{}
 
+// maxTime is the time after which a case ends itself.
+const maxTime = 115 * time.Second
+
 func main() {
 	os.Exit(run())
 }
@@ -397,11 +399,13 @@
 	} else {
 		fmt.Println(temp)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 110*time.Second)
-	defer cancel()
+	time.AfterFunc(maxTime, func() { // the kernel then ends the nodes
+		fmt.Println("the case takes too long")
+		os.Exit(2)
+	})
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.logf("case %s, trouble %t", os.Args[1], trouble)
-	broken, err := cases[os.Args[1]](ctx, r, temp, trouble)
+	broken, err := cases[os.Args[1]](r, temp, trouble)
 	switch {
 	case err != nil:
 		r.summary("the case couldn't run: %v", err)
--- a/review/_standins-2/memory.go
+++ b/review/_standins-2/memory.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -84,7 +83,7 @@
 }
 
 // memoryCase replaces the process of a node of a large fleet under load, and measures the memory of its processes.
-func memoryCase(ctx context.Context, r *record, temp string, trouble bool) (bool, error) {
+func memoryCase(r *record, temp string, trouble bool) (bool, error) {
 	memory := memoryMB
 	if text := os.Getenv("REVIEW_MB"); text != "" {
 		fmt.Sscan(text, &memory)
--- a/review/_standins-2/pieces.go
+++ b/review/_standins-2/pieces.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -21,7 +20,7 @@
 
 // pieces has servers that give long answers without a length in pieces of 32 KiB, the first one soon and then one each half
 // second: 64 kB a second. Without trouble the pieces come at once.
-func pieces(ctx context.Context, r *record, temp string, trouble bool) (bool, error) {
+func pieces(r *record, temp string, trouble bool) (bool, error) {
 	interval := 500 * time.Millisecond
 	if !trouble {
 		interval = 0
--- a/review/_standins-2/reloads.go
+++ b/review/_standins-2/reloads.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -72,7 +71,7 @@
 }
 
 // reloads drains a server, and then sends several new configurations, each of which moves discovery, which is slow.
-func reloads(ctx context.Context, r *record, temp string, trouble bool) (bool, error) {
+func reloads(r *record, temp string, trouble bool) (bool, error) {
 	var drainedAt, lastSend atomic.Int64 // Unix nanoseconds
 	var late, toDrained, answered, other atomic.Int64
 	var entries []entry
--- a/review/_standins-2/upload.go
+++ b/review/_standins-2/upload.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -101,7 +100,7 @@
 
 // uploadReset sends bill charges with long bodies. A part of the servers' connections is reset just after the server has begun
 // the request. No answer may then promise that trying again is harmless.
-func uploadReset(ctx context.Context, r *record, temp string, trouble bool) (bool, error) {
+func uploadReset(r *record, temp string, trouble bool) (bool, error) {
 	s := &chargeServer{r: r, trouble: trouble}
 	var entries []entry
 	for i := range 4 {
