Tell whether a request may have run only after its writing has ended

Cause: the goroutine that writes the rest of a body noted that the last byte was written only after the write had returned and the body had been read once more. The goroutine that reads the response could find the reset before, and reported ConnectFailed. A server that stops sending had the same effect while the last byte was still being written. Change: a failed attempt closes its connection, waits for a write in progress, and reads the note of the last byte then; no byte follows. The note is made under the same lock as the write, by the bytes taken.

--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -62,18 +62,18 @@
 
 // roundTrip writes the request to c and reads the response. It reports whether c can be reused for another request.
 func (t *Transport) roundTrip(c *serverConn, a Attempt) (_ Result, reusable bool) {
-	w := &requestWriter{requestsSent: t.requestsSent}
-	if err := w.writeBuffered(c, a); err != nil {
+	w := &requestWriter{conn: c, requestsSent: t.requestsSent}
+	if err := w.writeBuffered(a); err != nil {
 		return Result{Code: a.Lifetime.failureCode(err, false)}, false
 	}
 	if a.Request.Stream != nil {
-		defer w.streamBody(c, a)()
+		defer w.streamBody(a)()
 	}
 	r := acquireResponseReader(c)
 	defer r.release()
 	resp, err := r.readResponse(a)
 	if err != nil {
-		return Result{Code: a.Lifetime.failureCode(err, w.complete.Load())}, false
+		return Result{Code: a.Lifetime.failureCode(err, w.abort())}, false
 	}
 	if resp.remaining != nil {
 		err := streamResponse(c, a, resp)
--- a/internal/node/upstream/request_writer.go
+++ b/internal/node/upstream/request_writer.go
@@ -16,28 +16,49 @@
 // response body.
 const stallTimeout = 5 * time.Second
 
-var errBodyClosed = errors.New("upstream: request body read after the attempt ended")
+var (
+	errBodyClosed     = errors.New("upstream: request body read after the attempt ended")
+	errAttemptAborted = errors.New("upstream: request body written after the attempt ended")
+)
 
-// requestWriter writes one request.
+// requestWriter writes one request to a connection, and tells whether the request's last byte was written: a server may have
+// run the request then.
+//
+// While the rest of a body is written, another goroutine reads the response, and may find the connection broken before the
+// write of the last byte has returned. So a failed attempt asks abort, which first ends the writing.
 type requestWriter struct {
+	conn         *serverConn
 	requestsSent *metrics.Counter
-	complete     atomic.Bool // the last byte is written, so the server may have run the request
+	complete     atomic.Bool // the last byte is written
+
+	mu      sync.Mutex // held during each write of the rest of the body
+	aborted bool       // nothing more is written
+}
+
+// abort ends the writing and closes the connection. It reports whether the request's last byte was written, which no longer
+// changes then.
+func (w *requestWriter) abort() (complete bool) {
+	closeQuietly(w.conn) // ends a write in progress
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.aborted = true
+	return w.complete.Load()
 }
 
 var requestBuffers = sync.Pool{New: func() any { b := make([]byte, 0, 1<<10); return &b }}
 
-// writeBuffered writes the head and the buffered part of the body.
-func (w *requestWriter) writeBuffered(c *serverConn, a Attempt) error {
+// writeBuffered writes the head and the buffered part of the body. If it fails, the last byte is not written.
+func (w *requestWriter) writeBuffered(a Attempt) error {
 	b := requestBuffers.Get().(*[]byte)
 	defer requestBuffers.Put(b)
 	*b = appendRequestHead((*b)[:0], a)
 	var err error
 	if a.Request.isChunked() {
-		if _, err = c.Write(*b); err == nil {
-			_, err = http1.ChunkWriter{Conn: c}.Write(a.Request.Body)
+		if _, err = w.conn.Write(*b); err == nil {
+			_, err = http1.ChunkWriter{Conn: w.conn}.Write(a.Request.Body)
 		}
 	} else {
-		*b, err = http1.WriteMessage(c, *b, a.Request.Body)
+		*b, err = http1.WriteMessage(w.conn, *b, a.Request.Body)
 	}
 	if err == nil && a.Request.Stream == nil {
 		w.markComplete()
@@ -52,28 +73,72 @@
 
 // streamBody starts a goroutine that writes the rest of the body as it arrives, while the response is read. After stop
 // returns, no further read of the body begins. The goroutine ends at the end of the body, or when a read of the body
-// or a write to c fails.
-func (w *requestWriter) streamBody(c *serverConn, a Attempt) (stop func()) {
+// or a write to the connection fails.
+func (w *requestWriter) streamBody(a Attempt) (stop func()) {
 	body := newBodyReader(a.Request.Stream, a.Lifetime)
 	go func() {
-		dst := io.Writer(c.Conn)
+		var err error
 		if a.Request.isChunked() {
-			dst = http1.ChunkWriter{Conn: c}
-		}
-		err := body.copyTo(dst)
-		if err == nil && a.Request.isChunked() {
-			_, err = io.WriteString(c, http1.LastChunk)
+			err = w.writeChunks(body)
+		} else {
+			err = w.writeSized(body, a.Request.Length-int64(len(a.Request.Body)))
 		}
-		switch {
-		case err == nil:
-			w.markComplete()
-		case body.clientFailed: // after a failed write, the server's response may still arrive
+		if err != nil && body.clientFailed { // after a failed write, the server's response may still arrive
 			a.Lifetime.cancelWith(errAttemptTimeout)
 		}
 	}()
 	return body.close
 }
 
+// writeSized writes the rest of a body, which has the given number of bytes.
+func (w *requestWriter) writeSized(body *bodyReader, remaining int64) error {
+	for {
+		bytes, err := body.next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		remaining -= int64(len(bytes))
+		if err := w.writePart(w.conn, bytes, remaining <= 0); err != nil {
+			return err
+		}
+	}
+}
+
+// writeChunks writes the rest of a body in chunks, and the end of the chunks.
+func (w *requestWriter) writeChunks(body *bodyReader) error {
+	chunks := http1.ChunkWriter{Conn: w.conn}
+	for {
+		bytes, err := body.next()
+		if errors.Is(err, io.EOF) {
+			return w.writePart(w.conn, []byte(http1.LastChunk), true)
+		}
+		if err != nil {
+			return err
+		}
+		if err := w.writePart(chunks, bytes, false); err != nil {
+			return err
+		}
+	}
+}
+
+// writePart writes a part of the rest of the request to dst, which writes to the connection. last is whether it ends with the
+// request's last byte. That byte counts as written if the connection has taken it, whatever else the write returns.
+func (w *requestWriter) writePart(dst io.Writer, part []byte, last bool) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.aborted {
+		return errAttemptAborted
+	}
+	n, err := dst.Write(part)
+	if last && n == len(part) {
+		w.markComplete()
+	}
+	return err
+}
+
 // bodyReader reads a BodyStream for one attempt. It cancels the attempt if the server takes nothing for stallTimeout.
 type bodyReader struct {
 	stream       BodyStream
@@ -88,22 +153,6 @@
 	return &bodyReader{stream: stream, stallTimer: time.AfterFunc(stallTimeout, func() { l.cancelWith(errAttemptTimeout) })}
 }
 
-// copyTo writes the rest of the body to w.
-func (r *bodyReader) copyTo(w io.Writer) error {
-	for {
-		bytes, err := r.next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if _, err := w.Write(bytes); err != nil {
-			return err
-		}
-	}
-}
-
 // next returns the next bytes from the client. The stall timer is stopped meanwhile, so that a slow client doesn't count
 // against the server.
 func (r *bodyReader) next() ([]byte, error) {
