Pass a long answer on when its start is due, whether a read waits or not

Cause: the time at which what has arrived is passed on was looked at only when a read had returned. A read that waited for the next piece went on to the attempt's deadline, which ended it. Kin: answers over 64 KiB of which under 4 KiB had come, a deadline that is moved while the start is held, and net/http/httputil's chunked reader, which waits inside a chunk until its buffer is full and so holds back what has arrived while a server pauses. A chunk that is written to a TCP connection is one system call.

--- a/internal/node/downstream/response_writer.go
+++ b/internal/node/downstream/response_writer.go
@@ -88,7 +88,7 @@
 	if resp.Length < 0 && c.http10 {
 		c.closeAfterResponse = true // HTTP/1.0 has no chunked bodies: the end of the connection ends the body
 	} else if resp.Length < 0 {
-		body = http1.ChunkWriter{Conn: c}
+		body = http1.ChunkWriter{Conn: underlyingConn(c)}
 	}
 	c.writeDeadline, c.requiresWriteDeadline = time.Time{}, true
 	c.extendWriteDeadline(responseWriteTimeout)
--- a/internal/node/http1/message.go
+++ b/internal/node/http1/message.go
@@ -8,7 +8,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 
@@ -223,10 +222,8 @@
 	return false
 }
 
-const (
-	maxTrailerBytes       = 4 << 10  // bounds the trailer after the last chunk
-	maxCoalescedBodyBytes = 16 << 10 // bounds a body that is written together with its head
-)
+// maxCoalescedBodyBytes bounds a body that is written together with its head.
+const maxCoalescedBodyBytes = 16 << 10
 
 // LastChunk ends a chunked body that has no trailer.
 const LastChunk = "0\r\n\r\n"
@@ -263,7 +260,8 @@
 	return head, err
 }
 
-// ChunkWriter writes a chunked body, one chunk per Write. LastChunk must follow to end the body.
+// ChunkWriter writes a chunked body, one chunk per Write. LastChunk must follow to end the body. A chunk is one system call if
+// Conn is a TCP connection that nothing wraps.
 type ChunkWriter struct{ net.Conn }
 
 // Write writes p as one chunk.
@@ -279,53 +277,6 @@
 	return len(p), nil
 }
 
-// ChunkedBody reads a chunked body and its trailer, and nothing after them.
-type ChunkedBody struct {
-	r       *bufio.Reader
-	chunks  io.Reader
-	readErr error
-}
-
-// NewChunkedBody returns a ChunkedBody that reads from r.
-func NewChunkedBody(r *bufio.Reader) *ChunkedBody {
-	return &ChunkedBody{r: r, chunks: httputil.NewChunkedReader(r)}
-}
-
-// Read reads the content of the chunks. It returns io.EOF only after a complete trailer.
-func (b *ChunkedBody) Read(p []byte) (int, error) {
-	if b.readErr != nil {
-		return 0, b.readErr
-	}
-	n, err := b.chunks.Read(p)
-	if err == io.EOF {
-		err = b.readTrailer()
-	}
-	b.readErr = err
-	return n, err
-}
-
-// readTrailer reads up to the blank line that ends the body, and returns io.EOF there.
-func (b *ChunkedBody) readTrailer() error {
-	for remaining, lineStart := maxTrailerBytes, true; ; {
-		line, err := b.r.ReadSlice('\n')
-		if remaining -= len(line); remaining < 0 {
-			return ErrHeadTooLong
-		}
-		switch {
-		case err == bufio.ErrBufferFull:
-			lineStart = false
-			continue
-		case err == io.EOF:
-			return io.ErrUnexpectedEOF
-		case err != nil:
-			return err
-		case lineStart && isBlankLine(line):
-			return io.EOF
-		}
-		lineStart = true
-	}
-}
-
 // SizedBody reads a body of a known length.
 type SizedBody struct {
 	Reader    io.Reader
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -77,6 +77,9 @@
 	}
 	if resp.remaining != nil {
 		err := streamResponse(c, a, resp)
+		if err != nil {
+			closeQuietly(c) // ends a pending read of the rest
+		}
 		if errors.Is(err, ErrClientDisconnected) {
 			return Result{Code: policy.Cancelled}, false
 		}
--- a/internal/node/upstream/lifetime.go
+++ b/internal/node/upstream/lifetime.go
@@ -32,6 +32,9 @@
 	conn       net.Conn      // the attempt's connection; nil while it has none
 	cancelDial func()        // cancels the dial in progress
 	cancelled  chan struct{} // closed when cause is set; nil until whenCancelled is called
+	heldSince  time.Time     // when holdStart was called
+	startTimer *time.Timer   // of holdStart; nil while nothing is held
+	startKept  bool          // keepStart was called
 }
 
 // NewLifetime returns a Lifetime with a deadline; zero means none.
@@ -41,8 +44,16 @@
 func (l *Lifetime) SetDeadline(deadline time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.deadline = deadline; l.conn != nil && l.cause == nil {
-		_ = l.conn.SetDeadline(deadline) // fails only on a closed connection, whose attempt ends anyway
+	l.deadline = deadline
+	switch { // a call fails only on a closed connection, whose attempt ends anyway
+	case l.conn == nil || l.cause != nil:
+	case l.startKept:
+		_ = l.conn.SetWriteDeadline(deadline)
+	default:
+		_ = l.conn.SetDeadline(deadline)
+	}
+	if l.startTimer != nil {
+		l.startTimer.Reset(time.Until(l.startDue()))
 	}
 }
 
@@ -56,20 +67,47 @@
 	return min(timeout, time.Until(l.deadline))
 }
 
-// streamStart returns the time from which what has arrived of a streamed response is passed on. A server that still sends
-// then isn't cut off at the deadline.
-func (l *Lifetime) streamStart(now time.Time) time.Time {
+// holdStart returns a channel that is closed when what has arrived of a streamed response is to be passed on, which is before
+// the deadline. If the deadline is moved, so is that time. stop frees the timer.
+func (l *Lifetime) holdStart(now time.Time) (due <-chan struct{}, stop func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	held := now.Add(maxStartHold)
+	c := make(chan struct{})
+	closeOnce := sync.OnceFunc(func() { close(c) })
+	l.heldSince = now
+	l.startTimer = time.AfterFunc(l.startDue().Sub(now), closeOnce)
+	return c, l.releaseStart
+}
+
+// startDue returns the time at which what has arrived of a response held since heldSince is to be passed on. l.mu is held.
+func (l *Lifetime) startDue() time.Time {
+	latest := l.heldSince.Add(maxStartHold)
 	if l.deadline.IsZero() {
-		return held
-	}
-	margin := min(maxStartMargin, l.deadline.Sub(now)/startMarginDivisor)
-	if latest := l.deadline.Add(-margin); latest.Before(held) {
 		return latest
 	}
-	return held
+	margin := min(maxStartMargin, max(0, l.deadline.Sub(l.heldSince))/startMarginDivisor)
+	if due := l.deadline.Add(-margin); due.Before(latest) {
+		return due
+	}
+	return latest
+}
+
+// keepStart says that enough of a response has arrived to be passed on when it is due. From then on the deadline ends no read,
+// so that a server that still sends isn't cut off, however late the node notices that the start is due.
+func (l *Lifetime) keepStart() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.startKept = true; l.conn != nil && l.cause == nil {
+		_ = l.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	}
+}
+
+// releaseStart ends the effect of holdStart.
+func (l *Lifetime) releaseStart() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.startTimer.Stop()
+	l.startTimer = nil
 }
 
 // Cancel ends the attempt. Its reads and writes fail, and the attempt then closes its connection, which tells the server
--- a/internal/node/upstream/request_writer.go
+++ b/internal/node/upstream/request_writer.go
@@ -55,7 +55,7 @@
 	var err error
 	if a.Request.isChunked() {
 		if _, err = w.conn.Write(*b); err == nil {
-			_, err = http1.ChunkWriter{Conn: w.conn}.Write(a.Request.Body)
+			_, err = http1.ChunkWriter{Conn: w.conn.Conn}.Write(a.Request.Body)
 		}
 	} else {
 		*b, err = http1.WriteMessage(w.conn, *b, a.Request.Body)
@@ -109,7 +109,7 @@
 
 // writeChunks writes the rest of a body in chunks, and the end of the chunks.
 func (w *requestWriter) writeChunks(body *bodyReader) error {
-	chunks := http1.ChunkWriter{Conn: w.conn}
+	chunks := http1.ChunkWriter{Conn: w.conn.Conn}
 	for {
 		bytes, err := body.next()
 		if errors.Is(err, io.EOF) {
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -8,17 +8,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"sloerail/internal/node/http1"
 	"sloerail/internal/node/memory"
 )
 
-// StreamStartBytes is how much of a response body is read before the response is passed to the client, if its status is
-// 200 and its Content-Length is over http1.MaxBufferedBodyBytes. A body without a length is passed on from there once
-// Lifetime.streamStart has come.
-const StreamStartBytes = 4 << 10
-
 // Response is the part of a server's response that is passed to the client.
 type Response struct {
 	Status      int
@@ -38,8 +32,9 @@
 
 // responseReader reads responses. Idle connections don't hold one.
 type responseReader struct {
-	buf   *bufio.Reader
-	heads http1.HeadReader
+	buf     *bufio.Reader
+	heads   http1.HeadReader
+	pending *pendingRead // from buf, begun by readStart and not ended then; nil for none
 }
 
 var responseReaders = sync.Pool{New: func() any { return &responseReader{buf: bufio.NewReader(nil)} }}
@@ -50,7 +45,12 @@
 	return r
 }
 
+// release returns r to the pool. A pending read must have ended, or be about to end by the close of the connection.
 func (r *responseReader) release() {
+	if r.pending != nil {
+		<-r.pending.ended
+		r.pending = nil
+	}
 	r.buf.Reset(nil)
 	responseReaders.Put(r)
 }
@@ -90,12 +90,13 @@
 	default: // the end of the connection ends the body
 		body, resp.keepAlive = r.buf, false
 	}
-	return resp, resp.readBody(body, a)
+	err = r.readBody(&resp, body, a)
+	return resp, err
 }
 
 // readBody buffers a body of up to http1.MaxBufferedBodyBytes, or the start of a longer one. The rest of a longer one is
 // streamed if the status is 200. Otherwise it is discarded together with the connection.
-func (resp *response) readBody(body io.Reader, a Attempt) (err error) {
+func (r *responseReader) readBody(resp *response, body io.Reader, a Attempt) (err error) {
 	short := resp.Length >= 0 && resp.Length <= http1.MaxBufferedBodyBytes
 	switch {
 	case short && (a.Request.Held.Take(int(resp.Length), memory.Ongoing) || resp.Status != http.StatusOK):
@@ -103,7 +104,7 @@
 		_, err = io.ReadFull(body, resp.Body)
 		return err
 	case resp.Status == http.StatusOK:
-		return resp.readStart(body, a)
+		return r.readStart(resp, body, a)
 	}
 	resp.Body, err = io.ReadAll(io.LimitReader(body, http1.MaxBufferedBodyBytes+1))
 	if len(resp.Body) > http1.MaxBufferedBodyBytes {
@@ -112,39 +113,6 @@
 	return err
 }
 
-// readStart reads the start of a body that is long, has no length, or may not be buffered whole for lack of memory. A body that turns out to be short is read to its end.
-// The rest of any other one is streamed.
-func (resp *response) readStart(body io.Reader, a Attempt) error {
-	startBytes := StreamStartBytes
-	if resp.Length < 0 {
-		startBytes = http1.MaxBufferedBodyBytes + 1
-	}
-	streamAt := a.Lifetime.streamStart(time.Now())
-	buffered := make([]byte, 0, StreamStartBytes)
-	for len(buffered) < startBytes {
-		if len(buffered) == cap(buffered) {
-			if !a.Request.Held.Take(cap(buffered), memory.Ongoing) {
-				break
-			}
-			buffered = append(make([]byte, 0, 2*cap(buffered)), buffered...)
-		}
-		n, err := body.Read(buffered[len(buffered):min(cap(buffered), startBytes)])
-		buffered = buffered[:len(buffered)+n]
-		if errors.Is(err, io.EOF) {
-			resp.Body = buffered
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if len(buffered) >= StreamStartBytes && !time.Now().Before(streamAt) {
-			break
-		}
-	}
-	resp.Body, resp.remaining = buffered, body
-	return nil
-}
-
 // parseStatusLine parses the first line of a response.
 func parseStatusLine(line string) (minor, status int, err error) {
 	version, line, _ := strings.Cut(line, " ")
