Reject a changed file in which an entry lacks what it needs

Cause: group and window were among the keys that a reload may drop, at any depth, since only guarded classes need them. Keys under a key of that list were not compared, nor the types of values that the node doesn't use. Change: each class and tenant must have what it needs by its kind, and what the entry of the same name had, of the same type.

--- a/internal/node/config/file.go
+++ b/internal/node/config/file.go
@@ -54,7 +54,8 @@
 	} `json:"limits"`
 }
 
-// readFile reads the file that ROUTER_CONFIG names. The file must have all of previousKeys except optionalKeys.
+// readFile reads the file that ROUTER_CONFIG names. The file must have all of previousKeys but those that a
+// reload may drop.
 func readFile(getenv func(string) string, previousKeys any) (Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
@@ -127,7 +128,7 @@
 		return fmt.Errorf("settings.%w", err)
 	}
 	c.Settings.RetainMissing = f.RetainMissing
-	if len(f.Zones) > 0 {
+	if isPresent(f.Zones) {
 		if err := parseZones(f.Zones, &c.Settings); err != nil {
 			return err
 		}
@@ -159,15 +160,18 @@
 
 // parseSections parses the sections "scope" and "fleet", where present.
 func (c *Config) parseSections(f file) (err error) {
-	if len(f.Scope) > 0 {
+	if isPresent(f.Scope) {
 		if c.Scope, err = discovery.ParseScope(f.Scope, c.Settings); err != nil {
 			return err
 		}
 	}
-	if len(f.Fleet) > 0 {
+	if isPresent(f.Fleet) {
 		c.Fleet, err = parseFleet(f.Fleet, *c)
 	}
 	return err
 }
 
+// isPresent reports whether a section is in the file, with a value other than null.
+func isPresent(section json.RawMessage) bool { return len(section) > 0 && string(section) != "null" }
+
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/node/config/keys.go
+++ b/internal/node/config/keys.go
@@ -8,9 +8,21 @@
 	"sloerail/internal/node/decode"
 )
 
-// optionalKeys are the keys that a reload may drop, at any depth of the file, or that only some entries of a list need.
-var optionalKeys = []string{"control", "aimStretch", "warmKeys", "passesDeadline", "servedOn", "localitiesOnly",
-	"group", "window", "fleet", "places", "ease_lists", "list_file", "scope", "minExtra", "budgetShare", "ratioSpan"}
+var (
+	// droppableKeys are the keys that a reload may drop, at any depth of the file: sections that can be turned off, what only
+	// the start of a process uses, and what may be absent according to the operators' pages.
+	droppableKeys = []string{"control", "list_file", "fleet", "places", "scope", "ease_lists",
+		"aimStretch", "warmKeys", "passesDeadline"}
+	// keyedClassKeys are the keys that only the entry of a guarded class needs: other classes may drop them.
+	keyedClassKeys = []string{"group", "window"}
+	// retryBudgetKeys are present together, or not at all.
+	retryBudgetKeys = []string{"minExtra", "budgetShare", "ratioSpan"}
+	// mapKeys are keys of objects whose own keys are names that the operator chooses.
+	mapKeys = []string{"regions", "costs", "only"}
+)
+
+// anyValue stands for a value of any type.
+type anyValue struct{}
 
 // parseKeys parses the JSON of a configuration file, so that a reload can check that the new file has the keys of the
 // previous one. It leaves out the keys inside the known list, because the protocol of the list service defines them.
@@ -20,23 +32,23 @@
 		return nil, err
 	}
 	if all["known"] != nil {
-		all["known"] = true
+		all["known"] = anyValue{}
 	}
 	return all, nil
 }
 
-// hasKey reports whether a configuration has a value other than null at the path.
-func hasKey(keys any, path ...string) bool {
+// valueAt returns the value at a path of a configuration; nil if there is none, or null.
+func valueAt(keys any, path ...string) any {
 	for _, key := range path {
 		object, _ := keys.(map[string]any)
 		keys = object[key]
 	}
-	return keys != nil
+	return keys
 }
 
-// checkKeys returns an error for the first key found that previous has and current lacks, other than one of
-// optionalKeys. Each entry of a list must have the keys that all previous entries of the list have; keys nested in an
-// entry are not checked. path is the path of both.
+// checkKeys returns an error for the first key found that previous has and current lacks, or has with a value of another
+// type. droppableKeys may be absent. An entry of a list must have the keys of the previous entry of the same name or, if
+// there is none, the keys that all previous entries have. path is the path of both.
 func checkKeys(path string, previous, current any) error {
 	switch previous := previous.(type) {
 	case map[string]any:
@@ -50,11 +62,18 @@
 		if !ok {
 			return decode.Errorf(path, "want a list")
 		}
-		common := commonKeys(previous)
-		for i, entry := range list {
-			if err := checkKeys(path+"["+strconv.Itoa(i)+"]", common, entry); err != nil {
-				return err
-			}
+		return checkList(path, previous, list)
+	case string:
+		if _, ok := current.(string); !ok {
+			return decode.Errorf(path, "want a string")
+		}
+	case float64:
+		if _, ok := current.(float64); !ok {
+			return decode.Errorf(path, "want a number")
+		}
+	case bool:
+		if _, ok := current.(bool); !ok {
+			return decode.Errorf(path, "want true or false")
 		}
 	}
 	return nil
@@ -63,25 +82,60 @@
 // checkObject is checkKeys for two JSON objects.
 func checkObject(path string, previous, current map[string]any) error {
 	for key, value := range previous {
-		if value == nil || slices.Contains(optionalKeys, key) {
-			continue
-		}
 		keyPath := key
 		if path != "" {
 			keyPath = path + "." + key
 		}
-		if current[key] == nil {
+		switch {
+		case value == nil:
+		case current[key] == nil && mayDrop(key, current):
+		case current[key] == nil:
 			return decode.Errorf(keyPath, "missing")
+		case slices.Contains(mapKeys, key):
+		default:
+			if err := checkKeys(keyPath, value, current[key]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// mayDrop reports whether a reload may drop the key from an object, of which current is the new form.
+func mayDrop(key string, current map[string]any) bool {
+	return slices.Contains(droppableKeys, key) || slices.Contains(keyedClassKeys, key) && !isKeyedClass(current)
+}
+
+// isKeyedClass reports whether an object is the entry of a class whose requests have idempotency keys.
+func isKeyedClass(object map[string]any) bool { return object["repeat"] == "guarded" }
+
+// checkList is checkKeys for two JSON lists.
+func checkList(path string, previous, current []any) error {
+	common := commonKeys(previous)
+	for i, entry := range current {
+		wanted := common
+		if former := entryNamed(previous, valueAt(entry, "name")); former != nil {
+			wanted = former
 		}
-		if err := checkKeys(keyPath, value, current[key]); err != nil {
+		if err := checkKeys(path+"["+strconv.Itoa(i)+"]", wanted, entry); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// entryNamed returns the entry of a list with the name, or nil if there is none.
+func entryNamed(list []any, name any) any {
+	for _, entry := range list {
+		if name != nil && valueAt(entry, "name") == name {
+			return entry
+		}
+	}
+	return nil
+}
+
 // commonKeys returns an object with the keys that all entries of a list have; nil if the list is empty or an entry is
-// not an object.
+// not an object. Keys nested in an entry are left out.
 func commonKeys(list []any) any {
 	var common map[string]any
 	for i, entry := range list {
@@ -92,7 +146,7 @@
 		if i == 0 {
 			common = make(map[string]any)
 			for key := range object {
-				common[key] = true
+				common[key] = anyValue{}
 			}
 		}
 		for key := range common {
@@ -106,3 +160,42 @@
 	}
 	return common
 }
+
+// checkRequiredKeys returns an error for the first key found that is missing whatever the previous file had: those of each
+// class and tenant, and those that belong together.
+func checkRequiredKeys(keys any) error {
+	services, _ := valueAt(keys, "settings", "services").([]any)
+	for i, service := range services {
+		wanted := []string{"name", "deadline", "repeat"}
+		if object, ok := service.(map[string]any); ok && isKeyedClass(object) {
+			wanted = append(wanted, keyedClassKeys...)
+		}
+		if err := requireKeys("settings.services["+strconv.Itoa(i)+"]", service, wanted); err != nil {
+			return err
+		}
+	}
+	tenants, _ := valueAt(keys, "settings", "tenants").([]any)
+	for i, tenant := range tenants {
+		if err := requireKeys("settings.tenants["+strconv.Itoa(i)+"]", tenant, []string{"name", "quotaRps"}); err != nil {
+			return err
+		}
+	}
+	rules := valueAt(keys, "settings", "guarantees")
+	for _, key := range retryBudgetKeys {
+		if valueAt(rules, key) != nil {
+			return requireKeys("settings.guarantees", rules, retryBudgetKeys)
+		}
+	}
+	return nil
+}
+
+// requireKeys returns an error for the first of the wanted keys that the object at path lacks. An empty string is no name,
+// nor any other value that a key needs.
+func requireKeys(path string, object any, wanted []string) error {
+	for _, key := range wanted {
+		if value := valueAt(object, key); value == nil || value == "" {
+			return decode.Errorf(path+"."+key, "missing")
+		}
+	}
+	return nil
+}
--- a/internal/node/config/reload.go
+++ b/internal/node/config/reload.go
@@ -8,8 +8,8 @@
 )
 
 // Reload reads the file that ROUTER_CONFIG names after a change. The other environment variables override the file only
-// at the start, not here. A file that lacks a key of the previous one, other than one of optionalKeys, is rejected as a
-// whole. The name and the fleet need a new process: they stay as before, and a change of the fleet is logged. The node
+// at the start, not here. A file that lacks a key that it needs, or a key of the previous one that a reload may not drop
+// (keys.go), is rejected as a whole. The name and the fleet need a new process: they stay as before, and a change of the fleet is logged. The node
 // uses listen, control, seed, limits, list_file and known only at its start: a change of them is neither used nor
 // logged. Here limits is the top-level section; a reload does apply settings.limits.
 func Reload(getenv func(string) string, previous Config) (Config, error) {
@@ -36,13 +36,11 @@
 	if err := decode.CheckAddresses(c.Discovery); err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
-	if n := c.Settings.Allowed.MaxAttempts; n <= 0 && hasKey(c.keys, "settings", "limits", "maxAttempts") {
-		return decode.Errorf("settings.limits.maxAttempts", "want a positive number, got %d", n)
+	if err := checkRequiredKeys(c.keys); err != nil {
+		return err
 	}
-	for _, class := range c.Settings.Classes {
-		if class.Name == "" {
-			return decode.Errorf("settings.services", "a service has no name")
-		}
+	if n := c.Settings.Allowed.MaxAttempts; n <= 0 && valueAt(c.keys, "settings", "limits", "maxAttempts") != nil {
+		return decode.Errorf("settings.limits.maxAttempts", "want a positive number, got %d", n)
 	}
 	return nil
 }
