Give up a call for the list only once a newer one is answered

Cause: each new target gave up the call in progress and began another; with targets in a row no call came to its response.

--- a/internal/node/discovery/errors.go
+++ b/internal/node/discovery/errors.go
@@ -7,8 +7,6 @@
 
 // Errors of a watch or of the cached list, for use with errors.Is.
 var (
-	// ErrRetargeted means that Retarget aborted the watch.
-	ErrRetargeted = errors.New("watch aborted: the configuration was reloaded")
 	// ErrTimeout means that the list service did not respond within the timeout.
 	ErrTimeout = errors.New("no response within the timeout")
 	// ErrStaleReplica means that the list of the replica is older than the current list.
