End the write of a repeat at the end of its window

The time by which a keyed repeat must be written was asked for before its first byte only; with a server that doesn't read, the last byte could be written after it. Change: that time is the deadline of the write too. A write that fails has not written the last byte, so the outcome is ConnectFailed.

--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -19,7 +19,7 @@
 type Attempt struct {
 	Request  *Request
 	Timeout  time.Duration // how long the server may take to respond; it is told no more than is left when it is written
-	WriteBy  time.Time     // the request isn't written later; zero for no bound
+	WriteBy  time.Time     // the request's last byte isn't written later; zero for no bound
 	Lifetime *Lifetime     // ends the attempt at its deadline or by cancellation
 	Observer Observer
 }
@@ -49,10 +49,13 @@
 		a.Observer.NotSent()
 		return Result{Code: policy.Cancelled}
 	}
-	if !a.WriteBy.IsZero() && !time.Now().Before(a.WriteBy) {
-		a.Lifetime.detach()
-		t.release(c, server, true) // as above
-		return Result{Code: policy.ConnectFailed}
+	if !a.WriteBy.IsZero() {
+		if !time.Now().Before(a.WriteBy) {
+			a.Lifetime.detach()
+			t.release(c, server, true) // as above
+			return Result{Code: policy.ConnectFailed}
+		}
+		a.Lifetime.limitWrite(a.WriteBy)
 	}
 	result, reusable := t.roundTrip(c, a)
 	result.Sent = true
--- a/internal/node/upstream/late_dial_test.go
+++ b/internal/node/upstream/late_dial_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,6 +58,28 @@
 	}
 }
 
+// Guards against a repeat of a keyed request whose last byte is written after its window, because its server doesn't read. The
+// server reads on once the attempt has ended, or long after its time.
+func TestAttemptIsNotWrittenOnAfterItsTime(t *testing.T) {
+	const writeTime, bodyBytes = 100 * time.Millisecond, 32 << 20 // more than the kernel takes
+	ended, complete := make(chan struct{}), make(chan bool, 1)
+	addr := nodetest.RawServer(t, func(c net.Conn, r *bufio.Reader) {
+		select {
+		case <-ended:
+		case <-time.After(5 * writeTime):
+		}
+		complete <- nodetest.ReadRequest(r)
+	})
+	tr := newTestTransport(t, addr)
+	result := tr.Do("s0", Attempt{Request: newTestRequest(http.MethodPost, "r", strings.Repeat("b", bodyBytes)), Timeout: nodetest.Timeout,
+		Lifetime: NewLifetime(time.Now().Add(nodetest.Timeout)), Observer: connectedClient{t}, WriteBy: time.Now().Add(writeTime)})
+	close(ended)
+	if got := nodetest.Receive(t, "the end of the server's read", complete); got || result.Code != policy.ConnectFailed {
+		t.Errorf("attempt that could not be written in time: got code %v, whole request at the server %t; want %v and not whole",
+			result.Code, got, policy.ConnectFailed)
+	}
+}
+
 // Guards against a server that is told more time than its client has left, because its connection came up late.
 func TestServerIsToldTheTimeLeftWhenTheRequestIsWritten(t *testing.T) {
 	const timeout = time.Second
--- a/internal/node/upstream/lifetime.go
+++ b/internal/node/upstream/lifetime.go
@@ -110,6 +110,15 @@
 	l.startTimer = nil
 }
 
+// limitWrite makes the writing of the request fail at a time, if that comes before the deadline.
+func (l *Lifetime) limitWrite(by time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && l.cause == nil && (l.deadline.IsZero() || by.Before(l.deadline)) {
+		_ = l.conn.SetWriteDeadline(by) // fails only on a closed connection, whose attempt ends anyway
+	}
+}
+
 // Cancel ends the attempt. Its reads and writes fail, and the attempt then closes its connection, which tells the server
 // that the response is no longer wanted.
 func (l *Lifetime) Cancel() { l.cancelWith(context.Canceled) }
