--- a/internal/node/upstream/descriptor_queue.go
+++ b/internal/node/upstream/descriptor_queue.go
@@ -46,10 +46,10 @@
 }
 
 // awaitDescriptor reserves a connection to the server as soon as a descriptor is free. It gives up with errNoDescriptor
-// after descriptorWait or when l is cancelled.
+// after descriptorWait, or at the end of l.
 func (t *Transport) awaitDescriptor(l *Lifetime, id string) (*serverPool, *serverConn, error) {
 	cancelled := l.whenCancelled()
-	timeout := time.NewTimer(t.descriptorWait)
+	timeout := time.NewTimer(l.left(t.descriptorWait))
 	defer timeout.Stop()
 	for {
 		t.mu.Lock()
--- a/internal/node/upstream/descriptor_queue_test.go
+++ b/internal/node/upstream/descriptor_queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"sloerail/internal/node/nodetest"
 	"sloerail/policy"
@@ -57,3 +58,23 @@
 		t.Errorf("waiting attempts: got %d, want 0", len(tr.waiters.waiters))
 	}
 }
+
+// Guards against an attempt that waits for a descriptor past its deadline, and so reports its end late.
+func TestWaitForDescriptorEndsAtTheDeadline(t *testing.T) {
+	server, received, release := nodetest.HoldingServer(t)
+	tr := newTestTransport(t, server)
+	tr.descriptorWait = nodetest.Timeout
+	tr.descriptors.SetTotal(minSideDivisor)
+	tr.descriptors.SetClients(minSideDivisor)
+	go doAttempt(t, tr, newTestRequest(http.MethodGet, "r1", ""))
+	nodetest.Receive(t, "the first request at the server", received)
+	begin, timeout := time.Now(), 100*time.Millisecond
+	result := tr.Do("s0", Attempt{Request: newTestRequest(http.MethodGet, "r2", ""), Timeout: timeout,
+		Lifetime: NewLifetime(begin.Add(timeout)), Observer: connectedClient{t}})
+	if took := time.Since(begin); result.Code != policy.ConnectFailed || took >= tr.descriptorWait {
+		t.Errorf("attempt with a deadline of %v: got code %v after %v, want %v at the deadline", timeout, result.Code, took,
+			policy.ConnectFailed)
+	}
+	release()
+	nodetest.Await(t, "all connections to be idle", func() bool { open, idle := tr.connCounts("s0"); return open == idle })
+}
