--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -160,6 +160,7 @@
 		listeners := Listeners{Clients: nodetest.Listener(t), Control: nodetest.Listener(t)}
 		adminAddr := listeners.Control.Addr().String()
 		node, _ := startNodeAt(t, testConfig(t, nodetest.KnownList("127.0.0.1:9")), listeners, nil)
+		settle() // the health check succeeds once hotRestart.run has seen that the loop is ready
 		for _, c := range []struct {
 			method, url string
 			want        int
