Free what a start and a hand-over took for the list

A successor kept the state and the buffer of its message while its predecessor lived, and start and hand-over made garbage of several times the list. Change: both are freed once restored, as is the known list; the known list's keys are not decoded; the state is written server by server in the same form; the start collects garbage early, and both processes return what the hand-over took.

--- a/cmd/sloerail-node/main.go
+++ b/cmd/sloerail-node/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"runtime/pprof"
 	"syscall"
 
@@ -35,7 +36,11 @@
 // name, and is kept for existing setups.
 const profileVariable = "WAYHOLD_PROFILE"
 
+// startGCPercent makes the garbage of the start small, beside a predecessor that still uses the memory.
+const startGCPercent = 20
+
 func run() error {
+	normalGCPercent := debug.SetGCPercent(startGCPercent)
 	// Without a handler, a SIGHUP during the start would end the process.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
@@ -58,8 +63,9 @@
 	}
 	slog.Info("listening", "name", c.Name, "address", listeners.Clients.Addr(), "servers", len(c.Known.Endpoints),
 		"cores", c.Cores, "memory_mb", c.MemoryMB, "sockets", c.Sockets, "max_open", c.MaxOpen)
+	debug.SetGCPercent(normalGCPercent)
 	changes := make(chan node.Change)
-	go reloadOnHangup(ctx, c, hangups, changes)
+	go reloadOnHangup(ctx, c.WithoutList(), hangups, changes)
 	return node.Run(ctx, c, listeners, changes)
 }
 
@@ -94,7 +100,7 @@
 		}
 		next, err := config.Reload(os.Getenv, c)
 		if err == nil {
-			c = next
+			c = next.WithoutList()
 		}
 		select {
 		case changes <- node.Change{Config: next, Err: err}:
--- a/internal/node/config/config.go
+++ b/internal/node/config/config.go
@@ -43,6 +43,12 @@
 	keys any // the keys of the file, which a reload must keep
 }
 
+// WithoutList returns the configuration without the known list, which only the start of a process uses, and which may be large.
+func (c Config) WithoutList() Config {
+	c.Known = discovery.List{}
+	return c
+}
+
 // DebugLogVariable is the environment variable that sets DebugLog unless it is empty.
 const DebugLogVariable = "ROUTER_DEBUG_LOG"
 
--- a/internal/node/config/keys.go
+++ b/internal/node/config/keys.go
@@ -25,16 +25,26 @@
 type anyValue struct{}
 
 // parseKeys parses the JSON of a configuration file, so that a reload can check that the new file has the keys of the
-// previous one. It leaves out the keys inside the known list, because the protocol of the list service defines them.
+// previous one. It leaves out the keys inside the known list, because the protocol of the list service defines them, and the
+// list of a large fleet would take much memory.
 func parseKeys(raw []byte) (any, error) {
-	var all map[string]any
-	if err := json.Unmarshal(raw, &all); err != nil {
+	var sections map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &sections); err != nil {
 		return nil, err
 	}
-	if all["known"] != nil {
-		all["known"] = anyValue{}
+	keys := make(map[string]any, len(sections))
+	for name, section := range sections {
+		if name == "known" && isPresent(section) {
+			keys[name] = anyValue{}
+			continue
+		}
+		var value any
+		if err := json.Unmarshal(section, &value); err != nil {
+			return nil, err
+		}
+		keys[name] = value
 	}
-	return all, nil
+	return keys, nil
 }
 
 // valueAt returns the value at a path of a configuration; nil if there is none, or null.
--- a/internal/node/hot_restart.go
+++ b/internal/node/hot_restart.go
@@ -47,6 +47,10 @@
 func (h *hotRestart) run(ctx context.Context, predecessor *hotrestart.Predecessor) {
 	select {
 	case <-h.server.loop.ready:
+		if predecessor != nil {
+			predecessor.ReleaseState()
+		}
+		debug.FreeOSMemory() // what reading the configuration, the list and the state took
 	case <-ctx.Done():
 	}
 	var wg sync.WaitGroup
--- a/internal/node/hotrestart/serve.go
+++ b/internal/node/hotrestart/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -96,10 +97,6 @@
 		return err
 	}
 	state.Version, state.Name, state.Address = protocolVersion, id.Name, id.Address
-	text, err := json.Marshal(state)
-	if err != nil {
-		return err
-	}
 	var writeErr error
 	if err := clients.Control(func(fd uintptr) {
 		_, _, writeErr = conn.WriteMsgUnix([]byte{stateByte}, unix.UnixRights(int(fd)), nil)
@@ -109,7 +106,8 @@
 	if writeErr != nil {
 		return writeErr
 	}
-	_, err = conn.Write(text)
+	err = state.write(conn)
+	debug.FreeOSMemory() // the successor takes what the state took
 	return err
 }
 
--- a/internal/node/hotrestart/state.go
+++ b/internal/node/hotrestart/state.go
@@ -1,7 +1,15 @@
 package hotrestart
 
 import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"io"
 	"iter"
+	"maps"
+	"slices"
 
 	"sloerail/internal/node/discovery"
 	"sloerail/policy"
@@ -69,6 +77,96 @@
 	return all
 }
 
+// write writes the state as one JSON object. The servers, which are most of it, are encoded one by one, so that the text of
+// a long list isn't held in memory.
+func (s State) write(w io.Writer) error {
+	endpoints, servers := s.Endpoints, s.Policy.Servers
+	s.Endpoints, s.Policy.Servers = nil, nil
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	// In a JSON string, the quotes would be escaped.
+	beforeEndpoints, afterEndpoints, found := bytes.Cut(text, []byte(`"Members":null`))
+	beforeServers, afterServers, foundServers := bytes.Cut(afterEndpoints, []byte(`"Servers":null`))
+	if !found || !foundServers {
+		return errors.New("hot restart: the state has no place for its servers")
+	}
+	out := &stateWriter{w: bufio.NewWriterSize(w, stateBufferBytes)}
+	out.raw(beforeEndpoints, `"Members":`)
+	out.list(endpoints)
+	out.raw(beforeServers, `"Servers":`)
+	out.object(servers)
+	out.raw(afterServers, "\n")
+	return errors.Join(out.err, out.w.Flush())
+}
+
+// stateBufferBytes is the size of the buffer for a state that is written.
+const stateBufferBytes = 32 << 10
+
+// stateWriter writes the parts of a state. It keeps the first error of an encoding; w keeps that of a write.
+type stateWriter struct {
+	w   *bufio.Writer
+	err error
+}
+
+// raw writes a text and a second one.
+func (o *stateWriter) raw(text []byte, more string) {
+	_, _ = o.w.Write(text)       // Flush returns the error
+	_, _ = o.w.WriteString(more) // as above
+}
+
+// value writes the JSON of a value.
+func (o *stateWriter) value(v any) {
+	text, err := json.Marshal(v)
+	o.err = cmp.Or(o.err, err)
+	o.raw(text, "")
+}
+
+// list writes endpoints as Marshal does.
+func (o *stateWriter) list(endpoints []endpointState) {
+	if endpoints == nil {
+		o.raw(nil, "null")
+		return
+	}
+	for i, e := range endpoints {
+		o.raw(nil, separator(i, '['))
+		o.value(e)
+	}
+	o.raw(nil, closing(len(endpoints), "[]"))
+}
+
+// object writes the snapshots of servers as Marshal does.
+func (o *stateWriter) object(servers map[string]policy.ServerSnapshot) {
+	if servers == nil {
+		o.raw(nil, "null")
+		return
+	}
+	for i, id := range slices.Sorted(maps.Keys(servers)) {
+		o.raw(nil, separator(i, '{'))
+		o.value(id)
+		o.raw(nil, ":")
+		o.value(servers[id])
+	}
+	o.raw(nil, closing(len(servers), "{}"))
+}
+
+// separator returns what stands before entry i of a list or an object.
+func separator(i int, open byte) string {
+	if i == 0 {
+		return string(open)
+	}
+	return ","
+}
+
+// closing returns what stands behind n entries between the brackets.
+func closing(n int, brackets string) string {
+	if n == 0 {
+		return brackets
+	}
+	return brackets[1:]
+}
+
 // Progress is what a predecessor reports every ProgressInterval while its successor serves.
 type Progress struct {
 	Sockets  int            // descriptors that the successor may hold now
--- a/internal/node/hotrestart/takeover.go
+++ b/internal/node/hotrestart/takeover.go
@@ -1,6 +1,7 @@
 package hotrestart
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,7 +17,7 @@
 
 const (
 	stepTimeout   = time.Second // for each step of a hand-over
-	maxStateBytes = 16 << 20    // total of all messages of a predecessor, including Progress
+	maxStateBytes = 16 << 20    // of the state, and of all later messages of a predecessor together
 	readyByte     = 'S'         // sent by a successor once it serves
 )
 
@@ -31,7 +32,7 @@
 
 // Predecessor is a successor's connection to the process that serves before it.
 type Predecessor struct {
-	State    State        // at the time of the hand-over
+	State    State        // at the time of the hand-over; until ReleaseState
 	Clients  net.Listener // the clients' listener
 	conn     *net.UnixConn
 	messages *json.Decoder
@@ -88,6 +89,9 @@
 		err = fmt.Errorf("%w: got %q at %s, version %d, want %q at %s, version %d", ErrOtherNode,
 			got.Name, got.Address, got.Version, id.Name, id.Address, protocolVersion)
 	}
+	if err == nil {
+		err = p.releaseBuffer()
+	}
 	if err == nil {
 		err = p.conn.SetDeadline(time.Time{})
 	}
@@ -98,6 +102,16 @@
 	return nil
 }
 
+// releaseBuffer replaces the decoder of the messages, whose buffer has the size of the state, by one for short messages.
+func (p *Predecessor) releaseBuffer() error {
+	unread, err := io.ReadAll(p.messages.Buffered())
+	p.messages = json.NewDecoder(io.LimitReader(io.MultiReader(bytes.NewReader(unread), p.conn), maxStateBytes))
+	return err
+}
+
+// ReleaseState frees the state, once it has been restored.
+func (p *Predecessor) ReleaseState() { p.State = State{} }
+
 // listenerFrom returns the listening socket in a control message. If the message holds several descriptors, it
 // closes all of them and returns an error.
 func listenerFrom(rights []byte) (net.Listener, error) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -115,6 +115,7 @@
 		l.executed.add(predecessor.Executed...)
 		l.toPredecessor.setOpen(predecessor.AcceptsExecuted)
 	}
+	predecessor = nil // restored, and large
 	close(l.ready)
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
