Take the list off what clients may hold, and leave a successor enough for it

What a process may hold for clients and what a predecessor leaves its successor took 5 MB for an idle process, however long the list is; a predecessor that held much for clients left 4 MB, less than 3,200 servers need. Change: endpointHeapBytes for each server is taken off the clients' part and added to what either process keeps.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,8 +18,9 @@
 func Run(ctx context.Context, c config.Config, listeners Listeners, changes <-chan Change) error {
 	ck := clock{start: time.Now()}
 	maxSockets, state := listeners.restore(&c)
-	limits := newMemoryLimits(c)
 	metrics := newMetrics(c.Settings.Classes)
+	metrics.listed.Store(int64(len(c.Known.Endpoints)))
+	limits := newMemoryLimits(c, &metrics.listed)
 	transport := newTransport(c, new(upstream.Descriptors), metrics)
 	defer transport.CloseIdle()
 	l, err := newLoop(c, ck, transport, metrics)
@@ -39,12 +40,14 @@
 	if state != nil {
 		limits.set(successorHeap(c, state.Memory))
 	}
+	known := c.Known.Endpoints
+	c = c.WithoutList()
 
 	runCtx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	wg.Go(func() { l.run(runCtx, c.Known.Endpoints, state) })
+	wg.Go(func() { l.run(runCtx, known, state) })
 	wg.Go(func() { l.listClient.Run(runCtx) })
 	clientListener := downstream.NewConnectionLimiter(listeners.Clients, maxSockets)
 	s.HasPending = clientListener.HasPending
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -223,4 +224,6 @@
 }
 
 // testLimits returns the memory limits of a node that has plenty.
-func testLimits() *memoryLimits { return newMemoryLimits(config.Config{MemoryMB: 192}) }
+func testLimits() *memoryLimits {
+	return newMemoryLimits(config.Config{MemoryMB: 192}, new(atomic.Int64))
+}
