Give the conversion of an end of input one place

Need: three places turned io.EOF into io.ErrUnexpectedEOF in their own words. Change: http1.UnexpectedEOF; no change of behavior. Measured: tests of upstream, http1, downstream and discovery pass.

--- a/internal/node/discovery/client_test.go
+++ b/internal/node/discovery/client_test.go
@@ -155,9 +155,8 @@
 	}
 }
 
-// When the address of the list service changes, the client fetches the full list
-// from the new address, because the revisions may differ there, and then watches at the new address. Its call to the old
-// address ends then.
+// When the address of the list service changes, the client fetches the full list from the new address, because the revisions
+// may differ there, and then watches at the new address. Its call to the old address ends then.
 func TestRetarget(t *testing.T) {
 	nodetest.Bubble(t, func(t *testing.T) {
 		timeouts := newTimeouts(policy.Settings{})
--- a/internal/node/downstream/request_body.go
+++ b/internal/node/downstream/request_body.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"sloerail/internal/node/http1"
 	"sloerail/internal/node/memory"
 )
 
@@ -160,7 +161,7 @@
 	u.conn.pauseIfBusy()
 	if u.conn.mustAwaitClient() { // without holding a block meanwhile
 		if _, err := u.readClient(nil, true); err != nil {
-			return 0, noEOF(err)
+			return 0, http1.UnexpectedEOF(err)
 		}
 	}
 	space, err := u.awaitSpace()
@@ -170,14 +171,6 @@
 	return u.readClient(space, false) // there is something to read
 }
 
-// noEOF returns io.ErrUnexpectedEOF for io.EOF, and any other err unchanged.
-func noEOF(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
 // awaitSpace waits until there is room for more of the body. Meanwhile the client may have sent its last byte, unseen. So
 // the wait ends with errClientTimeOver when the client may have waited for long enough since the node last waited for it.
 func (u *upload) awaitSpace() ([]byte, error) {
--- a/internal/node/http1/chunked_body.go
+++ b/internal/node/http1/chunked_body.go
@@ -93,7 +93,7 @@
 func (b *ChunkedBody) readContent(p []byte) (n int, err error) {
 	n, err = b.r.Read(p[:min(uint64(len(p)), b.remaining)])
 	b.remaining -= uint64(n)
-	return n, unexpectedEOF(err)
+	return n, UnexpectedEOF(err)
 }
 
 // startChunk reads up to the content of the next chunk, or to the end of the last one.
@@ -132,7 +132,7 @@
 		return nil, ErrMalformedChunk
 	}
 	if err != nil {
-		return nil, unexpectedEOF(err)
+		return nil, UnexpectedEOF(err)
 	}
 	line, found := bytes.CutSuffix(line, []byte("\r\n"))
 	if !found || bytes.IndexByte(line, '\r') >= 0 {
@@ -154,8 +154,8 @@
 	return size, nil
 }
 
-// unexpectedEOF returns io.ErrUnexpectedEOF for io.EOF, and any other err unchanged.
-func unexpectedEOF(err error) error {
+// UnexpectedEOF returns io.ErrUnexpectedEOF for io.EOF, and any other err unchanged.
+func UnexpectedEOF(err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -59,10 +58,7 @@
 func (r *responseReader) readResponse(a Attempt) (resp response, err error) {
 	for resp.Status < http.StatusOK { // skip interim responses
 		if resp.head, err = r.heads.Read(r.buf, http1.MaxHeadBytes); err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return resp, err
+			return resp, http1.UnexpectedEOF(err)
 		}
 		minor, status, err := parseStatusLine(resp.head.FirstLine)
 		if err != nil {
