Write the rest of a request body in one loop

Need: bodies with a length and in chunks had a loop each, with the same end and errors. Change: one loop; a part is the last one if it completes the length, which chunks don't have. Measured: tests of upstream and of streamed bodies, and TestRequestWhoseLastByteWasWrittenIsNotRefused in its four orders, pass twice with -race.

--- a/internal/node/upstream/request_writer.go
+++ b/internal/node/upstream/request_writer.go
@@ -77,48 +77,33 @@
 func (w *requestWriter) streamBody(a Attempt) (stop func()) {
 	body := newBodyReader(a.Request.Stream, a.Lifetime)
 	go func() {
-		var err error
-		if a.Request.isChunked() {
-			err = w.writeChunks(body)
-		} else {
-			err = w.writeSized(body, a.Request.Length-int64(len(a.Request.Body)))
-		}
-		if err != nil && body.clientFailed { // after a failed write, the server's response may still arrive
+		if err := w.writeRest(body, a.Request); err != nil && body.clientFailed { // after a failed write, the server's response may still arrive
 			a.Lifetime.cancelWith(errAttemptTimeout)
 		}
 	}()
 	return body.close
 }
 
-// writeSized writes the rest of a body, which has the given number of bytes.
-func (w *requestWriter) writeSized(body *bodyReader, remaining int64) error {
-	for {
-		bytes, err := body.next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		remaining -= int64(len(bytes))
-		if err := w.writePart(w.conn, bytes, remaining <= 0); err != nil {
-			return err
-		}
+// writeRest writes the rest of the body as it arrives.
+func (w *requestWriter) writeRest(body *bodyReader, r *Request) error {
+	dst := io.Writer(w.conn)
+	if r.isChunked() {
+		dst = http1.ChunkWriter{Conn: w.conn.Conn}
 	}
-}
-
-// writeChunks writes the rest of a body in chunks, and the end of the chunks.
-func (w *requestWriter) writeChunks(body *bodyReader) error {
-	chunks := http1.ChunkWriter{Conn: w.conn.Conn}
+	written := int64(len(r.Body))
 	for {
 		bytes, err := body.next()
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && r.isChunked() {
 			return w.writePart(w.conn, []byte(http1.LastChunk), true)
 		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
 		if err != nil {
 			return err
 		}
-		if err := w.writePart(chunks, bytes, false); err != nil {
+		written += int64(len(bytes))
+		if err := w.writePart(dst, bytes, written == r.Length); err != nil { // never so in chunks, which have no length
 			return err
 		}
 	}
