--- a/internal/node/config/reload.go
+++ b/internal/node/config/reload.go
@@ -9,9 +9,9 @@
 
 // Reload reads the file that ROUTER_CONFIG names after a change. The other environment variables override the file only
 // at the start, not here. A file that lacks a key that it needs, or a key of the previous one that a reload may not drop
-// (keys.go), is rejected as a whole. The name and the fleet need a new process: they stay as before, and a change of the fleet is logged. The node
-// uses listen, control, seed, limits, list_file and known only at its start: a change of them is neither used nor
-// logged. Here limits is the top-level section; a reload does apply settings.limits.
+// (keys.go), is rejected as a whole. The name and the fleet need a new process: they stay as before, and a change of the
+// fleet is logged. The node uses listen, control, seed, limits, list_file and known only at its start: a change of them is
+// neither used nor logged. Here limits is the top-level section; a reload does apply settings.limits.
 func Reload(getenv func(string) string, previous Config) (Config, error) {
 	c, err := readFile(getenv, previous.keys)
 	if err != nil {
--- a/internal/node/discovery/client.go
+++ b/internal/node/discovery/client.go
@@ -194,8 +194,8 @@
 	return true
 }
 
-// applyTarget switches to another target, and reports whether it is another list: Revisions at another address or in another
-// scope may not be comparable with the current one, so the next call asks for the full list.
+// applyTarget switches to another target, and reports whether it has another list. Revisions at another address or in another
+// scope may not be comparable with the current one, so the next call asks for the full list then.
 func (c *Client) applyTarget(target Target) (otherList bool) {
 	addresses := strings.Split(target.Addresses, ",")
 	otherList = !slices.Equal(addresses, c.addresses) || target.Scope != c.scope.query
