--- a/internal/peertest/client.go
+++ b/internal/peertest/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -24,16 +25,18 @@
 	BodySize   int
 	Chunked    bool // the body has no Content-Length
 	WriteRate  int  // bytes of the body written a second; 0 for no limit
+	WritePiece int  // bytes of the body written at once; 0 for as many as WriteRate gives in pieceInterval
 	ReadRate   int  // bytes of the response read a second; 0 for no limit
 	BufferSize int  // size of the client's socket buffers in bytes; 0 for the system's
 }
 
 // Result is what a client saw of its request.
 type Result struct {
-	Status    int // 0 without a response
+	Status    int   // 0 without a response
+	Bytes     int64 // of the response's body
 	Whole     bool
 	KeepAlive bool      // the connection stays open
-	SentAt    time.Time // when the last byte was written
+	SentAt    time.Time // when the last byte was written; EndedAt if the response ended before
 	BeganAt   time.Time // when the response's first byte arrived
 	EndedAt   time.Time
 	Err       error
@@ -41,7 +44,7 @@
 
 // String describes the result for a failed test.
 func (r Result) String() string {
-	return fmt.Sprintf("status %d, whole %t, first byte %v and end %v after the request's last byte, error %v", r.Status, r.Whole,
+	return fmt.Sprintf("status %d, %d bytes, whole %t, first byte %v and end %v after the request's last byte, error %v", r.Status, r.Bytes, r.Whole,
 		r.BeganAt.Sub(r.SentAt).Round(time.Millisecond), r.EndedAt.Sub(r.SentAt).Round(time.Millisecond), r.Err)
 }
 
@@ -93,41 +96,65 @@
 	return r.DoOn(ctx, c)
 }
 
-// DoOn sends the request on c and reads its response.
+// maxResponseTime bounds how long a client reads a response that has begun.
+const maxResponseTime = 60 * time.Second
+
+// DoOn sends the request on c and reads its response, which may come before the request's end.
 func (r Request) DoOn(ctx context.Context, c net.Conn) (result Result) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	written := make(chan error, 1)
-	go func() { written <- r.write(ctx, c) }()
-	defer func() { result.EndedAt = time.Now() }()
+	w := requestWriter{conn: c, giveUpAfter: r.Wait + 6*finalAnswerSlack, written: make(chan struct{})}
+	go w.write(ctx, r)
 	response := bufio.NewReader(c)
-	began := make(chan error, 1)
-	go func() {
-		_, err := response.Peek(1)
-		result.BeganAt = time.Now()
-		began <- err
-	}()
+	_, result.Err = response.Peek(1)
+	result.BeganAt = time.Now()
+	if result.Err == nil {
+		w.responseBegan()
+		r.readResponse(ctx, response, &result)
+	}
+	result.EndedAt = time.Now()
 	select {
-	case result.Err = <-written:
-		result.SentAt = time.Now()
-		_ = c.SetReadDeadline(result.SentAt.Add(r.Wait + 6*finalAnswerSlack)) // a closed connection fails the read too
-		if err := <-began; err != nil {
-			result.Err = errors.Join(result.Err, err)
-			return result
-		}
-	case err := <-began: // an early response
-		result.SentAt = time.Now()
-		if err != nil {
-			result.Err = err
-			return result
+	case <-w.written:
+		result.SentAt = w.endedAt
+		if result.Status == 0 {
+			result.Err = errors.Join(w.err, result.Err)
 		}
-		defer func() { result.KeepAlive = false }() // the rest of the request is still being written
+	default: // the rest of the request is still being written
+		result.SentAt, result.KeepAlive = result.EndedAt, false
 	}
-	_ = c.SetReadDeadline(time.Time{}) // as above
-	r.readResponse(ctx, response, &result)
 	return result
 }
 
+// requestWriter writes a request while its response is awaited.
+type requestWriter struct {
+	conn        net.Conn
+	giveUpAfter time.Duration // after the request's last byte without a response
+	written     chan struct{} // closed when the writing has ended
+	endedAt     time.Time     // set before written is closed, as is err
+	err         error
+
+	mu    sync.Mutex
+	began bool // the response has begun
+}
+
+func (w *requestWriter) write(ctx context.Context, r Request) {
+	defer close(w.written)
+	w.err = r.write(ctx, w.conn)
+	w.endedAt = time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.began {
+		_ = w.conn.SetReadDeadline(w.endedAt.Add(w.giveUpAfter)) // a closed connection fails the read too
+	}
+}
+
+func (w *requestWriter) responseBegan() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.began = true
+	_ = w.conn.SetReadDeadline(time.Now().Add(maxResponseTime)) // as above
+}
+
 func (r Request) readResponse(ctx context.Context, from *bufio.Reader, result *Result) {
 	response, err := http.ReadResponse(from, nil)
 	if err != nil {
@@ -136,9 +163,9 @@
 	}
 	result.Status = response.StatusCode
 	if r.ReadRate > 0 {
-		_, err = copyAtRate(ctx, io.Discard, response.Body, r.ReadRate)
+		result.Bytes, err = copyAtRate(ctx, io.Discard, response.Body, r.ReadRate, 0)
 	} else {
-		_, err = io.Copy(io.Discard, response.Body)
+		result.Bytes, err = io.Copy(io.Discard, response.Body)
 	}
 	result.Whole, result.Err = err == nil, err
 	result.KeepAlive = err == nil && !response.Close && from.Buffered() == 0
@@ -158,7 +185,7 @@
 	body := io.LimitReader(repeated('b'), int64(r.BodySize))
 	var err error
 	if r.WriteRate > 0 {
-		_, err = copyAtRate(ctx, w, body, r.WriteRate)
+		_, err = copyAtRate(ctx, w, body, r.WriteRate, r.WritePiece)
 	} else {
 		_, err = io.Copy(w, body)
 	}
--- a/internal/peertest/pressure_test.go
+++ b/internal/peertest/pressure_test.go
@@ -59,7 +59,10 @@
 		t.Fatal(err)
 	}
 	list := staticList(append(addresses, group.Addresses()...))
-	spec.Name, spec.Discovery, spec.InitialList, spec.Settings = "n0", list.start(t), list, pressureSettings()
+	spec.Name, spec.Discovery, spec.InitialList = "n0", list.start(t), list
+	if spec.Settings == nil {
+		spec.Settings = pressureSettings()
+	}
 	n, err := cluster.Node(spec)
 	if err != nil {
 		t.Fatal(err)
@@ -226,7 +229,7 @@
 	r := newPressureRig(t, lowMemory(), 10, 0)
 	r.crowd(crowdSize, func(i int) {
 		q := r.read()
-		q.Behavior = peertest.ServerBehavior{Size: 60_000 + i%2*1_000_000, Chunked: i%3 == 0}
+		q.Behavior = peertest.ServerBehavior{Size: 60_000 + i%2*1_000_000, Framing: peertest.Framing(i % 3)}
 		q.BufferSize, q.ReadRate = 4096, 20_000
 		ctx, cancel := context.WithTimeout(r.ctx, 5*time.Second)
 		defer cancel()
@@ -285,7 +288,7 @@
 			for range 3 {
 				q := r.charge()
 				q.BodySize, q.WriteRate = 60_000+i%2*140_000, 128_000
-				q.Behavior = peertest.ServerBehavior{Size: 60_000 + i%2*500_000, Chunked: i%3 == 0}
+				q.Behavior = peertest.ServerBehavior{Size: 60_000 + i%2*500_000, Framing: peertest.Framing(i % 3)}
 				q.BufferSize, q.ReadRate = 8192, 100_000
 				q.Do(r.ctx, r.node.Listen)
 			}
@@ -306,7 +309,7 @@
 	r := newPressureRig(t, testcluster.NodeSpec{Cores: pressureCores, MemoryMB: 64, Sockets: 384}, 6, 0)
 	for range 4 {
 		q := r.order()
-		q.Behavior = peertest.ServerBehavior{Size: 150_000, Chunked: true, WriteRate: 80_000}
+		q.Behavior = peertest.ServerBehavior{Size: 150_000, Framing: peertest.Chunked, WriteRate: 80_000}
 		if got := q.Do(r.ctx, r.node.Listen); got.Status != http.StatusOK || !got.Whole {
 			t.Errorf("long chunked response of a steady server: got %v, want it whole", got)
 		}
--- a/internal/peertest/server.go
+++ b/internal/peertest/server.go
@@ -30,20 +30,35 @@
 	Complete bool // its last byte arrived, so the server ran it
 }
 
+// Framing is how a response tells where its body ends.
+type Framing int
+
+// Values of Framing.
+const (
+	ContentLength Framing = iota
+	Chunked
+	UntilClose // the end of the connection ends the body
+)
+
 // ServerBehavior tells a server how to treat one request. It travels in the request's query.
 type ServerBehavior struct {
-	Delay       time.Duration // before the response
+	EarlyHead   bool          // the response's head is sent before the request's body is read
+	Delay       time.Duration // between the end of the request and the response or, with EarlyHead, the response's body
+	BodyDelay   time.Duration // between the response's head and its body
 	Size        int           // length of the response body in bytes
-	Chunked     bool          // the response has no Content-Length
+	Framing     Framing       // of the response
 	WriteRate   int           // bytes of the response body a second; 0 for no limit
+	WritePiece  int           // bytes of the response body written at once; 0 for as many as WriteRate gives in pieceInterval
 	ReadRate    int           // bytes of the request body read a second; 0 for no limit
 	StopReading int           // the server hangs once it has read so many bytes of the request body; 0 for never
+	BreakAfter  int           // the connection breaks off after so many bytes of the response body; 0 for never
 }
 
 // Path returns the path and query of a request that is treated so.
 func (b ServerBehavior) Path() string {
-	return fmt.Sprintf("/api?delay=%d&size=%d&chunked=%t&write=%d&read=%d&stop=%d", b.Delay.Milliseconds(), b.Size, b.Chunked,
-		b.WriteRate, b.ReadRate, b.StopReading)
+	return fmt.Sprintf("/api?early=%t&delay=%d&late=%d&size=%d&framing=%d&write=%d&piece=%d&read=%d&stop=%d&break=%d", b.EarlyHead,
+		b.Delay.Milliseconds(), b.BodyDelay.Milliseconds(), b.Size, b.Framing, b.WriteRate, b.WritePiece, b.ReadRate, b.StopReading,
+		b.BreakAfter)
 }
 
 // parseBehavior reads the query that Path writes. Absent values are zero.
@@ -52,8 +67,10 @@
 		n, _ := strconv.Atoi(query.Get(name))
 		return n
 	}
-	return ServerBehavior{Delay: time.Duration(number("delay")) * time.Millisecond, Size: number("size"),
-		Chunked: query.Get("chunked") == "true", WriteRate: number("write"), ReadRate: number("read"), StopReading: number("stop")}
+	millis := func(name string) time.Duration { return time.Duration(number(name)) * time.Millisecond }
+	return ServerBehavior{EarlyHead: query.Get("early") == "true", Delay: millis("delay"), BodyDelay: millis("late"),
+		Size: number("size"), Framing: Framing(number("framing")), WriteRate: number("write"), WritePiece: number("piece"),
+		ReadRate: number("read"), StopReading: number("stop"), BreakAfter: number("break")}
 }
 
 // Servers is a group of servers that share one record of attempts.
@@ -192,6 +209,11 @@
 	s.mu.Lock()
 	s.attempts = append(s.attempts, a)
 	s.mu.Unlock()
+	if b.EarlyHead {
+		if err := writeHead(c, b); err != nil {
+			return err
+		}
+	}
 	if err := s.readBody(request.Body, b); err != nil {
 		return err
 	}
@@ -201,7 +223,12 @@
 	if err := sleep(s.ctx, b.Delay); err != nil {
 		return err
 	}
-	return s.respond(c, b)
+	if !b.EarlyHead {
+		if err := writeHead(c, b); err != nil {
+			return err
+		}
+	}
+	return s.writeBody(c, b)
 }
 
 func (s *Servers) readBody(body io.Reader, b ServerBehavior) error {
@@ -213,30 +240,53 @@
 		return s.ctx.Err()
 	}
 	if b.ReadRate > 0 {
-		_, err := copyAtRate(s.ctx, io.Discard, body, b.ReadRate)
+		_, err := copyAtRate(s.ctx, io.Discard, body, b.ReadRate, 0)
 		return err
 	}
 	_, err := io.Copy(io.Discard, body)
 	return err
 }
 
-func (s *Servers) respond(c net.Conn, b ServerBehavior) error {
-	framing, w := "Content-Length: "+strconv.Itoa(b.Size), io.Writer(c)
-	if b.Chunked {
-		framing, w = "Transfer-Encoding: chunked", chunkWriter{c}
-	}
-	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+framing+"\r\n\r\n"); err != nil {
+func writeHead(c net.Conn, b ServerBehavior) error {
+	framing := map[Framing]string{ContentLength: "Content-Length: " + strconv.Itoa(b.Size), Chunked: "Transfer-Encoding: chunked",
+		UntilClose: "Connection: close"}
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+framing[b.Framing]+"\r\n\r\n")
+	return err
+}
+
+// errConnectionEnds ends a connection after its last response.
+var errConnectionEnds = errors.New("the connection ends")
+
+func (s *Servers) writeBody(c net.Conn, b ServerBehavior) error {
+	if err := sleep(s.ctx, b.BodyDelay); err != nil {
 		return err
 	}
-	body := io.LimitReader(repeated('a'), int64(b.Size))
+	w, size := io.Writer(c), b.Size
+	if b.Framing == Chunked {
+		w = chunkWriter{c}
+	}
+	if b.BreakAfter > 0 {
+		size = min(size, b.BreakAfter)
+	}
+	body := io.LimitReader(repeated('a'), int64(size))
 	var err error
 	if b.WriteRate > 0 {
-		_, err = copyAtRate(s.ctx, w, body, b.WriteRate)
+		_, err = copyAtRate(s.ctx, w, body, b.WriteRate, b.WritePiece)
 	} else {
 		_, err = io.Copy(w, body)
 	}
-	if err == nil && b.Chunked {
+	switch {
+	case err != nil:
+		return err
+	case b.BreakAfter > 0:
+		if tcp, ok := c.(*net.TCPConn); ok {
+			return errors.Join(errConnectionEnds, tcp.SetLinger(0)) // the close then resets the connection
+		}
+		return errConnectionEnds
+	case b.Framing == Chunked:
 		_, err = io.WriteString(c, "0\r\n\r\n")
+	case b.Framing == UntilClose:
+		return errConnectionEnds
 	}
 	return err
 }
@@ -261,10 +311,14 @@
 	return len(p), nil
 }
 
-// copyAtRate copies from r to w at a rate in bytes a second, until r ends.
-func copyAtRate(ctx context.Context, w io.Writer, r io.Reader, rate int) (total int64, err error) {
-	piece := max(1, int64(rate)*int64(pieceInterval)/int64(time.Second))
-	for next := time.Now(); ; next = next.Add(pieceInterval) {
+// copyAtRate copies from r to w at a rate in bytes a second, until r ends. It copies pieceBytes at once; 0 means as many as the
+// rate gives in pieceInterval.
+func copyAtRate(ctx context.Context, w io.Writer, r io.Reader, rate, pieceBytes int) (total int64, err error) {
+	piece, interval := max(1, int64(rate)*int64(pieceInterval)/int64(time.Second)), pieceInterval
+	if pieceBytes > 0 {
+		piece, interval = int64(pieceBytes), time.Duration(pieceBytes)*time.Second/time.Duration(rate)
+	}
+	for next := time.Now(); ; next = next.Add(interval) {
 		if err := sleep(ctx, time.Until(next)); err != nil {
 			return total, err
 		}
--- a/internal/peertest/soak_test.go
+++ b/internal/peertest/soak_test.go
@@ -174,7 +174,7 @@
 func (s *soak) draw(random *rand.Rand) peertest.Request {
 	q := []func() peertest.Request{s.read, s.pressureRig.order, s.charge}[random.IntN(3)]()
 	q.Behavior.Delay = time.Duration(random.IntN(60)) * time.Millisecond
-	q.Behavior.Size, q.Behavior.Chunked = random.IntN(5000), random.IntN(2) == 0
+	q.Behavior.Size, q.Behavior.Framing = random.IntN(5000), peertest.Framing(random.IntN(3))
 	switch random.IntN(6) {
 	case 0: // a long response of a steady server
 		q.Behavior.Size, q.Behavior.WriteRate = 70_000+random.IntN(80_000), 80_000+random.IntN(100_000)
