Let a response that has begun last until the client's deadline

What callers saw: 502 after 0.75 s for long responses whose body came 1 s after their head, with a client that waits 2.5 s. Cause: the attempt's deadline is the class's latency objective (policy, usefulUntil). It went on to end the reads of a response whose head had come, until 4 KiB of a body without a length had arrived. Change: Lifetime is the one owner of an attempt's deadlines, by phase. Until the head of a 200 the attempt's deadline holds, then the client's, and none once the response is known to be long. The hold of a start has a type of its own, follows moved deadlines, and passes a small start without a length on after 1.5 s, since the client's deadline may be far off; such a stream stays bound by that deadline until 4 KiB have arrived. A stream of a short response (no memory to buffer it) is no longer freed of the client's deadline. The time by which a request must be written outlasts a moved deadline, which replaced it before.

--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -69,7 +69,7 @@
 		}
 	case policy.SetAttemptDeadline:
 		if a.Attempt < len(r.attempts) {
-			r.attempts[a.Attempt].lifetime.SetDeadline(l.clock.at(min(a.AttemptDeadline, r.deadline)))
+			r.attempts[a.Attempt].lifetime.SetAttemptDeadline(l.clock.at(a.AttemptDeadline))
 		}
 	}
 }
@@ -95,7 +95,8 @@
 		attemptDeadline = min(attemptDeadline, a.AttemptDeadline)
 	}
 	l.traceSend(r, a)
-	f := upstream.NewLifetime(l.clock.at(attemptDeadline))
+	f := upstream.NewLifetime(l.clock.at(r.deadline))
+	f.SetAttemptDeadline(l.clock.at(attemptDeadline))
 	r.attempts = append(r.attempts, attempt{server: a.Server, sentAt: now, lifetime: f})
 	params := upstream.Attempt{Request: &r.Forwarded, Timeout: attemptDeadline - now, Lifetime: f,
 		Observer: &attemptObserver{l, r, n}}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -102,7 +102,7 @@
 	r.setDeadlines(sentAt)
 	heap.Fix(&l.timers, r.backstop.index)
 	for _, a := range r.attempts {
-		a.lifetime.SetDeadline(l.clock.at(r.deadline))
+		a.lifetime.SetClientDeadline(l.clock.at(r.deadline))
 	}
 }
 
@@ -151,15 +151,14 @@
 	}
 }
 
-// forwardResponse starts streaming a response to the client, and lifts the attempt's deadline. If the request has
-// already ended, it cancels the attempt instead.
+// forwardResponse starts streaming a response to the client. If the request has already ended, it cancels the attempt
+// instead.
 func (l *loop) forwardResponse(e responseStarted) {
 	a := &e.r.attempts[e.index]
 	if e.r.ended {
 		a.lifetime.Cancel()
 		return
 	}
-	a.lifetime.SetDeadline(time.Time{})
 	a.answeredAt = l.clock.now()
 	l.answer(e.r, e.Response, "a server's response begins")
 	l.decide(policy.FirstByte{ID: e.r.Request.ID, Server: a.server, Attempt: e.index, Latency: a.answeredAt - a.sentAt})
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -100,11 +100,10 @@
 
 // streamResponse passes a streamed response to the Observer, and waits until the stream ends.
 func streamResponse(c *serverConn, a Attempt, resp response) error {
-	stream := newResponseStream(resp.remaining, a)
+	stream := newResponseStream(resp, a)
 	started := resp.Response
 	started.Stream = stream
 	cancelled := a.Lifetime.whenCancelled()
-	a.Lifetime.SetDeadline(time.Time{}) // the response has begun in time
 	a.Observer.ResponseStarted(started)
 	select {
 	case err := <-stream.done:
--- a/internal/node/upstream/lifetime.go
+++ b/internal/node/upstream/lifetime.go
@@ -14,109 +14,146 @@
 // errAttemptTimeout cancels an attempt whose server stalled or whose deadline passed.
 var errAttemptTimeout = errors.New("upstream: attempt timed out")
 
+// phase is how far an attempt has come. It says which limits end the attempt's reads and writes, besides Cancel:
+//
+//	phase       reads end at                        writes end at
+//	requesting  the attempt's deadline or, if that  as reads, and by the time of limitWrite
+//	            is sooner, the client's
+//	responding  the client's deadline               as reads, and by the time of limitWrite
+//	committed   no time; a stall ends them          as reads, and by the time of limitWrite
+//
+// An attempt goes through the phases in this order, and may leave some out.
+type phase int
+
 const (
-	// maxStartHold is how long the start of a streamed response is held back at most, to retry a response that breaks.
-	maxStartHold = time.Second
-	// maxStartMargin is the time from the end of that hold to the attempt's deadline. The margin is at most the time left
-	// divided by startMarginDivisor.
-	maxStartMargin     = 100 * time.Millisecond
-	startMarginDivisor = 4
+	// requesting lasts until the head of a response with status 200 has been read. The server owes the response by the time
+	// that the balancer gave the attempt.
+	requesting phase = iota
+	// responding lasts as long as the response may still be short. Its end is owed to the client by the client's deadline.
+	responding
+	// committed is the phase of a long response of which enough has arrived. The rest is owed for as long as the server sends it.
+	committed
 )
 
-// Lifetime bounds one attempt by a deadline and by cancellation. Unlike the deadline of a context, this deadline can be
-// moved. Its methods may be called from any goroutine and don't block.
+// Lifetime bounds one attempt by deadlines and by cancellation. Unlike the deadline of a context, these deadlines can be
+// moved. It alone sets the deadlines of the attempt's connection. Its methods may be called from any goroutine and don't
+// block.
 type Lifetime struct {
-	mu         sync.Mutex
-	deadline   time.Time     // zero for none
-	cause      error         // why it was cancelled; only the first cause is kept
-	conn       net.Conn      // the attempt's connection; nil while it has none
-	cancelDial func()        // cancels the dial in progress
-	cancelled  chan struct{} // closed when cause is set; nil until whenCancelled is called
-	heldSince  time.Time     // when holdStart was called
-	startTimer *time.Timer   // of holdStart; nil while nothing is held
-	startKept  bool          // keepStart was called
-}
-
-// NewLifetime returns a Lifetime with a deadline; zero means none.
-func NewLifetime(deadline time.Time) *Lifetime { return &Lifetime{deadline: deadline} }
-
-// SetDeadline moves the deadline; zero means none.
-func (l *Lifetime) SetDeadline(deadline time.Time) {
+	mu              sync.Mutex
+	phase           phase
+	attemptDeadline time.Time     // zero for none, as are the other times
+	clientDeadline  time.Time     // by which the client needs the end of a short response
+	writeBy         time.Time     // by which the request's last byte must be written
+	cause           error         // why it was cancelled; only the first cause is kept
+	conn            net.Conn      // the attempt's connection; nil while it has none
+	cancelDial      func()        // cancels the dial in progress
+	cancelled       chan struct{} // closed when cause is set; nil until whenCancelled is called
+	moved           chan struct{} // has a value once a deadline was moved; nil until whenMoved is called
+}
+
+// NewLifetime returns a Lifetime with the client's deadline; zero means none.
+func NewLifetime(clientDeadline time.Time) *Lifetime {
+	return &Lifetime{clientDeadline: clientDeadline}
+}
+
+// SetAttemptDeadline sets or moves the time by which the response must begin; zero means the client's deadline.
+func (l *Lifetime) SetAttemptDeadline(deadline time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.deadline = deadline
-	switch { // a call fails only on a closed connection, whose attempt ends anyway
-	case l.conn == nil || l.cause != nil:
-	case l.startKept:
-		_ = l.conn.SetWriteDeadline(deadline)
-	default:
-		_ = l.conn.SetDeadline(deadline)
-	}
-	if l.startTimer != nil {
-		l.startTimer.Reset(time.Until(l.startDue()))
-	}
+	l.attemptDeadline = deadline
+	l.applyLocked()
 }
 
-// left returns the time until the deadline, at most timeout.
-func (l *Lifetime) left(timeout time.Duration) time.Duration {
+// SetClientDeadline moves the client's deadline; zero means none.
+func (l *Lifetime) SetClientDeadline(deadline time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.deadline.IsZero() {
-		return timeout
-	}
-	return min(timeout, time.Until(l.deadline))
+	l.clientDeadline = deadline
+	l.applyLocked()
 }
 
-// holdStart returns a channel that is closed when what has arrived of a streamed response is to be passed on, which is before
-// the deadline. If the deadline is moved, so is that time. stop frees the timer.
-func (l *Lifetime) holdStart(now time.Time) (due <-chan struct{}, stop func()) {
+// limitWrite makes the writing of the request fail at a time.
+func (l *Lifetime) limitWrite(by time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := make(chan struct{})
-	closeOnce := sync.OnceFunc(func() { close(c) })
-	l.heldSince = now
-	l.startTimer = time.AfterFunc(l.startDue().Sub(now), closeOnce)
-	return c, l.releaseStart
+	l.writeBy = by
+	l.applyLocked()
 }
 
-// startDue returns the time at which what has arrived of a response held since heldSince is to be passed on. l.mu is held.
-func (l *Lifetime) startDue() time.Time {
-	latest := l.heldSince.Add(maxStartHold)
-	if l.deadline.IsZero() {
-		return latest
+// enter moves the attempt on to a phase. It does nothing if the attempt has come further already.
+func (l *Lifetime) enter(next phase) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if next > l.phase {
+		l.phase = next
+		l.applyLocked()
 	}
-	margin := min(maxStartMargin, max(0, l.deadline.Sub(l.heldSince))/startMarginDivisor)
-	if due := l.deadline.Add(-margin); due.Before(latest) {
-		return due
+}
+
+// deadlineLocked returns the time at which the reads of the present phase end. l.mu is held.
+func (l *Lifetime) deadlineLocked() time.Time {
+	switch l.phase {
+	case committed:
+		return time.Time{}
+	case responding:
+		return l.clientDeadline
 	}
-	return latest
+	return earlier(l.attemptDeadline, l.clientDeadline)
 }
 
-// keepStart says that enough of a response has arrived to be passed on when it is due. From then on the deadline ends no read,
-// so that a server that still sends isn't cut off, however late the node notices that the start is due.
-func (l *Lifetime) keepStart() {
+// applyLocked sets the deadlines of the connection after a change. l.mu is held. A call fails only on a closed connection,
+// whose attempt ends anyway.
+func (l *Lifetime) applyLocked() {
+	if l.moved != nil {
+		select {
+		case l.moved <- struct{}{}:
+		default:
+		}
+	}
+	if l.conn == nil || l.cause != nil {
+		return
+	}
+	deadline := l.deadlineLocked()
+	_ = l.conn.SetDeadline(deadline)
+	if by := earlier(deadline, l.writeBy); !by.Equal(deadline) {
+		_ = l.conn.SetWriteDeadline(by)
+	}
+}
+
+// earlier returns the earlier of two times, of which zero means none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// left returns the time until the deadline, at most timeout.
+func (l *Lifetime) left(timeout time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.startKept = true; l.conn != nil && l.cause == nil {
-		_ = l.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	deadline := l.deadlineLocked()
+	if deadline.IsZero() {
+		return timeout
 	}
+	return min(timeout, time.Until(deadline))
 }
 
-// releaseStart ends the effect of holdStart.
-func (l *Lifetime) releaseStart() {
+// whenMoved returns a channel that receives a value when a deadline is moved. Only one goroutine may call it.
+func (l *Lifetime) whenMoved() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.startTimer.Stop()
-	l.startTimer = nil
+	if l.moved == nil {
+		l.moved = make(chan struct{}, 1)
+	}
+	return l.moved
 }
 
-// limitWrite makes the writing of the request fail at a time, if that comes before the deadline.
-func (l *Lifetime) limitWrite(by time.Time) {
+// beginDeadline returns the time by which the response must begin; zero means none.
+func (l *Lifetime) beginDeadline() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn != nil && l.cause == nil && (l.deadline.IsZero() || by.Before(l.deadline)) {
-		_ = l.conn.SetWriteDeadline(by) // fails only on a closed connection, whose attempt ends anyway
-	}
+	return earlier(l.attemptDeadline, l.clientDeadline)
 }
 
 // Cancel ends the attempt. Its reads and writes fail, and the attempt then closes its connection, which tells the server
@@ -162,10 +199,10 @@
 	if l.cancelDial = cancel; l.cause != nil {
 		cancel()
 	}
-	return l.deadline
+	return l.deadlineLocked()
 }
 
-// attach sets the attempt's connection and applies the deadline to it. If the Lifetime is already cancelled, it returns
+// attach sets the attempt's connection and applies the deadlines to it. If the Lifetime is already cancelled, it returns
 // the cause.
 func (l *Lifetime) attach(c net.Conn) error {
 	l.mu.Lock()
@@ -175,7 +212,7 @@
 		return l.cause
 	}
 	l.conn = c
-	return c.SetDeadline(l.deadline)
+	return c.SetDeadline(l.deadlineLocked())
 }
 
 // detach releases the connection from the Lifetime. It returns false if the Lifetime was cancelled: reads and writes
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -94,6 +94,9 @@
 // streamed if the status is 200. Otherwise it is discarded together with the connection.
 func (r *responseReader) readBody(resp *response, body io.Reader, a Attempt) (err error) {
 	short := resp.Length >= 0 && resp.Length <= http1.MaxBufferedBodyBytes
+	if resp.Status == http.StatusOK && (!short || int64(r.buf.Buffered()) < resp.Length) { // otherwise no read waits
+		a.Lifetime.enter(responding)
+	}
 	switch {
 	case short && (a.Request.Held.Take(int(resp.Length), memory.Ongoing) || resp.Status != http.StatusOK):
 		resp.Body = make([]byte, resp.Length)
--- a/internal/node/upstream/response_start.go
+++ b/internal/node/upstream/response_start.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"time"
 
 	"sloerail/internal/node/http1"
@@ -12,11 +13,22 @@
 // StreamStartBytes is how much of a response body is read before the response is passed to the client, if its status is
 // 200 and its Content-Length is over http1.MaxBufferedBodyBytes.
 //
-// At the time that Lifetime.holdStart tells, less is passed on: what has arrived of a body with such a Content-Length, and
-// StreamStartBytes of one without a length. A body without a length may be short, and is worth nothing to a client that
-// gets the end of it late.
+// At the end of its startHold, less is passed on: what has arrived of a body with such a Content-Length, and StreamStartBytes
+// of one without a length. A body without a length may be short, and is worth nothing to a client that gets the end of it
+// late.
 const StreamStartBytes = 4 << 10
 
+const (
+	// maxStartHold is how long the start of a long response is held back at most, to retry a response that breaks.
+	maxStartHold = time.Second
+	// maxSmallStartHold is the same for a start under StreamStartBytes of a body without a length.
+	maxSmallStartHold = 1500 * time.Millisecond
+	// maxStartMargin is the time from the end of a hold to a deadline that would end it. The margin is at most the time left
+	// divided by startMarginDivisor.
+	maxStartMargin     = 100 * time.Millisecond
+	startMarginDivisor = 4
+)
+
 // readStart reads the start of a body that is long, has no length, or may not be buffered whole for lack of memory. A body
 // that turns out to be short is read to its end. The rest of any other one is streamed.
 //
@@ -27,15 +39,11 @@
 	if resp.Length < 0 {
 		wanted = http1.MaxBufferedBodyBytes + 1
 	}
-	due, stop := a.Lifetime.holdStart(time.Now())
-	defer stop()
+	hold := newStartHold(resp, a.Lifetime)
+	defer hold.stop()
 	buffered := make([]byte, 0, StreamStartBytes)
 	for len(buffered) < wanted {
-		enough := resp.isStartEnough(len(buffered))
-		if enough {
-			a.Lifetime.keepStart()
-		}
-		if enough && isClosed(due) {
+		if hold.add(len(buffered)); hold.isOver() {
 			break
 		}
 		if len(buffered) == cap(buffered) {
@@ -45,15 +53,10 @@
 			buffered = append(make([]byte, 0, 2*cap(buffered)), buffered...)
 		}
 		read := startRead(body, buffered[len(buffered):min(cap(buffered), wanted)])
-		select {
-		case <-read.ended:
-		case <-due:
-			if enough {
-				r.pending = read
-				resp.Body, resp.remaining = buffered, &continuedBody{pending: read, body: body}
-				return nil
-			}
-			<-read.ended
+		if !hold.await(read.ended) {
+			r.pending = read
+			body = &continuedBody{pending: read, body: body}
+			break
 		}
 		buffered = buffered[:len(buffered)+read.n]
 		if errors.Is(read.err, io.EOF) {
@@ -68,18 +71,95 @@
 	return nil
 }
 
-// isStartEnough reports whether a response of which n bytes of the body have arrived is passed on when its start is due.
-func (resp *response) isStartEnough(n int) bool {
-	return n >= StreamStartBytes || resp.Length > http1.MaxBufferedBodyBytes
+// commitBytes returns how much of the body must arrive before the rest is owed however long the server takes. Until then, the
+// response may be short and is owed in time.
+func (resp *response) commitBytes() int {
+	switch {
+	case resp.Length > http1.MaxBufferedBodyBytes:
+		return 0
+	case resp.Length < 0:
+		return StreamStartBytes
+	}
+	return math.MaxInt // it is short
+}
+
+// startHold tells how long the start of a response is held back.
+type startHold struct {
+	response *response
+	lifetime *Lifetime
+	moved    <-chan struct{} // has a value once a deadline was moved
+	since    time.Time
+	timer    *time.Timer // of await; nil until it is needed
+	arrived  int         // bytes of the body
+}
+
+func newStartHold(resp *response, l *Lifetime) *startHold {
+	return &startHold{response: resp, lifetime: l, moved: l.whenMoved(), since: time.Now()}
+}
+
+// stop frees the timer.
+func (h *startHold) stop() {
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+}
+
+// add notes how much of the body has arrived.
+func (h *startHold) add(total int) {
+	if h.arrived = total; total >= h.response.commitBytes() {
+		h.lifetime.enter(committed)
+	}
+}
+
+// end returns when what has arrived is passed on; zero means not before more arrives.
+func (h *startHold) end() time.Time {
+	switch {
+	case h.arrived >= h.response.commitBytes():
+		return earlier(h.since.Add(maxStartHold), h.before(h.lifetime.beginDeadline()))
+	case h.arrived > 0 && h.response.Length < 0:
+		return h.since.Add(maxSmallStartHold)
+	}
+	return time.Time{}
+}
+
+// before returns a time shortly before a deadline; zero means none.
+func (h *startHold) before(deadline time.Time) time.Time {
+	if deadline.IsZero() {
+		return deadline
+	}
+	return deadline.Add(-min(maxStartMargin, max(0, deadline.Sub(h.since))/startMarginDivisor))
+}
+
+// isOver reports whether what has arrived is to be passed on now.
+func (h *startHold) isOver() bool {
+	end := h.end()
+	return !end.IsZero() && !time.Now().Before(end)
+}
+
+// await waits for a read to end. It returns false if what has arrived before is to be passed on first.
+func (h *startHold) await(readEnded <-chan struct{}) bool {
+	for {
+		var over <-chan time.Time
+		if end := h.end(); !end.IsZero() {
+			over = h.after(time.Until(end))
+		}
+		select {
+		case <-readEnded:
+			return true
+		case <-over:
+			return false
+		case <-h.moved:
+		}
+	}
 }
 
-func isClosed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
+func (h *startHold) after(d time.Duration) <-chan time.Time {
+	if h.timer == nil {
+		h.timer = time.NewTimer(d)
+	} else {
+		h.timer.Reset(d)
 	}
+	return h.timer.C
 }
 
 // pendingRead is a read in a goroutine of its own.
--- a/internal/node/upstream/response_start_test.go
+++ b/internal/node/upstream/response_start_test.go
@@ -11,15 +11,13 @@
 // to count only when its body has arrived, and a server may respond earlier.
 func TestStartIsDueBeforeAMovedDeadline(t *testing.T) {
 	nodetest.Bubble(t, func(t *testing.T) {
-		begin := time.Now()
-		l := NewLifetime(begin.Add(time.Hour))
-		due, stop := l.holdStart(begin)
-		defer stop()
-		time.Sleep(maxStartHold / 2)
-		deadline := time.Now().Add(maxStartHold / 10)
-		l.SetDeadline(deadline)
-		<-due
-		if !time.Now().Before(deadline) {
+		l := NewLifetime(time.Now().Add(time.Hour))
+		hold := newStartHold(&response{Response: Response{Length: -1}}, l)
+		defer hold.stop()
+		hold.add(StreamStartBytes)
+		deadline := time.Now().Add(maxStartHold/2 + maxStartHold/10)
+		time.AfterFunc(maxStartHold/2, func() { l.SetClientDeadline(deadline) })
+		if ended := hold.await(nil); ended || !time.Now().Before(deadline) {
 			t.Errorf("start due %v after the moved deadline, want before it", time.Since(deadline))
 		}
 	})
--- a/internal/node/upstream/response_stream.go
+++ b/internal/node/upstream/response_stream.go
@@ -17,6 +17,9 @@
 // ResponseStream streams the rest of a response body to the client. The attempt ends when the stream does.
 type ResponseStream struct {
 	body       io.Reader
+	lifetime   *Lifetime
+	arrived    int // bytes of the body, with its start
+	commitAt   int // how many commit the attempt to the rest
 	held       *memory.Reservation
 	stallTimer *time.Timer // runs during reads from the server
 	state      atomic.Int32
@@ -30,10 +33,11 @@
 	streamAbandoned // the attempt was cancelled before CopyTo was called
 )
 
-func newResponseStream(body io.Reader, a Attempt) *ResponseStream {
+func newResponseStream(resp response, a Attempt) *ResponseStream {
 	t := time.AfterFunc(stallTimeout, func() { a.Lifetime.cancelWith(errAttemptTimeout) })
 	t.Stop()
-	return &ResponseStream{body: body, held: a.Request.Held, stallTimer: t, done: make(chan error, 1)}
+	return &ResponseStream{body: resp.remaining, lifetime: a.Lifetime, arrived: len(resp.Body), commitAt: resp.commitBytes(),
+		held: a.Request.Held, stallTimer: t, done: make(chan error, 1)}
 }
 
 // abandon prevents CopyTo from starting. It returns false if CopyTo has already started.
@@ -87,8 +91,13 @@
 }
 
 // read reads from the server, and cancels the attempt if nothing arrives within stallTimeout.
-func (s *ResponseStream) read(p []byte) (int, error) {
+func (s *ResponseStream) read(p []byte) (n int, err error) {
 	s.stallTimer.Reset(stallTimeout)
 	defer s.stallTimer.Stop()
-	return s.body.Read(p)
+	n, err = s.body.Read(p)
+	if committedBefore := s.arrived >= s.commitAt; !committedBefore && s.arrived+n >= s.commitAt {
+		s.lifetime.enter(committed)
+	}
+	s.arrived += n
+	return n, err
 }
--- a/internal/node/upstream/transport_test.go
+++ b/internal/node/upstream/transport_test.go
@@ -213,7 +213,7 @@
 
 func TestDeadlineAndCancelCloseConnection(t *testing.T) {
 	for want, end := range map[policy.Code]func(*Lifetime){
-		policy.TimedOut:  func(l *Lifetime) { l.SetDeadline(time.Now()) },
+		policy.TimedOut:  func(l *Lifetime) { l.SetClientDeadline(time.Now()) },
 		policy.Cancelled: func(l *Lifetime) { l.Cancel() },
 	} {
 		received, closed := make(chan struct{}), make(chan struct{})
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -30,7 +30,7 @@
 	Kind            ActionKind
 	ID              string
 	Server          string
-	AttemptDeadline Time // when the attempt times out; if 0, at the client's deadline
+	AttemptDeadline Time // when the attempt times out if no response has begun; if 0, at the client's deadline
 	WriteBy         Time // the attempt may not be written later; 0 for no bound
 	Wait            time.Duration
 	Token           uint64
