Show that a head before the request is read costs the answer

Measured: with a length over 64 KiB and a server that reads slowly or not at all, the client gets the head after 0.65 s and the end of the connection after 5.65 s, for a wait of 2.5 s. If the client still writes, the node stops forwarding and cuts the answer off.

--- a/internal/peertest/response_forms_test.go
+++ b/internal/peertest/response_forms_test.go
@@ -55,3 +55,56 @@
 		}
 	}
 }
+
+// earlyHeadCase is a request whose response's head comes before its server has read it.
+type earlyHeadCase struct {
+	body, writeRate int
+	behavior        peertest.ServerBehavior
+	served          bool // the server is quick enough
+}
+
+const (
+	shortUpload = 400_000   // more than a node reads before it forwards the rest
+	longUpload  = 1_600_000 // takes a server that reads slowly longer than its client waits
+)
+
+// Guards against a response whose head comes before its server has read the request and that counts as begun then: the node
+// gave its end up seconds after the client's time.
+func TestHeadBeforeTheRequestIsReadLeavesTheRequestItsTime(t *testing.T) {
+	testEarlyHeads(t, map[string]earlyHeadCase{
+		"server reads at once":  {shortUpload, 0, peertest.ServerBehavior{}, true},
+		"server reads steadily": {shortUpload, 0, peertest.ServerBehavior{ReadRate: 400_000}, true},
+		"server reads slowly":   {longUpload, 0, peertest.ServerBehavior{ReadRate: 60_000}, false},
+		"server stops reading":  {shortUpload, 0, peertest.ServerBehavior{StopReading: 20_000}, false},
+	})
+}
+
+// Guards against a request that is no longer forwarded once its response's head has come, so that its server never gets the
+// rest, and the response is cut off.
+func TestRequestIsForwardedOnBehindAnEarlyHead(t *testing.T) {
+	testEarlyHeads(t, map[string]earlyHeadCase{
+		"client writes steadily":             {shortUpload, 100_000, peertest.ServerBehavior{}, true},
+		"client writes, server reads slowly": {shortUpload, 100_000, peertest.ServerBehavior{ReadRate: 120_000}, true},
+	})
+}
+
+func testEarlyHeads(t *testing.T, cases map[string]earlyHeadCase) {
+	r := newSiteRig(t, 6)
+	for name, c := range cases {
+		for _, framing := range []peertest.Framing{peertest.ContentLength, peertest.Chunked, peertest.UntilClose} {
+			for _, size := range []int{200, 30_000, 90_200, longBody} {
+				t.Run(fmt.Sprint(name, ", framing ", framing, ", ", size, " bytes"), func(t *testing.T) {
+					t.Parallel()
+					q := r.siteOrder()
+					q.BodySize, q.WriteRate, q.Behavior = c.body, c.writeRate, c.behavior
+					q.Behavior.EarlyHead, q.Behavior.Framing, q.Behavior.Size = true, framing, size
+					got := q.Do(r.ctx, r.node.Listen)
+					isWhole := got.Whole && (got.Status != http.StatusOK || got.Bytes == int64(size))
+					if !got.IsAnsweredInTime(q.Wait) || !isWhole || c.served && got.Status != http.StatusOK {
+						t.Errorf("wait %v: got %v, want a whole final answer in time, 200 if the server is quick enough", q.Wait, got)
+					}
+				})
+			}
+		}
+	}
+}
