Count a response as begun only once its server has the request

What callers saw: a server sends a head with a length over 64 KiB before it reads the request, and then reads slowly or not at all; the client got the head after 0.65 s and a broken connection after 5.65 s, for a wait of 2.5 s. Cause: a length over 64 KiB alone lifted the deadlines, and the stall timer of the response then ran while the server was still reading the request. Change: a head alone is passed on shortly before the client's deadline, and only if the server's machine has received the whole request (its connection's send queue is empty); else the deadline ends the attempt, and the client gets its final answer in time. A head with a part of the body counts as before. One stallWatch for each attempt replaces the timers of the two directions: progress of either one starts the time anew, and it doesn't run while the node waits for the client. An idea that didn't hold: asking only whether the request was written; 4 cases then ended 7.38 s after the request, since the send buffer takes megabytes that the server hasn't read.

--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -74,7 +74,7 @@
 	}
 	r := acquireResponseReader(c)
 	defer r.release()
-	resp, err := r.readResponse(a)
+	resp, err := r.readResponse(a, w)
 	if err != nil {
 		return Result{Code: a.Lifetime.failureCode(err, w.abort())}, false
 	}
--- a/internal/node/upstream/lifetime.go
+++ b/internal/node/upstream/lifetime.go
@@ -49,6 +49,8 @@
 	cancelDial      func()        // cancels the dial in progress
 	cancelled       chan struct{} // closed when cause is set; nil until whenCancelled is called
 	moved           chan struct{} // has a value once a deadline was moved; nil until whenMoved is called
+
+	stall stallWatch // of the server
 }
 
 // NewLifetime returns a Lifetime with the client's deadline; zero means none.
@@ -97,6 +99,7 @@
 		return time.Time{}
 	case responding:
 		return l.clientDeadline
+	case requesting:
 	}
 	return earlier(l.attemptDeadline, l.clientDeadline)
 }
@@ -149,13 +152,17 @@
 	return l.moved
 }
 
-// beginDeadline returns the time by which the response must begin; zero means none.
-func (l *Lifetime) beginDeadline() time.Time {
+// deadlines returns the times by which the response must begin, and by which a short one must end; zero means none.
+func (l *Lifetime) deadlines() (begin, end time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return earlier(l.attemptDeadline, l.clientDeadline)
+	return earlier(l.attemptDeadline, l.clientDeadline), l.clientDeadline
 }
 
+// awaitServer says that the node waits for the server to read or to send. The attempt ends if that stalls. The caller ends
+// the wait by a call of stall.endServerWait.
+func (l *Lifetime) awaitServer() { l.stall.beginServerWait(l) }
+
 // Cancel ends the attempt. Its reads and writes fail, and the attempt then closes its connection, which tells the server
 // that the response is no longer wanted.
 func (l *Lifetime) Cancel() { l.cancelWith(context.Canceled) }
@@ -218,6 +225,7 @@
 // detach releases the connection from the Lifetime. It returns false if the Lifetime was cancelled: reads and writes
 // may then have been cut short.
 func (l *Lifetime) detach() bool {
+	l.stall.end()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn = nil
--- a/internal/node/upstream/request_writer.go
+++ b/internal/node/upstream/request_writer.go
@@ -5,17 +5,12 @@
 	"io"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"sloerail/internal/node/http1"
 )
 
-// stallTimeout is how long a server may take to read the next part of a request body, or to send the next part of a
-// response body.
-const stallTimeout = 5 * time.Second
-
 var (
 	errBodyClosed     = errors.New("upstream: request body read after the attempt ended")
 	errAttemptAborted = errors.New("upstream: request body written after the attempt ended")
@@ -71,6 +66,10 @@
 	w.requestsSent.Inc()
 }
 
+// isDelivered reports whether the server's machine has received the whole request. What is written may still wait in this
+// machine's send buffer, for a server that reads slowly.
+func (w *requestWriter) isDelivered() bool { return w.complete.Load() && w.conn.unsentBytes() == 0 }
+
 // streamBody starts a goroutine that writes the rest of the body as it arrives, while the response is read. After stop
 // returns, no further read of the body begins. The goroutine ends at the end of the body, or when a read of the body
 // or a write to the connection fails.
@@ -124,33 +123,29 @@
 	return err
 }
 
-// bodyReader reads a BodyStream for one attempt. It cancels the attempt if the server takes nothing for stallTimeout.
+// bodyReader reads a BodyStream for one attempt. The time of the attempt's stallWatch runs from the end of a read to the next.
 type bodyReader struct {
 	stream       BodyStream
-	stallTimer   *time.Timer
+	lifetime     *Lifetime
 	clientFailed bool // reading from the client failed
 
-	mu     sync.Mutex
-	closed bool
+	mu           sync.Mutex
+	awaitsServer bool // bytes were read and are being written
+	closed       bool
 }
 
 func newBodyReader(stream BodyStream, l *Lifetime) *bodyReader {
-	return &bodyReader{stream: stream, stallTimer: time.AfterFunc(stallTimeout, func() { l.cancelWith(errAttemptTimeout) })}
+	return &bodyReader{stream: stream, lifetime: l}
 }
 
-// next returns the next bytes from the client. The stall timer is stopped meanwhile, so that a slow client doesn't count
-// against the server.
+// next returns the next bytes from the client.
 func (r *bodyReader) next() ([]byte, error) {
 	if !r.begin() {
 		return nil, errBodyClosed
 	}
 	bytes, err := r.stream.Next()
+	r.end(err == nil)
 	if err == nil {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if !r.closed {
-			r.stallTimer.Reset(stallTimeout)
-		}
 		return bytes, nil
 	}
 	if errors.Is(err, io.EOF) {
@@ -162,21 +157,41 @@
 	return nil, err
 }
 
-// begin stops the stall timer and reports whether the attempt may still read. If so, it calls Begin of the stream.
+// begin reports whether the attempt may still read. If so, it calls Begin of the stream.
 func (r *bodyReader) begin() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stallTimer.Stop()
+	r.endWriteLocked()
 	if !r.closed {
 		r.stream.Begin()
+		r.lifetime.stall.setClientWait(true)
 	}
 	return !r.closed
 }
 
+// end ends what begin has begun. written is whether bytes were read, which are written next.
+func (r *bodyReader) end(written bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lifetime.stall.setClientWait(false)
+	if written && !r.closed {
+		r.awaitsServer = true
+		r.lifetime.awaitServer()
+	}
+}
+
+// endWriteLocked ends the wait for the server to take what was read last. r.mu is held.
+func (r *bodyReader) endWriteLocked() {
+	if r.awaitsServer {
+		r.awaitsServer = false
+		r.lifetime.stall.endServerWait()
+	}
+}
+
 // close prevents further reads. A read in progress may still complete.
 func (r *bodyReader) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
-	r.stallTimer.Stop()
+	r.endWriteLocked()
 }
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -54,8 +54,8 @@
 	responseReaders.Put(r)
 }
 
-// readResponse reads the head of the final response, and the part of its body that is buffered.
-func (r *responseReader) readResponse(a Attempt) (resp response, err error) {
+// readResponse reads the head of the final response, and the part of its body that is buffered. w may still write the request.
+func (r *responseReader) readResponse(a Attempt, w *requestWriter) (resp response, err error) {
 	for resp.Status < http.StatusOK { // skip interim responses
 		if resp.head, err = r.heads.Read(r.buf, http1.MaxHeadBytes); err != nil {
 			return resp, http1.UnexpectedEOF(err)
@@ -86,13 +86,13 @@
 	default: // the end of the connection ends the body
 		body, resp.keepAlive = r.buf, false
 	}
-	err = r.readBody(&resp, body, a)
+	err = r.readBody(&resp, body, a, w)
 	return resp, err
 }
 
 // readBody buffers a body of up to http1.MaxBufferedBodyBytes, or the start of a longer one. The rest of a longer one is
 // streamed if the status is 200. Otherwise it is discarded together with the connection.
-func (r *responseReader) readBody(resp *response, body io.Reader, a Attempt) (err error) {
+func (r *responseReader) readBody(resp *response, body io.Reader, a Attempt, w *requestWriter) (err error) {
 	short := resp.Length >= 0 && resp.Length <= http1.MaxBufferedBodyBytes
 	if resp.Status == http.StatusOK && (!short || int64(r.buf.Buffered()) < resp.Length) { // otherwise no read waits
 		a.Lifetime.enter(responding)
@@ -103,7 +103,7 @@
 		_, err = io.ReadFull(body, resp.Body)
 		return err
 	case resp.Status == http.StatusOK:
-		return r.readStart(resp, body, a)
+		return r.readStart(resp, body, a, w)
 	}
 	resp.Body, err = io.ReadAll(io.LimitReader(body, http1.MaxBufferedBodyBytes+1))
 	if len(resp.Body) > http1.MaxBufferedBodyBytes {
--- a/internal/node/upstream/response_start.go
+++ b/internal/node/upstream/response_start.go
@@ -34,12 +34,12 @@
 //
 // A read may wait for the server for any time, so that each one has a goroutine of its own. When what has arrived is to be
 // passed on, the read goes on as the first one of the stream.
-func (r *responseReader) readStart(resp *response, body io.Reader, a Attempt) error {
+func (r *responseReader) readStart(resp *response, body io.Reader, a Attempt, w *requestWriter) error {
 	wanted := StreamStartBytes
 	if resp.Length < 0 {
 		wanted = http1.MaxBufferedBodyBytes + 1
 	}
-	hold := newStartHold(resp, a.Lifetime)
+	hold := newStartHold(resp, a.Lifetime, w.isDelivered)
 	defer hold.stop()
 	buffered := make([]byte, 0, StreamStartBytes)
 	for len(buffered) < wanted {
@@ -85,16 +85,19 @@
 
 // startHold tells how long the start of a response is held back.
 type startHold struct {
-	response *response
-	lifetime *Lifetime
-	moved    <-chan struct{} // has a value once a deadline was moved
-	since    time.Time
-	timer    *time.Timer // of await; nil until it is needed
-	arrived  int         // bytes of the body
+	response    *response
+	lifetime    *Lifetime
+	isDelivered func() bool     // whether the server has the whole request
+	moved       <-chan struct{} // has a value once a deadline was moved
+	since       time.Time
+	timer       *time.Timer // of await; nil until it is needed
+	arrived     int         // bytes of the body
+	delivered   bool        // isDelivered was true once
+	headLate    bool        // a head alone is no longer passed on
 }
 
-func newStartHold(resp *response, l *Lifetime) *startHold {
-	return &startHold{response: resp, lifetime: l, moved: l.whenMoved(), since: time.Now()}
+func newStartHold(resp *response, l *Lifetime, isDelivered func() bool) *startHold {
+	return &startHold{response: resp, lifetime: l, isDelivered: isDelivered, moved: l.whenMoved(), since: time.Now()}
 }
 
 // stop frees the timer.
@@ -106,17 +109,35 @@
 
 // add notes how much of the body has arrived.
 func (h *startHold) add(total int) {
-	if h.arrived = total; total >= h.response.commitBytes() {
-		h.lifetime.enter(committed)
+	h.arrived = total
+	h.commitIfEnough()
+}
+
+// commitIfEnough commits the attempt to the rest of the response if it is owed however long the server takes, and reports
+// whether it is. A head alone is not enough while the server has not received the whole request: it can't have begun to run it.
+func (h *startHold) commitIfEnough() bool {
+	if h.arrived < h.response.commitBytes() || h.arrived == 0 && !h.checkDelivered() {
+		return false
 	}
+	h.lifetime.enter(committed)
+	return true
+}
+
+func (h *startHold) checkDelivered() bool {
+	h.delivered = h.delivered || h.isDelivered()
+	return h.delivered
 }
 
-// end returns when what has arrived is passed on; zero means not before more arrives.
+// end returns when what has arrived is passed on; zero means not before more arrives. With a head alone nothing is held back
+// that the client waits for, but it is owed by the client's deadline.
 func (h *startHold) end() time.Time {
+	begin, end := h.lifetime.deadlines()
 	switch {
-	case h.arrived >= h.response.commitBytes():
-		return earlier(h.since.Add(maxStartHold), h.before(h.lifetime.beginDeadline()))
-	case h.arrived > 0 && h.response.Length < 0:
+	case h.arrived >= h.response.commitBytes() && h.arrived > 0:
+		return earlier(h.since.Add(maxStartHold), h.before(begin))
+	case h.arrived >= h.response.commitBytes() && !h.headLate:
+		return h.before(end)
+	case h.arrived > 0 && h.response.Length < 0 && h.checkDelivered():
 		return h.since.Add(maxSmallStartHold)
 	}
 	return time.Time{}
@@ -133,12 +154,19 @@
 // isOver reports whether what has arrived is to be passed on now.
 func (h *startHold) isOver() bool {
 	end := h.end()
-	return !end.IsZero() && !time.Now().Before(end)
+	switch {
+	case end.IsZero() || time.Now().Before(end):
+		return false
+	case h.arrived > 0:
+		return true
+	}
+	h.headLate = !h.commitIfEnough()
+	return !h.headLate
 }
 
 // await waits for a read to end. It returns false if what has arrived before is to be passed on first.
 func (h *startHold) await(readEnded <-chan struct{}) bool {
-	for {
+	for !h.isOver() {
 		var over <-chan time.Time
 		if end := h.end(); !end.IsZero() {
 			over = h.after(time.Until(end))
@@ -147,10 +175,10 @@
 		case <-readEnded:
 			return true
 		case <-over:
-			return false
 		case <-h.moved:
 		}
 	}
+	return false
 }
 
 func (h *startHold) after(d time.Duration) <-chan time.Time {
--- a/internal/node/upstream/response_start_test.go
+++ b/internal/node/upstream/response_start_test.go
@@ -12,7 +12,7 @@
 func TestStartIsDueBeforeAMovedDeadline(t *testing.T) {
 	nodetest.Bubble(t, func(t *testing.T) {
 		l := NewLifetime(time.Now().Add(time.Hour))
-		hold := newStartHold(&response{Response: Response{Length: -1}}, l)
+		hold := newStartHold(&response{Response: Response{Length: -1}}, l, func() bool { return true })
 		defer hold.stop()
 		hold.add(StreamStartBytes)
 		deadline := time.Now().Add(maxStartHold/2 + maxStartHold/10)
--- a/internal/node/upstream/response_stream.go
+++ b/internal/node/upstream/response_stream.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"sync/atomic"
-	"time"
 
 	"sloerail/internal/node/http1"
 	"sloerail/internal/node/memory"
@@ -16,14 +15,13 @@
 
 // ResponseStream streams the rest of a response body to the client. The attempt ends when the stream does.
 type ResponseStream struct {
-	body       io.Reader
-	lifetime   *Lifetime
-	arrived    int // bytes of the body, with its start
-	commitAt   int // how many commit the attempt to the rest
-	held       *memory.Reservation
-	stallTimer *time.Timer // runs during reads from the server
-	state      atomic.Int32
-	done       chan error // receives one value: nil, or why the response is incomplete
+	body     io.Reader
+	lifetime *Lifetime
+	arrived  int // bytes of the body, with its start
+	commitAt int // how many commit the attempt to the rest
+	held     *memory.Reservation
+	state    atomic.Int32
+	done     chan error // receives one value: nil, or why the response is incomplete
 }
 
 // The states of a ResponseStream. The state changes once: from streamPending to one of the others.
@@ -34,10 +32,8 @@
 )
 
 func newResponseStream(resp response, a Attempt) *ResponseStream {
-	t := time.AfterFunc(stallTimeout, func() { a.Lifetime.cancelWith(errAttemptTimeout) })
-	t.Stop()
 	return &ResponseStream{body: resp.remaining, lifetime: a.Lifetime, arrived: len(resp.Body), commitAt: resp.commitBytes(),
-		held: a.Request.Held, stallTimer: t, done: make(chan error, 1)}
+		held: a.Request.Held, done: make(chan error, 1)}
 }
 
 // abandon prevents CopyTo from starting. It returns false if CopyTo has already started.
@@ -90,10 +86,10 @@
 	return make([]byte, smallCopyBytes), func() {}
 }
 
-// read reads from the server, and cancels the attempt if nothing arrives within stallTimeout.
+// read reads from the server. The attempt ends if that stalls.
 func (s *ResponseStream) read(p []byte) (n int, err error) {
-	s.stallTimer.Reset(stallTimeout)
-	defer s.stallTimer.Stop()
+	s.lifetime.awaitServer()
+	defer s.lifetime.stall.endServerWait()
 	n, err = s.body.Read(p)
 	if committedBefore := s.arrived >= s.commitAt; !committedBefore && s.arrived+n >= s.commitAt {
 		s.lifetime.enter(committed)
--- a/internal/node/upstream/server_pool.go
+++ b/internal/node/upstream/server_pool.go
@@ -63,6 +63,18 @@
 	return c.rawConn.Control(c.tryRead) == nil && c.wouldBlock
 }
 
+// unsentBytes returns how many written bytes the server's machine has not acknowledged; 0 if that can't be told.
+func (c *serverConn) unsentBytes() (n int) {
+	if c.rawConn == nil {
+		return 0
+	}
+	err := c.rawConn.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // closeQuietly closes c and ignores the error: the descriptor is released in any case, and no caller could act on the
 // error. Package downstream has the same function.
 func closeQuietly(c io.Closer) { _ = c.Close() }
--- a/internal/peertest/response_forms_test.go
+++ b/internal/peertest/response_forms_test.go
@@ -79,13 +79,17 @@
 	})
 }
 
-// Guards against a request that is no longer forwarded once its response's head has come, so that its server never gets the
-// rest, and the response is cut off.
-func TestRequestIsForwardedOnBehindAnEarlyHead(t *testing.T) {
-	testEarlyHeads(t, map[string]earlyHeadCase{
-		"client writes steadily":             {shortUpload, 100_000, peertest.ServerBehavior{}, true},
-		"client writes, server reads slowly": {shortUpload, 100_000, peertest.ServerBehavior{ReadRate: 120_000}, true},
-	})
+// Guards against a request that is no longer forwarded once its response has begun, so that its server never gets the rest, and
+// the response is cut off.
+func TestRequestIsForwardedOnBehindAnEarlyResponse(t *testing.T) {
+	cases := make(map[string]earlyHeadCase)
+	for _, early := range []int{0, 1000, 20_000} {
+		cases[fmt.Sprint("client writes steadily, ", early, " bytes early")] =
+			earlyHeadCase{shortUpload, 100_000, peertest.ServerBehavior{EarlyBody: early}, true}
+		cases[fmt.Sprint("server reads slowly, ", early, " bytes early")] =
+			earlyHeadCase{shortUpload, 100_000, peertest.ServerBehavior{EarlyBody: early, ReadRate: 120_000}, true}
+	}
+	testEarlyHeads(t, cases)
 }
 
 func testEarlyHeads(t *testing.T, cases map[string]earlyHeadCase) {
@@ -97,9 +101,9 @@
 					t.Parallel()
 					q := r.siteOrder()
 					q.BodySize, q.WriteRate, q.Behavior = c.body, c.writeRate, c.behavior
-					q.Behavior.EarlyHead, q.Behavior.Framing, q.Behavior.Size = true, framing, size
+					q.Behavior.EarlyHead, q.Behavior.Framing, q.Behavior.Size = true, framing, max(size, 2*c.behavior.EarlyBody)
 					got := q.Do(r.ctx, r.node.Listen)
-					isWhole := got.Whole && (got.Status != http.StatusOK || got.Bytes == int64(size))
+					isWhole := got.Whole && (got.Status != http.StatusOK || got.Bytes == int64(q.Behavior.Size))
 					if !got.IsAnsweredInTime(q.Wait) || !isWhole || c.served && got.Status != http.StatusOK {
 						t.Errorf("wait %v: got %v, want a whole final answer in time, 200 if the server is quick enough", q.Wait, got)
 					}
--- a/internal/peertest/server.go
+++ b/internal/peertest/server.go
@@ -43,6 +43,7 @@
 // ServerBehavior tells a server how to treat one request. It travels in the request's query.
 type ServerBehavior struct {
 	EarlyHead   bool          // the response's head is sent before the request's body is read
+	EarlyBody   int           // bytes of the response body that are sent with an early head
 	Delay       time.Duration // between the end of the request and the response or, with EarlyHead, the response's body
 	BodyDelay   time.Duration // between the response's head and its body
 	Size        int           // length of the response body in bytes
@@ -56,8 +57,8 @@
 
 // Path returns the path and query of a request that is treated so.
 func (b ServerBehavior) Path() string {
-	return fmt.Sprintf("/api?early=%t&delay=%d&late=%d&size=%d&framing=%d&write=%d&piece=%d&read=%d&stop=%d&break=%d", b.EarlyHead,
-		b.Delay.Milliseconds(), b.BodyDelay.Milliseconds(), b.Size, b.Framing, b.WriteRate, b.WritePiece, b.ReadRate, b.StopReading,
+	return fmt.Sprintf("/api?early=%t&start=%d&delay=%d&late=%d&size=%d&framing=%d&write=%d&piece=%d&read=%d&stop=%d&break=%d",
+		b.EarlyHead, b.EarlyBody, b.Delay.Milliseconds(), b.BodyDelay.Milliseconds(), b.Size, b.Framing, b.WriteRate, b.WritePiece, b.ReadRate, b.StopReading,
 		b.BreakAfter)
 }
 
@@ -68,7 +69,7 @@
 		return n
 	}
 	millis := func(name string) time.Duration { return time.Duration(number(name)) * time.Millisecond }
-	return ServerBehavior{EarlyHead: query.Get("early") == "true", Delay: millis("delay"), BodyDelay: millis("late"),
+	return ServerBehavior{EarlyHead: query.Get("early") == "true", EarlyBody: number("start"), Delay: millis("delay"), BodyDelay: millis("late"),
 		Size: number("size"), Framing: Framing(number("framing")), WriteRate: number("write"), WritePiece: number("piece"),
 		ReadRate: number("read"), StopReading: number("stop"), BreakAfter: number("break")}
 }
@@ -213,6 +214,9 @@
 		if err := writeHead(c, b); err != nil {
 			return err
 		}
+		if _, err := io.CopyN(b.bodyWriter(c), repeated('a'), int64(b.EarlyBody)); err != nil {
+			return err
+		}
 	}
 	if err := s.readBody(request.Body, b); err != nil {
 		return err
@@ -254,6 +258,14 @@
 	return err
 }
 
+// bodyWriter writes a response body to c in its framing.
+func (b ServerBehavior) bodyWriter(c net.Conn) io.Writer {
+	if b.Framing == Chunked {
+		return chunkWriter{c}
+	}
+	return c
+}
+
 // errConnectionEnds ends a connection after its last response.
 var errConnectionEnds = errors.New("the connection ends")
 
@@ -261,14 +273,11 @@
 	if err := sleep(s.ctx, b.BodyDelay); err != nil {
 		return err
 	}
-	w, size := io.Writer(c), b.Size
-	if b.Framing == Chunked {
-		w = chunkWriter{c}
-	}
+	w, size := b.bodyWriter(c), b.Size
 	if b.BreakAfter > 0 {
 		size = min(size, b.BreakAfter)
 	}
-	body := io.LimitReader(repeated('a'), int64(size))
+	body := io.LimitReader(repeated('a'), int64(size-b.EarlyBody))
 	var err error
 	if b.WriteRate > 0 {
 		_, err = copyAtRate(s.ctx, w, body, b.WriteRate, b.WritePiece)
