Forward the rest of a request behind the start of its response

What callers saw: a 200 that was cut off while its client still wrote the request. Cause: the start of a streamed response stopped the reading of the request's body (upload.stop), and the attempt that waited for the body then cancelled itself. The server never got the rest of the request. Change: the body of a request is read and forwarded until its streamed response ends; after that the connection lingers as after any early response. A slow server no longer ends the body's wait for room once the response has begun.

--- a/internal/node/downstream/request_body.go
+++ b/internal/node/downstream/request_body.go
@@ -172,7 +172,8 @@
 }
 
 // awaitSpace waits until there is room for more of the body. Meanwhile the client may have sent its last byte, unseen. So
-// the wait ends with errClientTimeOver when the client may have waited for long enough since the node last waited for it.
+// the wait ends with errClientTimeOver when the client may have waited for long enough since the node last waited for it,
+// unless its response has begun.
 func (u *upload) awaitSpace() ([]byte, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -192,7 +193,7 @@
 		case space != nil:
 			u.fullSince = time.Time{}
 			return space, nil
-		case !time.Now().Before(overdue):
+		case !u.conn.streaming.Load() && !time.Now().Before(overdue):
 			return nil, errClientTimeOver
 		}
 	}
@@ -233,6 +234,13 @@
 	return true
 }
 
+// isReceived reports whether the whole body has arrived.
+func (u *upload) isReceived() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return errors.Is(u.err, io.EOF)
+}
+
 // close ends the use of the body, and frees it.
 func (u *upload) close() {
 	u.mu.Lock()
--- a/internal/node/downstream/response_writer.go
+++ b/internal/node/downstream/response_writer.go
@@ -59,15 +59,18 @@
 }
 
 // writeResponse writes a response. It reports whether the response was written completely, and whether it was an early
-// one that is not streamed. Early means before the end of the request's body: the connection then lingers, so that the
-// client gets the response.
+// one: before the end of the request's body. The connection then lingers, so that the client gets the response.
+//
+// The server of a streamed response may still need the rest of the request, so the body is read until the response ends.
 func (c *clientConn) writeResponse(resp Response) (complete, early bool) {
 	x := c.exchange
-	early = x.upload != nil && x.upload.stop()
-	c.closeAfterResponse = c.closeAfterResponse || early
 	if resp.Stream != nil {
-		return c.streamResponse(resp), false
+		c.closeAfterResponse = c.closeAfterResponse || x.upload != nil && !x.upload.isReceived()
+		complete = c.streamResponse(resp)
+		return complete, x.upload != nil && x.upload.stop()
 	}
+	early = x.upload != nil && x.upload.stop()
+	c.closeAfterResponse = c.closeAfterResponse || early
 	if !early || resp.Status >= http.StatusInternalServerError {
 		x.counter.Count(resp.Status)
 	}
