Commit to a long response whose start comes with one read

Cause: readStart looked at what had arrived before each read, not after the last one. Measured: TestStartThatComesWithOneReadIsEnough fails without the line.

--- a/internal/node/upstream/response_start.go
+++ b/internal/node/upstream/response_start.go
@@ -67,6 +67,7 @@
 			return read.err
 		}
 	}
+	hold.add(len(buffered))
 	resp.Body, resp.remaining = buffered, body
 	return nil
 }
--- a/internal/node/upstream/response_start_test.go
+++ b/internal/node/upstream/response_start_test.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"bytes"
+	"net/http"
 	"testing"
 	"time"
 
@@ -22,3 +24,20 @@
 		}
 	})
 }
+
+// Guards against a long response that stays bound by its client's deadline because its start came with one read, after a head
+// that was too early to count.
+func TestStartThatComesWithOneReadIsEnough(t *testing.T) {
+	const length = 1 << 20
+	body := bytes.NewReader(make([]byte, length))
+	a := Attempt{Request: newTestRequest(http.MethodPost, "r", ""), Lifetime: NewLifetime(time.Now().Add(nodetest.Timeout))}
+	resp := response{Response: Response{Status: http.StatusOK, Length: length}}
+	reader := acquireResponseReader(body)
+	defer reader.release()
+	if err := reader.readStart(&resp, body, a, &requestWriter{}); err != nil {
+		t.Fatal(err)
+	}
+	if got := a.Lifetime.phase; got != committed {
+		t.Errorf("phase with %d bytes of %d: got %v, want %v", len(resp.Body), length, got, committed)
+	}
+}
