Break off a short response whose end comes after its client's time

Cause: from 4 KiB on, a response without a length counts as long, and nothing looked at its end. Change: the stream of a response without a length that turns out to be short, and for whose end the node had to wait for its server until over 0.4 s after the client's deadline, breaks off. The time that its client takes to read doesn't count. Not taken: to break such a stream off at the client's time; a long response in a pause can't be told from it. TestLongResponseOutlastsItsClientsTime holds before and after.

--- a/internal/node/upstream/response_stream.go
+++ b/internal/node/upstream/response_stream.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"os"
 	"sync/atomic"
+	"time"
 
 	"sloerail/internal/node/http1"
 	"sloerail/internal/node/memory"
@@ -17,8 +20,10 @@
 type ResponseStream struct {
 	body     io.Reader
 	lifetime *Lifetime
-	arrived  int // bytes of the body, with its start
-	commitAt int // how many commit the attempt to the rest
+	length   int64     // of the complete body; -1 if unknown
+	arrived  int       // bytes of the body, with its start
+	commitAt int       // how many commit the attempt to the rest
+	lastWait time.Time // when a read that had to wait for the server ended last
 	held     *memory.Reservation
 	state    atomic.Int32
 	done     chan error // receives one value: nil, or why the response is incomplete
@@ -32,7 +37,7 @@
 )
 
 func newResponseStream(resp response, a Attempt) *ResponseStream {
-	return &ResponseStream{body: resp.remaining, lifetime: a.Lifetime, arrived: len(resp.Body), commitAt: resp.commitBytes(),
+	return &ResponseStream{body: resp.remaining, lifetime: a.Lifetime, length: resp.Length, arrived: len(resp.Body), commitAt: resp.commitBytes(),
 		held: a.Request.Held, done: make(chan error, 1)}
 }
 
@@ -62,6 +67,9 @@
 			}
 			continue // the next read returns io.EOF again
 		}
+		if errors.Is(err, io.EOF) && s.endsLate() {
+			return errLateEnd
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -71,6 +79,25 @@
 	}
 }
 
+const (
+	// maxLateEnd is how long after the client's deadline a short response may end: the client takes the end of one that is later
+	// for no answer, and a response that breaks off for a failed one.
+	maxLateEnd = 400 * time.Millisecond
+	// minServerWait is the time from which on a read counts as one that had to wait for the server.
+	minServerWait = 10 * time.Millisecond
+)
+
+// errLateEnd means that the server ended a response without a length late, and that it was a short one.
+var errLateEnd = fmt.Errorf("upstream: late end of a short response: %w", os.ErrDeadlineExceeded)
+
+// endsLate reports whether the response, which has ended, is short and came too late. The time that its client took to read it
+// doesn't count.
+func (s *ResponseStream) endsLate() bool {
+	_, deadline := s.lifetime.deadlines()
+	isShort := s.length < 0 && s.arrived <= http1.MaxBufferedBodyBytes
+	return isShort && !deadline.IsZero() && s.lastWait.After(deadline.Add(maxLateEnd))
+}
+
 // smallCopyBytes is the size of the buffer of a stream for which there is little memory.
 const smallCopyBytes = 2 << 10
 
@@ -90,7 +117,11 @@
 func (s *ResponseStream) read(p []byte) (n int, err error) {
 	s.lifetime.awaitServer()
 	defer s.lifetime.stall.endServerWait()
+	begun := time.Now()
 	n, err = s.body.Read(p)
+	if now := time.Now(); now.Sub(begun) >= minServerWait {
+		s.lastWait = now
+	}
 	if committedBefore := s.arrived >= s.commitAt; !committedBefore && s.arrived+n >= s.commitAt {
 		s.lifetime.enter(committed)
 	}
