Leave a response that has begun to its attempt when the backstop fires

Cause: two owners of one end. The attempt had committed to the response, whose start was due 100 ms before the deadline; the request's backstop timer knows of no attempt. With the loop held up for 0.1 s, whichever of the two events it took first decided. Change: the backstop asks the attempts' Lifetime, and waits while one of them has committed.

--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"reflect"
 	"strconv"
@@ -13,7 +16,9 @@
 
 	"sloerail/internal/node/discovery"
 	"sloerail/internal/node/downstream"
+	"sloerail/internal/node/http1"
 	"sloerail/internal/node/nodetest"
+	"sloerail/internal/node/upstream"
 	"sloerail/policy"
 )
 
@@ -325,3 +330,36 @@
 		}
 	}
 }
+
+// Guards against a request that its backstop fails although enough of a long response has arrived, because the loop was held up
+// when the response was due.
+func TestBackstopLeavesAResponseThatHasBegun(t *testing.T) {
+	const timeout, requests = 400 * time.Millisecond, 20 // it depends on which of two events the loop takes first
+	for i := range requests {
+		nodetest.Bubble(t, func(t *testing.T) {
+			addr := nodetest.RawServer(t, func(c net.Conn, r *bufio.Reader) {
+				if nodetest.ReadRequest(r) {
+					_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\n\r\n")
+					_, _ = c.Write(make([]byte, upstream.StreamStartBytes))
+					time.Sleep(2 * timeout)
+					_, _ = c.Write(make([]byte, http1.MaxBufferedBodyBytes))
+				}
+			})
+			l, _ := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
+				switch e := ev.(type) {
+				case policy.Request:
+					return append(sendActions(e.ID, 1), policy.Action{Kind: policy.SetTimer, Wait: timeout / 2})
+				case policy.Timer:
+					time.Sleep(timeout) // holds the loop up
+				}
+				return nil
+			})
+			x := l.sendRequest(fmt.Sprint("r", i), timeout)
+			if a := nodetest.Receive(t, "the response", x.Reply); a.Status != http.StatusOK || a.Stream == nil {
+				t.Errorf("request %d: got status %d, want the start of the server's response", i, a.Status)
+			} else if err := a.Stream.CopyTo(io.Discard, a.Body); err != nil {
+				t.Errorf("request %d: rest of the response: got error %v, want none", i, err)
+			}
+		})
+	}
+}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"net/http"
+	"slices"
 	"time"
 
 	"sloerail/internal/node/downstream"
@@ -88,6 +89,11 @@
 	return min(answerMargin, r.Timeout/answerMarginDivisor)
 }
 
+// hasResponse reports whether enough of a long response has arrived to be passed on, whatever the time.
+func (r *request) hasResponse() bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.lifetime.IsCommitted() })
+}
+
 // setDeadlines sets the deadline and the backstop of a request whose last byte was received at receivedAt, or will be
 // received by then at the latest.
 func (r *request) setDeadlines(receivedAt policy.Time) {
--- a/internal/node/timers.go
+++ b/internal/node/timers.go
@@ -44,9 +44,13 @@
 func (l *loop) fireTimers() {
 	for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].due <= now; {
 		t := heap.Pop(&l.timers).(*timer)
-		if r := t.backstopOf; r == nil {
+		switch r := t.backstopOf; {
+		case r == nil:
 			l.decide(policy.Timer{Token: t.token})
-		} else {
+		case r.hasResponse(): // its start is due, and will come from the attempt
+			t.due = now + answerMargin
+			heap.Push(&l.timers, t)
+		default:
 			l.fail(r, http.StatusGatewayTimeout, "the balancer has not answered in time")
 		}
 	}
--- a/internal/node/upstream/lifetime.go
+++ b/internal/node/upstream/lifetime.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// IsCommitted reports whether so much of a long response has arrived that the rest is owed, and the attempt goes on.
+func (l *Lifetime) IsCommitted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.phase == committed && l.conn != nil && l.cause == nil
+}
+
 // deadlineLocked returns the time at which the reads of the present phase end. l.mu is held.
 func (l *Lifetime) deadlineLocked() time.Time {
 	switch l.phase {
