Bound the time of a slow reader by what it takes, not by a block

What callers saw: a 200 of 206,647 bytes cut off after 39 to 82 s, for a client with a small buffer that read 2,000 or 4,000 bytes a second without a pause: 6 of 6 such clients, in a trial of 72 slow readers; from 8,000 on, and with larger buffers, whole. Cause: a block of 16 KiB had to be written within 10 s; with 64 KiB of send buffer a write resumes only once a third of it is free. Change: a readerWatch asks the kernel how much the client's machine has taken (TCP_INFO), and ends a write only if that was nothing for 10 s. Where the kernel doesn't tell, as before.

--- a/internal/node/downstream/response_writer.go
+++ b/internal/node/downstream/response_writer.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,8 +19,8 @@
 	// responseWriteTimeout is the minimum time that a client gets to read a buffered response or the head of a streamed
 	// one. extendWriteDeadline may allow up to twice as long, so that it sets fewer deadlines.
 	responseWriteTimeout = 5 * time.Second
-	// blockWriteTimeout is how long a client may take to read one block of a streamed response.
-	blockWriteTimeout = 10 * time.Second
+	// readPeriod is how long a client may read nothing of a streamed response.
+	readPeriod = 10 * time.Second
 	// minSendBufferBytes is how much the kernel accepts at least on a new connection whose client reads nothing.
 	minSendBufferBytes = 4 << 10
 	// clientSendBufferBytes is the size of the kernel's send buffer for a streamed response. It is small so that the
@@ -98,9 +97,11 @@
 	if _, err := c.Write(c.appendResponseHead(nil, resp)); err != nil {
 		closeQuietly(c) // so that no body is sent after an incomplete head
 	}
-	err := resp.Stream.CopyTo(blockWriter{conn: c, body: body}, resp.Body)
+	_ = c.SetWriteDeadline(time.Time{}) // from here on the watch ends a write; fails only on a closed connection
+	watch := &readerWatch{conn: c, period: readPeriod}
+	err := resp.Stream.CopyTo(blockWriter{watch, body}, resp.Body)
 	if err == nil && resp.Length < 0 && !c.http10 {
-		_, err = io.WriteString(c, http1.LastChunk)
+		_, err = io.WriteString(blockWriter{watch, c}, http1.LastChunk)
 	}
 	c.writeDeadline = time.Time{}
 	switch {
@@ -115,16 +116,15 @@
 	return err == nil
 }
 
-// blockWriter writes the blocks of a streamed response, each bounded by blockWriteTimeout.
+// blockWriter writes the blocks of a streamed response under a readerWatch.
 type blockWriter struct {
-	conn net.Conn  // the client's
-	body io.Writer // writes to conn
+	watch *readerWatch
+	body  io.Writer // writes to the watch's connection
 }
 
 func (w blockWriter) Write(block []byte) (int, error) {
-	if err := w.conn.SetWriteDeadline(time.Now().Add(blockWriteTimeout)); err != nil {
-		return 0, err
-	}
+	w.watch.begin()
+	defer w.watch.end()
 	return w.body.Write(block)
 }
 
