Let a response last from its first byte on, and log how far it came

Cause: the attempt's deadline ended with the head, not with the first byte. Change: a response whose first bytes come without its whole head has the client's time. The line "attempt ended" of the debug log has the phase and the error; app_responses_cut_off_total counts the responses that had begun and that a deadline or a stall ended.

--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -19,6 +19,7 @@
 	relayed     *metrics.Counter // attempts completely written to servers
 	accepted    *metrics.Counter // reloaded configurations that were applied
 	invalid     *metrics.Counter // reloaded configurations that were rejected
+	cutOff      *metrics.Counter // responses that had begun and that a deadline or a stall ended
 	open        atomic.Int64     // open requests
 	listed      atomic.Int64     // servers listed, or retained though the list lacks them
 	unavailable atomic.Int64     // how many of these servers currently get no requests
@@ -33,6 +34,7 @@
 	f.relayed = f.set.NewCounter("app_relayed_total")
 	f.accepted = f.set.NewCounter("app_cfg_accepted_total")
 	f.invalid = f.set.NewCounter("app_cfg_invalid_total")
+	f.cutOff = f.set.NewCounter("app_responses_cut_off_total")
 	for name, v := range map[string]*atomic.Int64{
 		"app_open_requests": &f.open, "app_registry_entries": &f.listed, "app_out_of_rotation": &f.unavailable,
 	} {
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -186,6 +186,9 @@
 	if e.Sent {
 		l.rememberExecuted(e.r)
 	}
+	if e.Code == policy.TimedOut && e.Phase != upstream.Requesting {
+		l.metrics.cutOff.Inc()
+	}
 	if e.Code == policy.OK && !e.r.ended {
 		l.answer(e.r, forwardedResponse(e.Response), "a server's response")
 	}
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -48,6 +48,6 @@
 	if l.tracing {
 		a := e.r.attempts[e.index]
 		slog.Debug("attempt ended", "request", e.r.Request.ID, "attempt", e.index, "server", a.server, "outcome", e.Code,
-			"sent", e.Sent, "took", l.clock.now()-a.sentAt)
+			"phase", e.Phase, "error", e.Err, "sent", e.Sent, "took", l.clock.now()-a.sentAt)
 	}
 }
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -11,6 +11,8 @@
 type Result struct {
 	Code       policy.Code
 	Response   Response  // set if Code is policy.OK
+	Err        error     // why the attempt failed, for logs; nil if a complete response was read
+	Phase      Phase     // how far the attempt came
 	Sent       bool      // a part of the request was written, so the server may run it
 	LoadReport []float64 // values of TransportConfig.LoadReportFields, NaN if absent or invalid; nil without a report
 }
@@ -41,7 +43,7 @@
 func (t *Transport) Do(server string, a Attempt) Result {
 	c, err := t.acquire(a.Lifetime, server)
 	if err != nil {
-		return Result{Code: a.Lifetime.failureCode(err, false)}
+		return Result{Code: a.Lifetime.failureCode(err, false), Err: err}
 	}
 	if a.Observer.ClientDisconnected() {
 		a.Lifetime.detach()
@@ -58,7 +60,7 @@
 		a.Lifetime.limitWrite(a.WriteBy)
 	}
 	result, reusable := t.roundTrip(c, a)
-	result.Sent = true
+	result.Sent, result.Phase = true, a.Lifetime.Phase()
 	t.release(c, server, a.Lifetime.detach() && reusable)
 	return result
 }
@@ -67,7 +69,7 @@
 func (t *Transport) roundTrip(c *serverConn, a Attempt) (_ Result, reusable bool) {
 	w := &requestWriter{conn: c, requestsSent: t.requestsSent}
 	if err := w.writeBuffered(a); err != nil {
-		return Result{Code: a.Lifetime.failureCode(err, false)}, false
+		return Result{Code: a.Lifetime.failureCode(err, false), Err: err}, false
 	}
 	if a.Request.Stream != nil {
 		defer w.streamBody(a)()
@@ -76,7 +78,7 @@
 	defer r.release()
 	resp, err := r.readResponse(a, w)
 	if err != nil {
-		return Result{Code: a.Lifetime.failureCode(err, w.abort())}, false
+		return Result{Code: a.Lifetime.failureCode(err, w.abort()), Err: err}, false
 	}
 	if resp.remaining != nil {
 		err := streamResponse(c, a, resp)
@@ -84,10 +86,10 @@
 			closeQuietly(c) // ends a pending read of the rest
 		}
 		if errors.Is(err, ErrClientDisconnected) {
-			return Result{Code: policy.Cancelled}, false
+			return Result{Code: policy.Cancelled, Err: err}, false
 		}
 		if err != nil {
-			return Result{Code: a.Lifetime.failureCode(err, true)}, false
+			return Result{Code: a.Lifetime.failureCode(err, true), Err: err}, false
 		}
 	}
 	reusable = resp.keepAlive && r.buf.Buffered() == 0 && w.complete.Load()
--- a/internal/node/upstream/lifetime.go
+++ b/internal/node/upstream/lifetime.go
@@ -14,7 +14,7 @@
 // errAttemptTimeout cancels an attempt whose server stalled or whose deadline passed.
 var errAttemptTimeout = errors.New("upstream: attempt timed out")
 
-// phase is how far an attempt has come. It says which limits end the attempt's reads and writes, besides Cancel:
+// Phase is how far an attempt has come. It says which limits end the attempt's reads and writes, besides Cancel:
 //
 //	phase       reads end at                        writes end at
 //	requesting  the attempt's deadline or, if that  as reads, and by the time of limitWrite
@@ -23,24 +23,37 @@
 //	committed   no time; a stall ends them          as reads, and by the time of limitWrite
 //
 // An attempt goes through the phases in this order, and may leave some out.
-type phase int
+type Phase int
 
+// Values of Phase.
 const (
-	// requesting lasts until the head of a response with status 200 has been read. The server owes the response by the time
-	// that the balancer gave the attempt.
-	requesting phase = iota
-	// responding lasts as long as the response may still be short. Its end is owed to the client by the client's deadline.
-	responding
-	// committed is the phase of a long response of which enough has arrived. The rest is owed for as long as the server sends it.
-	committed
+	// Requesting lasts until a response has begun that doesn't come at once. The server owes it by the time that the balancer
+	// gave the attempt.
+	Requesting Phase = iota
+	// Responding lasts as long as the response may still be short. Its end is owed to the client by the client's deadline.
+	Responding
+	// Committed is the phase of a long response of which enough has arrived. The rest is owed for as long as the server sends it.
+	Committed
 )
 
+// String returns the name of the phase, as logs and metrics have it.
+func (p Phase) String() string {
+	switch p {
+	case Responding:
+		return "responding"
+	case Committed:
+		return "committed"
+	case Requesting:
+	}
+	return "requesting"
+}
+
 // Lifetime bounds one attempt by deadlines and by cancellation. Unlike the deadline of a context, these deadlines can be
 // moved. It alone sets the deadlines of the attempt's connection. Its methods may be called from any goroutine and don't
 // block.
 type Lifetime struct {
 	mu              sync.Mutex
-	phase           phase
+	phase           Phase
 	attemptDeadline time.Time     // zero for none, as are the other times
 	clientDeadline  time.Time     // by which the client needs the end of a short response
 	writeBy         time.Time     // by which the request's last byte must be written
@@ -83,7 +96,7 @@
 }
 
 // enter moves the attempt on to a phase. It does nothing if the attempt has come further already.
-func (l *Lifetime) enter(next phase) {
+func (l *Lifetime) enter(next Phase) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if next > l.phase {
@@ -92,21 +105,28 @@
 	}
 }
 
+// Phase returns how far the attempt has come.
+func (l *Lifetime) Phase() Phase {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.phase
+}
+
 // IsCommitted reports whether so much of a long response has arrived that the rest is owed, and the attempt goes on.
 func (l *Lifetime) IsCommitted() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.phase == committed && l.conn != nil && l.cause == nil
+	return l.phase == Committed && l.conn != nil && l.cause == nil
 }
 
 // deadlineLocked returns the time at which the reads of the present phase end. l.mu is held.
 func (l *Lifetime) deadlineLocked() time.Time {
 	switch l.phase {
-	case committed:
+	case Committed:
 		return time.Time{}
-	case responding:
+	case Responding:
 		return l.clientDeadline
-	case requesting:
+	case Requesting:
 	}
 	return earlier(l.attemptDeadline, l.clientDeadline)
 }
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -57,6 +58,9 @@
 // readResponse reads the head of the final response, and the part of its body that is buffered. w may still write the request.
 func (r *responseReader) readResponse(a Attempt, w *requestWriter) (resp response, err error) {
 	for resp.Status < http.StatusOK { // skip interim responses
+		if err := r.awaitBeginning(a.Lifetime); err != nil {
+			return resp, http1.UnexpectedEOF(err)
+		}
 		if resp.head, err = r.heads.Read(r.buf, http1.MaxHeadBytes); err != nil {
 			return resp, http1.UnexpectedEOF(err)
 		}
@@ -90,12 +94,26 @@
 	return resp, err
 }
 
+// awaitBeginning waits for the first bytes of a response. If the rest of its head has not come with them, it takes as long as
+// the client waits.
+func (r *responseReader) awaitBeginning(l *Lifetime) error {
+	if _, err := r.buf.Peek(1); err != nil {
+		return err
+	}
+	if begun, err := r.buf.Peek(r.buf.Buffered()); err != nil || !bytes.Contains(begun, headEnd) {
+		l.enter(Responding)
+	}
+	return nil
+}
+
+var headEnd = []byte("\r\n\r\n")
+
 // readBody buffers a body of up to http1.MaxBufferedBodyBytes, or the start of a longer one. The rest of a longer one is
 // streamed if the status is 200. Otherwise it is discarded together with the connection.
 func (r *responseReader) readBody(resp *response, body io.Reader, a Attempt, w *requestWriter) (err error) {
 	short := resp.Length >= 0 && resp.Length <= http1.MaxBufferedBodyBytes
 	if resp.Status == http.StatusOK && (!short || int64(r.buf.Buffered()) < resp.Length) { // otherwise no read waits
-		a.Lifetime.enter(responding)
+		a.Lifetime.enter(Responding)
 	}
 	switch {
 	case short && (a.Request.Held.Take(int(resp.Length), memory.Ongoing) || resp.Status != http.StatusOK):
--- a/internal/node/upstream/response_start.go
+++ b/internal/node/upstream/response_start.go
@@ -120,7 +120,7 @@
 	if h.arrived < h.response.commitBytes() || h.arrived == 0 && !h.checkDelivered() {
 		return false
 	}
-	h.lifetime.enter(committed)
+	h.lifetime.enter(Committed)
 	return true
 }
 
--- a/internal/node/upstream/response_start_test.go
+++ b/internal/node/upstream/response_start_test.go
@@ -37,7 +37,7 @@
 	if err := reader.readStart(&resp, body, a, &requestWriter{}); err != nil {
 		t.Fatal(err)
 	}
-	if got := a.Lifetime.phase; got != committed {
-		t.Errorf("phase with %d bytes of %d: got %v, want %v", len(resp.Body), length, got, committed)
+	if got := a.Lifetime.phase; got != Committed {
+		t.Errorf("phase with %d bytes of %d: got %v, want %v", len(resp.Body), length, got, Committed)
 	}
 }
--- a/internal/node/upstream/response_stream.go
+++ b/internal/node/upstream/response_stream.go
@@ -123,7 +123,7 @@
 		s.lastWait = now
 	}
 	if committedBefore := s.arrived >= s.commitAt; !committedBefore && s.arrived+n >= s.commitAt {
-		s.lifetime.enter(committed)
+		s.lifetime.enter(Committed)
 	}
 	s.arrived += n
 	return n, err
