--- a/internal/peertest/client.go
+++ b/internal/peertest/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -34,6 +35,7 @@
 type Result struct {
 	Status    int   // 0 without a response
 	Bytes     int64 // of the response's body
+	Foreign   bool  // the body has bytes that no server of the package sends
 	Whole     bool
 	KeepAlive bool      // the connection stays open
 	SentAt    time.Time // when the last byte was written; EndedAt if the response ended before
@@ -97,7 +99,7 @@
 }
 
 // maxResponseTime bounds how long a client reads a response that has begun.
-const maxResponseTime = 60 * time.Second
+const maxResponseTime = 120 * time.Second
 
 // DoOn sends the request on c and reads its response, which may come before the request's end.
 func (r Request) DoOn(ctx context.Context, c net.Conn) (result Result) {
@@ -162,15 +164,24 @@
 		return
 	}
 	result.Status = response.StatusCode
+	body := &bodyChecker{}
 	if r.ReadRate > 0 {
-		result.Bytes, err = copyAtRate(ctx, io.Discard, response.Body, r.ReadRate, 0)
+		result.Bytes, err = copyAtRate(ctx, body, response.Body, r.ReadRate, 0)
 	} else {
-		result.Bytes, err = io.Copy(io.Discard, response.Body)
+		result.Bytes, err = io.Copy(body, response.Body)
 	}
-	result.Whole, result.Err = err == nil, err
+	result.Whole, result.Foreign, result.Err = err == nil, body.foreign, err
 	result.KeepAlive = err == nil && !response.Close && from.Buffered() == 0
 }
 
+// bodyChecker checks the bytes of a response body.
+type bodyChecker struct{ foreign bool }
+
+func (b *bodyChecker) Write(p []byte) (int, error) {
+	b.foreign = b.foreign || bytes.Count(p, []byte{responseByte}) != len(p)
+	return len(p), nil
+}
+
 func (r Request) write(ctx context.Context, c net.Conn) error {
 	if _, err := io.WriteString(c, r.Head()); err != nil {
 		return err
--- a/internal/peertest/server.go
+++ b/internal/peertest/server.go
@@ -11,7 +11,9 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -28,8 +30,55 @@
 	Key      string // idempotency key
 	BeganAt  time.Time
 	Complete bool // its last byte arrived, so the server ran it
+
+	HeadAt   time.Time // when the head of the response was sent; zero if it wasn't, as are the other times
+	BodyAt   time.Time // when the first bytes of its body were sent
+	EndAt    time.Time // when its end was sent
+	CutOffAt time.Time // when a write failed, since the node had closed the connection
+	BrokenAt time.Time // when the server broke it off
+	Given    []Given   // the body's bytes, in the order of time
+}
+
+// Given is how much of a response body had been sent at a time.
+type Given struct {
+	At    time.Time
+	Bytes int
+}
+
+// Describe tells the steps of the attempt, with their times from a start on.
+func (a Attempt) Describe(start time.Time) string {
+	var steps []string
+	add := func(name string, at time.Time) {
+		if !at.IsZero() {
+			steps = append(steps, fmt.Sprintf("%s at %.3f s", name, at.Sub(start).Seconds()))
+		}
+	}
+	add("began", a.BeganAt)
+	add("head", a.HeadAt)
+	add("body", a.BodyAt)
+	if n := len(a.Given); n > 0 {
+		add(fmt.Sprintf("byte %d", a.Given[n-1].Bytes), a.Given[n-1].At)
+	}
+	add("end", a.EndAt)
+	add("broken off", a.BrokenAt)
+	add("closed by the node", a.CutOffAt)
+	return fmt.Sprintf("attempt, whole request %t: %s", a.Complete, strings.Join(steps, ", "))
 }
 
+// GivenBy returns how many bytes of the response's body were sent by a time.
+func (a Attempt) GivenBy(at time.Time) (bytes int) {
+	for _, g := range a.Given {
+		if g.At.After(at) {
+			break
+		}
+		bytes = g.Bytes
+	}
+	return bytes
+}
+
+// responseByte fills the servers' response bodies.
+const responseByte = 'a'
+
 // Framing is how a response tells where its body ends.
 type Framing int
 
@@ -52,7 +101,7 @@
 	WritePiece  int           // bytes of the response body written at once; 0 for as many as WriteRate gives in pieceInterval
 	ReadRate    int           // bytes of the request body read a second; 0 for no limit
 	StopReading int           // the server hangs once it has read so many bytes of the request body; 0 for never
-	BreakAfter  int           // the connection breaks off after so many bytes of the response body; 0 for never
+	BreakAfter  int           // the first attempt's connection breaks off after so many bytes of the response body; 0 for never
 }
 
 // Path returns the path and query of a request that is treated so.
@@ -111,7 +160,9 @@
 	defer s.mu.Unlock()
 	for _, a := range s.attempts {
 		if a.ID == id {
-			all = append(all, *a)
+			copied := *a
+			copied.Given = slices.Clone(a.Given)
+			all = append(all, copied)
 		}
 	}
 	return all
@@ -207,32 +258,37 @@
 	}
 	b := parseBehavior(request.URL.Query())
 	a := &Attempt{ID: request.Header.Get("X-Request-Id"), Key: request.Header.Get("Idempotency-Key"), BeganAt: time.Now()}
-	s.mu.Lock()
-	s.attempts = append(s.attempts, a)
-	s.mu.Unlock()
+	if len(s.Attempts(a.ID)) > 0 {
+		b.BreakAfter = 0
+	}
+	s.record(func() { s.attempts = append(s.attempts, a) })
+	w := &responseWriter{servers: s, conn: c, attempt: a, behavior: b}
 	if b.EarlyHead {
-		if err := writeHead(c, b); err != nil {
-			return err
-		}
-		if _, err := io.CopyN(b.bodyWriter(c), repeated('a'), int64(b.EarlyBody)); err != nil {
-			return err
-		}
+		w.writeHead()
+		w.writeBody(b.EarlyBody)
 	}
 	if err := s.readBody(request.Body, b); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	a.Complete = true
-	s.mu.Unlock()
+	s.record(func() { a.Complete = true })
 	if err := sleep(s.ctx, b.Delay); err != nil {
 		return err
 	}
 	if !b.EarlyHead {
-		if err := writeHead(c, b); err != nil {
-			return err
-		}
+		w.writeHead()
+	}
+	if err := sleep(s.ctx, b.BodyDelay); err != nil {
+		return err
 	}
-	return s.writeBody(c, b)
+	w.writeBody(b.Size)
+	return w.end()
+}
+
+// record changes the record of attempts.
+func (s *Servers) record(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
 }
 
 func (s *Servers) readBody(body io.Reader, b ServerBehavior) error {
@@ -251,59 +307,101 @@
 	return err
 }
 
-func writeHead(c net.Conn, b ServerBehavior) error {
-	framing := map[Framing]string{ContentLength: "Content-Length: " + strconv.Itoa(b.Size), Chunked: "Transfer-Encoding: chunked",
+// responseWriter writes one response. After an error it does nothing more.
+type responseWriter struct {
+	servers  *Servers
+	conn     net.Conn
+	attempt  *Attempt
+	behavior ServerBehavior
+	written  int // bytes of the body
+	err      error
+}
+
+func (w *responseWriter) writeHead() {
+	framing := map[Framing]string{ContentLength: "Content-Length: " + strconv.Itoa(w.behavior.Size), Chunked: "Transfer-Encoding: chunked",
 		UntilClose: "Connection: close"}
-	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+framing[b.Framing]+"\r\n\r\n")
-	return err
+	_, err := io.WriteString(w.conn, "HTTP/1.1 200 OK\r\n"+framing[w.behavior.Framing]+"\r\n\r\n")
+	w.note(err, func(a *Attempt, now time.Time) { a.HeadAt = now })
 }
 
-// bodyWriter writes a response body to c in its framing.
-func (b ServerBehavior) bodyWriter(c net.Conn) io.Writer {
-	if b.Framing == Chunked {
-		return chunkWriter{c}
-	}
-	return c
+// note records a step, or the error that kept it from being made.
+func (w *responseWriter) note(err error, step func(a *Attempt, now time.Time)) {
+	w.servers.record(func() {
+		if w.err = err; err != nil {
+			w.attempt.CutOffAt = time.Now()
+			return
+		}
+		step(w.attempt, time.Now())
+	})
 }
 
-// errConnectionEnds ends a connection after its last response.
-var errConnectionEnds = errors.New("the connection ends")
+// Write writes a part of the body in the response's framing.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	out := io.Writer(w.conn)
+	if w.behavior.Framing == Chunked {
+		out = chunkWriter{w.conn}
+	}
+	n, err := out.Write(p)
+	w.written += n
+	w.note(err, func(a *Attempt, now time.Time) {
+		if a.BodyAt.IsZero() {
+			a.BodyAt = now
+		}
+		a.Given = append(a.Given, Given{now, w.written})
+	})
+	return n, err
+}
 
-func (s *Servers) writeBody(c net.Conn, b ServerBehavior) error {
-	if err := sleep(s.ctx, b.BodyDelay); err != nil {
-		return err
+// writeBody writes the body up to a total size, or to where it breaks off.
+func (w *responseWriter) writeBody(size int) {
+	if w.err != nil {
+		return
 	}
-	w, size := b.bodyWriter(c), b.Size
+	b := w.behavior
 	if b.BreakAfter > 0 {
 		size = min(size, b.BreakAfter)
 	}
-	body := io.LimitReader(repeated('a'), int64(size-b.EarlyBody))
-	var err error
+	body := io.LimitReader(repeated(responseByte), int64(size-w.written))
 	if b.WriteRate > 0 {
-		_, err = copyAtRate(s.ctx, w, body, b.WriteRate, b.WritePiece)
+		_, w.err = copyAtRate(w.servers.ctx, w, body, b.WriteRate, b.WritePiece)
 	} else {
-		_, err = io.Copy(w, body)
+		_, w.err = io.Copy(w, body)
 	}
+}
+
+// errConnectionEnds ends a connection after its last response.
+var errConnectionEnds = errors.New("the connection ends")
+
+// end ends the response, or breaks it off.
+func (w *responseWriter) end() error {
 	switch {
-	case err != nil:
-		return err
-	case b.BreakAfter > 0:
-		if tcp, ok := c.(*net.TCPConn); ok {
+	case w.err != nil:
+		return w.err
+	case w.behavior.BreakAfter > 0:
+		w.note(nil, func(a *Attempt, now time.Time) { a.BrokenAt = now })
+		if tcp, ok := w.conn.(*net.TCPConn); ok {
 			return errors.Join(errConnectionEnds, tcp.SetLinger(0)) // the close then resets the connection
 		}
 		return errConnectionEnds
-	case b.Framing == Chunked:
-		_, err = io.WriteString(c, "0\r\n\r\n")
-	case b.Framing == UntilClose:
+	}
+	var err error
+	if w.behavior.Framing == Chunked {
+		_, err = io.WriteString(w.conn, "0\r\n\r\n")
+	}
+	w.note(err, func(a *Attempt, now time.Time) { a.EndAt = now })
+	if w.behavior.Framing == UntilClose {
 		return errConnectionEnds
 	}
-	return err
+	return w.err
 }
 
 // chunkWriter writes each piece as one chunk.
 type chunkWriter struct{ w io.Writer }
 
 func (c chunkWriter) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil // an empty chunk would end the body
+	}
 	if _, err := fmt.Fprintf(c.w, "%x\r\n%s\r\n", len(p), p); err != nil {
 		return 0, err
 	}
