Pass on a long response that is held back when a shutdown ends

What callers saw: at the end of a shutdown's time, 502 for a request whose long response had begun to arrive; found by reading, while looking for limits that end what is owed. Cause: failUnanswered knew of no attempt. Change: it ends the hold of an attempt that has committed, so that the response is streamed from then on. Measured: TestEndOfShutdownPassesOnAResponseThatHasBegun, 502 before (tried without a length), three cases pass.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -50,7 +50,8 @@
 		index int // the attempt's index
 		upstream.Result
 	}
-	// failUnanswered fails all requests without a response and rejects new ones. It is sent at the end of a shutdown.
+	// failUnanswered fails all requests without a response, has long responses that are held back passed on, and rejects new
+	// requests. It is sent at the end of a shutdown.
 	failUnanswered struct{}
 )
 
@@ -129,7 +130,11 @@
 func (failUnanswered) handle(l *loop) {
 	l.rejectAll = true
 	for _, r := range l.requests {
-		if !r.ended {
+		switch {
+		case r.ended:
+		case r.hasResponse():
+			r.endStartHolds()
+		default:
 			l.fail(r, http.StatusBadGateway, "the node stops")
 		}
 	}
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -363,3 +364,42 @@
 		})
 	}
 }
+
+// Guards against a long response that is cut off at the end of a shutdown, while its start is held back.
+func TestEndOfShutdownPassesOnAResponseThatHasBegun(t *testing.T) {
+	const size = 2 * http1.MaxBufferedBodyBytes
+	for name, c := range map[string]struct {
+		head  string
+		start int // bytes of the body that have come by then
+	}{
+		"length, head alone": {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size), 0},
+		"length, a byte":     {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size), 1},
+		"no length":          {"HTTP/1.0 200 OK\r\n\r\n", upstream.StreamStartBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nodetest.Bubble(t, func(t *testing.T) {
+				addr := nodetest.RawServer(t, func(conn net.Conn, r *bufio.Reader) {
+					if nodetest.ReadRequest(r) {
+						_, _ = io.WriteString(conn, c.head)
+						_, _ = conn.Write(make([]byte, c.start))
+						time.Sleep(time.Second)
+						_, _ = conn.Write(make([]byte, size-c.start))
+					}
+				})
+				l, _ := startLoop(t, addr, sendOnce)
+				x := l.sendRequest("r", nodetest.Timeout)
+				time.Sleep(100 * time.Millisecond)
+				l.send(failUnanswered{})
+				ended := time.Now()
+				a := nodetest.Receive(t, "the response", x.Reply)
+				if took := time.Since(ended); a.Status != http.StatusOK || a.Stream == nil || took > 0 {
+					t.Fatalf("got status %d after %v, want the start of the server's response at once", a.Status, took)
+				}
+				var rest bytes.Buffer
+				if err := a.Stream.CopyTo(&rest, a.Body); err != nil || rest.Len() != size {
+					t.Errorf("response: got %d bytes, error %v; want %d", rest.Len(), err, size)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -94,6 +94,13 @@
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.lifetime.IsCommitted() })
 }
 
+// endStartHolds has the start of a long response passed on at once.
+func (r *request) endStartHolds() {
+	for _, a := range r.attempts {
+		a.lifetime.EndStartHold()
+	}
+}
+
 // setDeadlines sets the deadline and the backstop of a request whose last byte was received at receivedAt, or will be
 // received by then at the latest.
 func (r *request) setDeadlines(receivedAt policy.Time) {
--- a/internal/node/upstream/lifetime.go
+++ b/internal/node/upstream/lifetime.go
@@ -61,7 +61,8 @@
 	conn            net.Conn      // the attempt's connection; nil while it has none
 	cancelDial      func()        // cancels the dial in progress
 	cancelled       chan struct{} // closed when cause is set; nil until whenCancelled is called
-	moved           chan struct{} // has a value once a deadline was moved; nil until whenMoved is called
+	holdEnded       bool          // EndStartHold was called
+	moved           chan struct{} // has a value once a deadline was moved or the hold was ended; nil until whenMoved is called
 
 	stall stallWatch // of the server
 }
@@ -87,6 +88,21 @@
 	l.applyLocked()
 }
 
+// EndStartHold ends the hold of a long response's start, now or once there is one.
+func (l *Lifetime) EndStartHold() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holdEnded = true
+	l.applyLocked()
+}
+
+// isStartHoldEnded reports whether EndStartHold was called.
+func (l *Lifetime) isStartHoldEnded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holdEnded
+}
+
 // limitWrite makes the writing of the request fail at a time.
 func (l *Lifetime) limitWrite(by time.Time) {
 	l.mu.Lock()
@@ -169,7 +185,7 @@
 	return min(timeout, time.Until(deadline))
 }
 
-// whenMoved returns a channel that receives a value when a deadline is moved. Only one goroutine may call it.
+// whenMoved returns a channel that receives a value when a deadline is moved or EndStartHold is called. Only one goroutine may call it.
 func (l *Lifetime) whenMoved() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/upstream/response_start.go
+++ b/internal/node/upstream/response_start.go
@@ -89,7 +89,7 @@
 	response    *response
 	lifetime    *Lifetime
 	isDelivered func() bool     // whether the server has the whole request
-	moved       <-chan struct{} // has a value once a deadline was moved
+	moved       <-chan struct{} // has a value once a deadline was moved or the hold was ended
 	since       time.Time
 	timer       *time.Timer // of await; nil until it is needed
 	arrived     int         // bytes of the body
@@ -133,10 +133,13 @@
 // that the client waits for, but it is owed by the client's deadline.
 func (h *startHold) end() time.Time {
 	begin, end := h.lifetime.deadlines()
+	isLong := h.arrived >= h.response.commitBytes() && (h.arrived > 0 || !h.headLate)
 	switch {
-	case h.arrived >= h.response.commitBytes() && h.arrived > 0:
+	case isLong && h.lifetime.isStartHoldEnded():
+		return h.since
+	case isLong && h.arrived > 0:
 		return earlier(h.since.Add(maxStartHold), h.before(begin))
-	case h.arrived >= h.response.commitBytes() && !h.headLate:
+	case isLong:
 		return h.before(end)
 	case h.arrived > 0 && h.response.Length < 0 && h.checkDelivered():
 		return h.since.Add(maxSmallStartHold)
