End a successor although its predecessor still serves

Cause: hotRestart.run called off the close of the connection to the predecessor before it waited for what that close ends. Change: the order of the two.

--- a/internal/node/hot_restart.go
+++ b/internal/node/hot_restart.go
@@ -54,10 +54,14 @@
 	case <-ctx.Done():
 	}
 	var wg sync.WaitGroup
-	defer wg.Wait()
 	if predecessor != nil {
-		stop := context.AfterFunc(ctx, func() { _ = predecessor.Close() }) // which ends Follow
+		// The close ends Follow. It must not be called off while Follow is waited for, however early this process finds that ctx
+		// has ended or that it can't hand over.
+		stop := context.AfterFunc(ctx, func() { _ = predecessor.Close() })
 		defer stop()
+	}
+	defer wg.Wait()
+	if predecessor != nil {
 		// This process's health check succeeds only after the predecessor has stopped accepting. If it succeeded sooner,
 		// the predecessor could be told to stop too early: while stopping, it would still get health checks of the load
 		// balancer in front, and fail them for the whole node.
--- a/internal/node/hot_restart_test.go
+++ b/internal/node/hot_restart_test.go
@@ -181,6 +181,26 @@
 	}
 }
 
+// Guards against a successor that is told to stop while its predecessor serves, and never ends: what ended its connection to the
+// predecessor was called off once it could hand over no more. Here it can't from the start.
+func TestSuccessorEndsBesideItsPredecessor(t *testing.T) {
+	t.Parallel()
+	c := restartableConfig(t, nodetest.KnownList("127.0.0.1:9"))
+	startProcess(t, c)
+	taken := filepath.Join(fmt.Sprint(identityOf(c).SocketPath(), ".", os.Getpid()), "taken") // where the successor would listen
+	if err := os.MkdirAll(taken, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	listeners, err := Listen(t.Context(), c)
+	if err != nil || listeners.predecessor == nil {
+		t.Fatalf("Listen: want a hand-over from the predecessor, got none or error %v", err)
+	}
+	_, stop := startNodeAt(t, c, listeners, nil)
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+}
+
 // In a hot restart, the predecessor leaves its successor at least a quarter of the descriptors, but none of the reserved
 // ones.
 func TestHotRestartSharesDescriptors(t *testing.T) {
