Give a response whose start was passed on the time in which its end still counts

Cause: a start under 4 KiB was passed on, and the client's deadline then ended the stream before 4 KiB could show that it was long.

--- a/internal/node/late_end_test.go
+++ b/internal/node/late_end_test.go
@@ -92,3 +92,47 @@
 		})
 	}
 }
+
+// Guards against a long response without a length that is cut off at its client's time because its body came so late that little
+// of it had been given by then.
+func TestLateStartOfALongResponseIsNotCutOff(t *testing.T) {
+	const deadline, size, piece, interval = 2 * time.Second, 2 * http1.MaxBufferedBodyBytes, 500, 20 * time.Millisecond
+	for name, ends := range map[string]bool{"goes on": false, "stops": true} {
+		t.Run(name, func(t *testing.T) {
+			nodetest.Bubble(t, func(t *testing.T) {
+				body := randomBytes(size)
+				server := nodetest.RawServer(t, func(conn net.Conn, r *bufio.Reader) {
+					if !nodetest.ReadRequest(r) {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\n")
+					time.Sleep(deadline - 100*time.Millisecond)
+					for at := 0; at < size; at += piece {
+						if _, err := conn.Write(body[at:min(at+piece, size)]); err != nil {
+							return
+						}
+						time.Sleep(interval)
+						if ends && at > upstream.StreamStartBytes/4 {
+							_, _ = io.Copy(io.Discard, r) // until the close
+							return
+						}
+					}
+				})
+				node, _ := startNode(t, testConfig(t, nodetest.KnownList(server)))
+				begin := time.Now()
+				resp, err := oneRequestClient(t).Do(clientRequest(t, node, "GET", "read", "r", "", "X-Deadline-Ms", "2000"))
+				if err != nil || resp.StatusCode != http.StatusOK {
+					t.Fatalf("got %v, error %v; want 200", resp, err)
+				}
+				defer nodetest.CloseIgnoringClosed(t, resp.Body)
+				got, err := io.ReadAll(resp.Body)
+				if !ends && (err != nil || !bytes.Equal(got, body)) {
+					t.Errorf("server that goes on: got %d bytes, error %v; want all of %d", len(got), err, size)
+				}
+				if took := time.Since(begin); ends && (err == nil || took > deadline+500*time.Millisecond) {
+					t.Errorf("server that stops: got %d bytes, error %v after %v; want an error within half a second of %v", len(got), err, took, deadline)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -105,6 +105,7 @@
 	stream := newResponseStream(resp, a)
 	started := resp.Response
 	started.Stream = stream
+	a.Lifetime.enter(Started)
 	cancelled := a.Lifetime.whenCancelled()
 	a.Observer.ResponseStarted(started)
 	select {
--- a/internal/node/upstream/lifetime.go
+++ b/internal/node/upstream/lifetime.go
@@ -20,6 +20,7 @@
 //	requesting  the attempt's deadline or, if that  as reads, and by the time of limitWrite
 //	            is sooner, the client's
 //	responding  the client's deadline               as reads, and by the time of limitWrite
+//	started     maxLateEnd after that               as reads, and by the time of limitWrite
 //	committed   no time; a stall ends them          as reads, and by the time of limitWrite
 //
 // An attempt goes through the phases in this order, and may leave some out.
@@ -32,6 +33,9 @@
 	Requesting Phase = iota
 	// Responding lasts as long as the response may still be short. Its end is owed to the client by the client's deadline.
 	Responding
+	// Started is the same once the start of the response has been passed on. It ends as late as the client still takes an end for
+	// an answer, since a long response may show that it is one by then.
+	Started
 	// Committed is the phase of a long response of which enough has arrived. The rest is owed for as long as the server sends it.
 	Committed
 )
@@ -41,6 +45,8 @@
 	switch p {
 	case Responding:
 		return "responding"
+	case Started:
+		return "started"
 	case Committed:
 		return "committed"
 	case Requesting:
@@ -142,6 +148,11 @@
 		return time.Time{}
 	case Responding:
 		return l.clientDeadline
+	case Started:
+		if !l.clientDeadline.IsZero() {
+			return l.clientDeadline.Add(maxLateEnd)
+		}
+		return l.clientDeadline
 	case Requesting:
 	}
 	return earlier(l.attemptDeadline, l.clientDeadline)
