Count only a request that was written whole as taken, in the soak

The trace: the node's log has no line for either, and their clients had not written the body when the node closed the connection to make room. Why it is allowed: PROTOCOL, "A node has taken a request once the request's last byte is written"; the node loses only what it has taken. Change: a request without an answer counts as lost if it was written whole. The check had counted the others too.

--- a/internal/peertest/client.go
+++ b/internal/peertest/client.go
@@ -34,6 +34,7 @@
 // Result is what a client saw of its request.
 type Result struct {
 	Status    int   // 0 without a response
+	Written   bool  // the whole request was written
 	Bytes     int64 // of the response's body
 	Foreign   bool  // the body has bytes that no server of the package sends
 	Whole     bool
@@ -117,7 +118,7 @@
 	result.EndedAt = time.Now()
 	select {
 	case <-w.written:
-		result.SentAt = w.endedAt
+		result.SentAt, result.Written = w.endedAt, w.err == nil
 		if result.Status == 0 {
 			result.Err = errors.Join(w.err, result.Err)
 		}
--- a/internal/peertest/judge.go
+++ b/internal/peertest/judge.go
@@ -28,6 +28,8 @@
 func (r Request) Violation(got Result, c Conduct) string {
 	inTime := got.SentAt.Add(r.Wait + finalAnswerSlack)
 	switch {
+	case got.Status == 0 && !got.Written:
+		return "" // the node has not taken it
 	case got.Status == 0 && !c.Excused:
 		return "no final answer"
 	case got.Status == 0:
