Ask whether a request was written only once its writing has ended

Need: read again, a client of peertest that got no answer asked whether its request was written whole while the goroutine that writes might not have said so yet. Such a request would have been excused as never taken. Change: the write is ended first, and then asked. That is stricter. A comment named a type that doesn't exist.

--- a/internal/peertest/client.go
+++ b/internal/peertest/client.go
@@ -116,6 +116,10 @@
 		r.readResponse(ctx, response, &result)
 	}
 	result.EndedAt = time.Now()
+	if result.Status == 0 {
+		_ = c.SetWriteDeadline(time.Unix(1, 0)) // ends a write in progress; fails only on a closed connection
+		<-w.written                             // tells whether the node had the whole request
+	}
 	select {
 	case <-w.written:
 		result.SentAt, result.Written = w.endedAt, w.err == nil
--- a/internal/peertest/judge.go
+++ b/internal/peertest/judge.go
@@ -16,7 +16,7 @@
 	nodeDelay = 250 * time.Millisecond
 )
 
-// Conduct is what a Judge must know beside a request and its result.
+// Conduct is what Request.Violation must know beside the request and its result.
 type Conduct struct {
 	Attempts []Attempt // of the request
 	Excused  bool      // the process that served it was killed, or had come to the end of its shutdown
